--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,76 @@
+// Package outcome names what became of a request and why it was refused.
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome tells whether a request ran on a target.
+type Outcome uint8
+
+const (
+	// Unknown means that a target may have run the request.
+	Unknown Outcome = iota
+	// NotRun means that no target ran the request or ever will.
+	NotRun
+	// Done means that a target ran the request and its answer is whole.
+	Done
+)
+
+// String returns the outcome's name in the callers' API.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not_run"
+	case Done:
+		return "done"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is a stable, machine-readable cause of a refusal.
+type Reason string
+
+// The reasons of the callers' API.
+const (
+	ReasonUnauthenticated Reason = "unauthenticated"
+	ReasonForbidden       Reason = "forbidden"
+	ReasonNoRoute         Reason = "no_route"
+	ReasonRateLimited     Reason = "rate_limited"
+	ReasonNoCapacity      Reason = "no_capacity"
+	ReasonQueueTimeout    Reason = "queue_timeout"
+	ReasonStale           Reason = "configuration_stale"
+	ReasonNotReady        Reason = "not_ready"
+	ReasonStopping        Reason = "stopping"
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonTooLarge        Reason = "too_large"
+	ReasonDuplicate       Reason = "duplicate"
+	ReasonClaimsDown      Reason = "claims_unavailable"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonTargetFailed    Reason = "target_failed"
+	ReasonDeadline        Reason = "deadline_exceeded"
+)
+
+// Refusal is the final answer to a request that gets no answer from a target.
+type Refusal struct {
+	Outcome Outcome
+	Reason  Reason
+	// Status is the HTTP status code of the answer.
+	Status int
+	// RetryAfter is when the caller may ask again; 0 says nothing about it.
+	RetryAfter time.Duration
+	// Detail is one sentence for people. It never holds a key.
+	Detail string
+}
+
+// Error makes a Refusal usable as an error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.Outcome, r.Detail)
+}
+
+// Refuse returns a Refusal of a request that no target has seen.
+func Refuse(status int, reason Reason, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Outcome: NotRun, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: detail}
+}
