--- /dev/null
+++ b/pkg/feed/fake_test.go
@@ -0,0 +1,243 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// fakeStore is a table and an object store in memory, with faults.
+type fakeStore struct {
+	mu      sync.Mutex
+	items   map[platform.Key]platform.Item
+	objects map[string][]byte
+	reads   int
+	writes  int
+	// down refuses everything.
+	down bool
+	// lose loses the answers to that many writes after they took effect.
+	lose int
+	// drop loses that many writes before they take effect, with an unknown
+	// outcome all the same.
+	drop int
+	// late holds back that many writes, with an unknown outcome, until the
+	// next write of the same row has been refused or accepted.
+	late    int
+	delayed []platform.Write
+	// beforeWrite runs before a write, without the lock.
+	beforeWrite func()
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[platform.Key]platform.Item{}, objects: map[string][]byte{}}
+}
+
+func (s *fakeStore) set(edit func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(s)
+}
+
+func (s *fakeStore) Get(_ context.Context, key platform.Key) (platform.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	item, ok := s.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *fakeStore) List(_ context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, platform.ErrUnavailable
+	}
+	var found []platform.Item
+	for key, item := range s.items {
+		if key.Partition == partition && key.Sort > after {
+			found = append(found, item)
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Item) int {
+		if a.Sort < b.Sort {
+			return -1
+		}
+		return 1
+	})
+	return found[:min(limit, len(found))], nil
+}
+
+func (s *fakeStore) Transact(_ context.Context, writes []platform.Write) error {
+	s.mu.Lock()
+	before := s.beforeWrite
+	s.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.down {
+		return platform.ErrUnavailable
+	}
+	if s.drop > 0 {
+		s.drop--
+		return platform.ErrIndeterminate
+	}
+	if s.late > 0 {
+		s.late--
+		s.delayed = append(s.delayed, writes...)
+		return platform.ErrIndeterminate
+	}
+	err := s.commit(writes)
+	for _, w := range s.delayed {
+		_ = s.commit([]platform.Write{w})
+	}
+	s.delayed = nil
+	if err == nil && s.lose > 0 {
+		s.lose--
+		return platform.ErrIndeterminate
+	}
+	return err
+}
+
+func (s *fakeStore) commit(writes []platform.Write) error {
+	var failed []int
+	for i, w := range writes {
+		if s.items[w.Key].Revision != w.IfRevision {
+			failed = append(failed, i)
+		}
+	}
+	if failed != nil {
+		return &platform.ConflictError{Failed: failed}
+	}
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.items, w.Key)
+			continue
+		}
+		s.items[w.Key] = platform.Item{Key: w.Key, Revision: w.IfRevision + 1, Value: slices.Clone(w.Value)}
+	}
+	return nil
+}
+
+// rows returns the log's changes in order.
+func (s *fakeStore) rows(t *testing.T) []config.Change {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range maps.Keys(s.items) {
+		if key.Partition == logPartition {
+			keys = append(keys, key.Sort)
+		}
+	}
+	slices.Sort(keys)
+	var changes []config.Change
+	for i, sort := range keys {
+		e, err := decodeRow(s.items[platform.Key{Partition: logPartition, Sort: sort}])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e.change.Version != int64(i+1) {
+			t.Fatalf("row %d holds version %d", i, e.change.Version)
+		}
+		changes = append(changes, e.change)
+	}
+	return changes
+}
+
+// objectStore gives the fake the methods of platform.Objects.
+type objectStore struct{ *fakeStore }
+
+func (s objectStore) Get(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if s.down {
+		return nil, platform.ErrUnavailable
+	}
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+func (s objectStore) Put(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnavailable
+	}
+	s.objects[name] = data
+	return nil
+}
+
+// fakeMembers is a view that tests set.
+type fakeMembers struct {
+	mu   sync.Mutex
+	view member.View
+}
+
+func (m *fakeMembers) View() *member.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.view
+	return &v
+}
+
+func (m *fakeMembers) set(v member.View) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view = v
+}
+
+// newFeed returns a feed whose loop runs until the test ends. It is not
+// started: tests call its steps, or Start.
+func newFeed(t testing.TB, cfg Config) *Feed {
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg.Loop = control.NewLoop()
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	if cfg.Members == nil {
+		cfg.Members = &fakeMembers{}
+	}
+	cfg.Peers = peer.NewDialer()
+	cfg.Log = zerolog.Nop()
+	ended := make(chan struct{})
+	go func() { cfg.Loop.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended; cfg.Peers.Close() })
+	return New(cfg)
+}
+
+// eventually polls until ok, with a bound far above any pass.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/pkg/feed/feed.go
@@ -0,0 +1,239 @@
+// Package feed brings the configuration to every VM. The platform's table
+// holds a log with one row for each version; one VM of each failure domain
+// relays it to the others, and each VM knows how old its version may be.
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+const (
+	// noVersion is the version of a VM that has no configuration.
+	noVersion int64 = -1
+	// maxTailEntries and maxTailBytes bound the changes kept for peers that
+	// are behind; a peer further behind gets a whole snapshot.
+	maxTailEntries = 512
+	maxTailBytes   = 1 << 20
+	// maxReads is how many reads of the store run at once, so that a slow
+	// store does not lower the rate of reads.
+	maxReads = 4
+
+	defaultFreshness   = 3 * time.Second
+	defaultPoll        = 500 * time.Millisecond
+	defaultReadTimeout = 2 * time.Second
+	defaultSnapshots   = 256
+)
+
+// Config holds what a Feed needs.
+type Config struct {
+	Table   platform.Table
+	Objects platform.Objects
+	// Loop owns the feed's state.
+	Loop    *control.Loop
+	Clock   clock.Clock
+	Members member.Source
+	Self    member.Peer
+	Peers   *peer.Dialer
+	Log     zerolog.Logger
+	// Metrics receives the feed's metrics; nil drops them.
+	Metrics metrics.Registry
+
+	// Freshness is the longest time since the configuration was known to be
+	// the newest for which keyed routes are served; default 3 s.
+	Freshness time.Duration
+	// Poll is the period in which the store is read; default 500 ms.
+	Poll time.Duration
+	// ReadTimeout bounds a read of the store; default 2 s. A store slower
+	// than that counts as unreachable.
+	ReadTimeout time.Duration
+	// SnapshotEvery is the number of changes between two snapshots in the
+	// object store; default 256. A booting VM reads up to that many rows.
+	SnapshotEvery int64
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Freshness, defaultFreshness)
+	setDefault(&c.Poll, defaultPoll)
+	setDefault(&c.ReadTimeout, defaultReadTimeout)
+	setDefault(&c.SnapshotEvery, defaultSnapshots)
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Feed holds the configuration of one VM.
+type Feed struct {
+	cfg   Config
+	store store
+	// state is written by the loop alone.
+	state atomic.Pointer[state]
+	// proposing admits one proposal at a time, so that operators of one VM
+	// do not race each other for a version.
+	proposing chan struct{}
+	contact   *contact
+	meters    meters
+
+	// reads is the number of reads in flight. The loop owns it.
+	reads int
+}
+
+// New returns a Feed that Start must start.
+func New(cfg Config) *Feed {
+	f := &Feed{
+		cfg:       cfg.withDefaults(),
+		store:     store{table: cfg.Table, objects: cfg.Objects},
+		proposing: make(chan struct{}, 1),
+		contact:   newContact(),
+	}
+	f.meters = newMeters(f.cfg.Metrics)
+	f.state.Store(newState())
+	return f
+}
+
+// Start begins to follow the configuration until ctx ends.
+func (f *Feed) Start(ctx context.Context) {
+	f.cfg.Loop.Every(ctx, f.cfg.Poll, func() { f.read(ctx) })
+}
+
+// Snapshot returns the configuration in force. It is the empty one until
+// Ready. It costs an atomic load and a reading of the clock.
+func (f *Feed) Snapshot() config.Snapshot {
+	s := f.state.Load()
+	if s.config == nil {
+		return config.Snapshot{Config: empty}
+	}
+	return config.Snapshot{Config: s.config, Fresh: s.age(f.cfg.Clock.Now()) <= f.cfg.Freshness}
+}
+
+var empty = config.Empty()
+
+// Ready reports whether the VM has a configuration, fresh or not.
+func (f *Feed) Ready() bool { return f.state.Load().config != nil }
+
+// read starts a read of the log, on the loop.
+func (f *Feed) read(ctx context.Context) {
+	if f.reads >= maxReads {
+		return
+	}
+	f.reads++
+	f.cfg.Loop.Go(ctx, func(ctx context.Context) {
+		u, err := f.fetch(ctx)
+		f.cfg.Loop.Post(func() {
+			f.reads--
+			f.readDone(u, err)
+		})
+	})
+}
+
+// readDone takes the result of a read, on the loop.
+func (f *Feed) readDone(u update, err error) {
+	if err != nil {
+		f.meters.readErrors.Inc(1)
+		f.cfg.Log.Debug().Err(err).Msg("configuration read failed")
+		return
+	}
+	f.take(u)
+}
+
+// fetch reads what is new in the store since the version at hand.
+func (f *Feed) fetch(ctx context.Context) (update, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
+	defer cancel()
+	start := f.cfg.Clock.Now()
+	u := update{read: start, agreed: never, version: f.state.Load().version()}
+	if u.version == noVersion {
+		c, err := f.store.boot(ctx)
+		if err != nil {
+			f.contact.failed(start)
+			return update{}, err
+		}
+		u.snapshot, u.version = c, c.Version
+	}
+	entries, err := f.store.after(ctx, u.version)
+	if err != nil {
+		f.contact.failed(start)
+		return update{}, err
+	}
+	f.contact.answered(start, f.cfg.Clock.Now())
+	u.entries = entries
+	if n := len(entries); n > 0 {
+		u.version = entries[n-1].change.Version
+	}
+	return u, nil
+}
+
+// take applies an update and publishes the state, on the loop.
+func (f *Feed) take(u update) {
+	s := f.state.Load()
+	next, err := s.with(u)
+	if err != nil && !errors.Is(err, errGap) {
+		f.cfg.Log.Error().Err(err).Int64("version", next.version()).Msg("configuration change not applied")
+	}
+	f.state.Store(next)
+	if next.version() == s.version() {
+		return
+	}
+	close(s.newer)
+	f.meters.version.Update(next.version())
+	f.cfg.Log.Info().Int64("from", s.version()).Int64("version", next.version()).Msg("configuration in force")
+}
+
+// Status is what a VM knows of its configuration.
+type Status struct {
+	// Version is -1 where the VM has no configuration.
+	Version int64
+	// Age is how long ago, at the least, the version was known to be the
+	// newest. It is negative where it never was.
+	Age   time.Duration
+	Fresh bool
+	// Relay is the ID of the VM that relays to this one, or its own.
+	Relay string
+	// StoreReachable reports whether the newest attempt to read the store
+	// was answered.
+	StoreReachable bool
+	// SinceStore is the time since the store last answered; negative where
+	// it never did.
+	SinceStore time.Duration
+}
+
+// Status returns the present status.
+func (f *Feed) Status() Status {
+	now := f.cfg.Clock.Now()
+	s := f.state.Load()
+	reachable, last := f.contact.status()
+	return Status{
+		Version:        s.version(),
+		Age:            since(now, s.known()),
+		Fresh:          s.age(now) <= f.cfg.Freshness,
+		StoreReachable: reachable,
+		SinceStore:     since(now, last),
+	}
+}
+
+func since(now, t clock.Time) time.Duration {
+	if t == never {
+		return -1
+	}
+	return now.Sub(t)
+}
--- /dev/null
+++ b/pkg/feed/log.go
@@ -0,0 +1,151 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+const (
+	// logPartition holds one row for each version, created and never changed.
+	logPartition = "config"
+	// pointerPartition holds the row that names the newest snapshot.
+	pointerPartition = "config-snapshot"
+	pointerSort      = "latest"
+	// pageSize is how many rows one List reads.
+	pageSize = 100
+)
+
+// store reads and writes the log of changes in the platform's table, and the
+// snapshots in its object store.
+type store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// pointer is the value of the pointer row.
+type pointer struct {
+	Version int64  `json:"version"`
+	Object  string `json:"object"`
+}
+
+func rowKey(version int64) platform.Key {
+	return platform.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", version)}
+}
+
+func objectName(version int64) string { return fmt.Sprintf("config/%020d.json", version) }
+
+// create appends the change. The row of its version must not exist, so that
+// at most one change wins a version.
+func (s *store) create(ctx context.Context, e entry) error {
+	return s.table.Transact(ctx, []platform.Write{{Key: rowKey(e.change.Version), Value: e.data}})
+}
+
+// get reads the change that made a version.
+func (s *store) get(ctx context.Context, version int64) (entry, error) {
+	item, err := s.table.Get(ctx, rowKey(version))
+	if err != nil {
+		return entry{}, fmt.Errorf("read version %d: %w", version, err)
+	}
+	return decodeRow(item)
+}
+
+// after reads all changes after a version. It goes on to an empty page, since
+// a table may cut pages short.
+func (s *store) after(ctx context.Context, version int64) ([]entry, error) {
+	var entries []entry
+	for {
+		items, err := s.table.List(ctx, logPartition, rowKey(version).Sort, pageSize)
+		if err != nil {
+			return nil, fmt.Errorf("list changes after %d: %w", version, err)
+		}
+		if len(items) == 0 {
+			return entries, nil
+		}
+		for _, item := range items {
+			e, err := decodeRow(item)
+			if err != nil {
+				return nil, err
+			}
+			entries = append(entries, e)
+			version = e.change.Version
+		}
+	}
+}
+
+func decodeRow(item platform.Item) (entry, error) {
+	ch, err := config.DecodeChange(item.Value)
+	if err != nil {
+		return entry{}, fmt.Errorf("row %s: %w", item.Sort, err)
+	}
+	if rowKey(ch.Version).Sort != item.Sort {
+		return entry{}, fmt.Errorf("row %s holds version %d: %w", item.Sort, ch.Version, config.ErrFormat)
+	}
+	return entry{change: ch, data: item.Value}, nil
+}
+
+// boot returns the newest snapshot that can be read, or the empty
+// configuration: the log holds every change, the snapshot only saves time.
+func (s *store) boot(ctx context.Context) (*config.Config, error) {
+	p, _, err := s.pointer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if p.Version == 0 {
+		return config.Empty(), nil
+	}
+	data, err := s.objects.Get(ctx, p.Object)
+	if err != nil {
+		return config.Empty(), nil
+	}
+	c, err := config.Decode(data)
+	if err != nil || c.Version != p.Version {
+		return nil, fmt.Errorf("snapshot %s: version mismatch or %w", p.Object, err)
+	}
+	return c, nil
+}
+
+// pointer reads the pointer row and its revision, 0 if there is none.
+func (s *store) pointer(ctx context.Context) (pointer, int64, error) {
+	item, err := s.table.Get(ctx, platform.Key{Partition: pointerPartition, Sort: pointerSort})
+	if errors.Is(err, platform.ErrNotFound) {
+		return pointer{}, 0, nil
+	}
+	if err != nil {
+		return pointer{}, 0, fmt.Errorf("read snapshot pointer: %w", err)
+	}
+	var p pointer
+	if err := json.Unmarshal(item.Value, &p); err != nil {
+		return pointer{}, 0, fmt.Errorf("snapshot pointer: %w", err)
+	}
+	return p, item.Revision, nil
+}
+
+// snapshot stores the configuration as an object and points to it, unless a
+// newer snapshot is there.
+func (s *store) snapshot(ctx context.Context, c *config.Config) error {
+	data, err := c.Encode()
+	if err != nil {
+		return fmt.Errorf("encode version %d: %w", c.Version, err)
+	}
+	if err := s.objects.Put(ctx, objectName(c.Version), data); err != nil {
+		return fmt.Errorf("put %s: %w", objectName(c.Version), err)
+	}
+	p, revision, err := s.pointer(ctx)
+	if err != nil || p.Version >= c.Version {
+		return err
+	}
+	value, err := json.Marshal(pointer{Version: c.Version, Object: objectName(c.Version)})
+	if err != nil {
+		return err
+	}
+	return s.table.Transact(ctx, []platform.Write{{
+		Key:        platform.Key{Partition: pointerPartition, Sort: pointerSort},
+		IfRevision: revision,
+		Value:      value,
+	}})
+}
--- /dev/null
+++ b/pkg/feed/meters.go
@@ -0,0 +1,22 @@
+package feed
+
+import "github.com/rcrowley/go-metrics"
+
+// meters are the feed's metrics.
+type meters struct {
+	version    metrics.Gauge
+	reads      metrics.Counter
+	readErrors metrics.Counter
+	conflicts  metrics.Counter
+	unknown    metrics.Counter
+}
+
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		version:    metrics.GetOrRegisterGauge("feed.version", r),
+		reads:      metrics.GetOrRegisterCounter("feed.reads", r),
+		readErrors: metrics.GetOrRegisterCounter("feed.read_errors", r),
+		conflicts:  metrics.GetOrRegisterCounter("feed.conflicts", r),
+		unknown:    metrics.GetOrRegisterCounter("feed.unknown_outcomes", r),
+	}
+}
--- /dev/null
+++ b/pkg/operator/keys.go
@@ -0,0 +1,56 @@
+package operator
+
+import (
+	"context"
+
+	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/keys"
+)
+
+// keyring implements the Keys service.
+type keyring struct{ writer }
+
+// Grant implements operatorpb.Keys. Its answer alone holds the key's text.
+func (s *keyring) Grant(ctx context.Context, r *operatorpb.GrantKeyRequest) (*operatorpb.GrantKeyResponse, error) {
+	key, text := keys.New(r.Account)
+	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
+		return config.Action{Key: config.Create(key.ID, key)}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.GrantKeyResponse{Id: key.ID, Key: text, Account: r.Account, Version: version}, nil
+}
+
+// Withdraw implements operatorpb.Keys.
+func (s *keyring) Withdraw(ctx context.Context, r *operatorpb.WithdrawKeyRequest) (*operatorpb.DeleteResponse, error) {
+	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
+		return config.Action{Key: config.Delete[config.Key](r.Id)}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.DeleteResponse{Version: version}, nil
+}
+
+// List implements operatorpb.Keys.
+func (s *keyring) List(_ context.Context, r *operatorpb.ListKeysRequest) (*operatorpb.ListKeysResponse, error) {
+	c, err := s.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if r.Account == "" {
+		return &operatorpb.ListKeysResponse{Keys: sorted(c.Keys, keyMessage), Version: c.Version}, nil
+	}
+	if _, err := find(c.Accounts, config.KindAccount, r.Account); err != nil {
+		return nil, toTwirp(err)
+	}
+	own := map[string]*config.Key{}
+	for id, k := range c.Keys {
+		if k.Account == r.Account {
+			own[id] = k
+		}
+	}
+	return &operatorpb.ListKeysResponse{Keys: sorted(own, keyMessage), Version: c.Version}, nil
+}
--- /dev/null
+++ b/pkg/operator/shifts.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"context"
+
+	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
+	"crocusramp.dev/crocusramp/pkg/config"
+)
+
+// shifts implements the Shifts service.
+type shifts struct{ writer }
+
+func shiftFrom(m *operatorpb.Shift) config.Shift {
+	return config.Shift{Name: m.Name, Pool: m.Pool, From: m.From, To: m.To, CapPercent: m.CapPercent}
+}
+
+func (s *shifts) put(ctx context.Context, r *operatorpb.ShiftRequest, edit func(string, config.Shift) *config.Edit[config.Shift]) (*operatorpb.ShiftResponse, error) {
+	if err := required("shift", r.Shift != nil); err != nil {
+		return nil, err
+	}
+	shift := shiftFrom(r.Shift)
+	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
+		return config.Action{Shift: edit(shift.Name, shift)}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.ShiftResponse{Shift: shiftMessage(&shift), Version: version}, nil
+}
+
+// Create implements operatorpb.Shifts.
+func (s *shifts) Create(ctx context.Context, r *operatorpb.ShiftRequest) (*operatorpb.ShiftResponse, error) {
+	return s.put(ctx, r, config.Create[config.Shift])
+}
+
+// Update implements operatorpb.Shifts.
+func (s *shifts) Update(ctx context.Context, r *operatorpb.ShiftRequest) (*operatorpb.ShiftResponse, error) {
+	return s.put(ctx, r, config.Update[config.Shift])
+}
+
+// Delete implements operatorpb.Shifts.
+func (s *shifts) Delete(ctx context.Context, r *operatorpb.DeleteRequest) (*operatorpb.DeleteResponse, error) {
+	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
+		return config.Action{Shift: config.Delete[config.Shift](r.Name)}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.DeleteResponse{Version: version}, nil
+}
+
+// Get implements operatorpb.Shifts.
+func (s *shifts) Get(_ context.Context, r *operatorpb.GetRequest) (*operatorpb.ShiftResponse, error) {
+	c, err := s.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	shift, err := find(c.Shifts, config.KindShift, r.Name)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &operatorpb.ShiftResponse{Shift: shiftMessage(shift), Version: c.Version}, nil
+}
+
+// List implements operatorpb.Shifts.
+func (s *shifts) List(context.Context, *operatorpb.ListRequest) (*operatorpb.ListShiftsResponse, error) {
+	c, err := s.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.ListShiftsResponse{Shifts: sorted(c.Shifts, shiftMessage), Version: c.Version}, nil
+}
--- /dev/null
+++ b/pkg/operator/writer.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/twitchtv/twirp"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/feed"
+	"crocusramp.dev/crocusramp/pkg/keys"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// The metadata of errors.
+const (
+	// MetaCurrentVersion holds the present version on aborted calls.
+	MetaCurrentVersion = "current_version"
+	// MetaOutcome is OutcomeNotRun or OutcomeUnknown on unavailable calls.
+	MetaOutcome = "outcome"
+	// MetaChangeID and MetaVersion name a change whose outcome is unknown.
+	MetaChangeID = "change_id"
+	MetaVersion  = "version"
+	// MetaField names the field of an invalid argument.
+	MetaField = "field"
+
+	OutcomeNotRun  = "not_run"
+	OutcomeUnknown = "unknown"
+)
+
+// writer is what the services share.
+type writer struct {
+	cfg Config
+}
+
+// snapshot returns the configuration in force on this VM.
+func (w *writer) snapshot() (*config.Config, error) {
+	if !w.cfg.Feed.Ready() {
+		return nil, unavailable(errors.New("this VM has no configuration yet"))
+	}
+	return w.cfg.Feed.Snapshot().Config, nil
+}
+
+// propose makes one change from the newest configuration.
+func (w *writer) propose(ctx context.Context, expected int64, build func(*config.Config) (config.Action, error)) (int64, error) {
+	if expected < 0 {
+		return 0, twirp.InvalidArgumentError("expected_version", "must not be negative")
+	}
+	var subject config.Entity
+	var op config.Op
+	version, err := w.cfg.Feed.Propose(ctx, func(c *config.Config) (config.Change, error) {
+		action, err := build(c)
+		if err != nil {
+			return config.Change{}, err
+		}
+		subject, op, err = action.Subject()
+		return config.Change{Action: action}, err
+	}, expected)
+	if err != nil {
+		return 0, toTwirp(err)
+	}
+	w.cfg.Log.Info().Str("operation", string(op)).Str("kind", string(subject.Kind)).Str("name", subject.Name).
+		Int64("version", version).Msg("configuration change accepted")
+	return version, nil
+}
+
+// toTwirp gives an error the code of the operators' API.
+func toTwirp(err error) error {
+	var conflict *feed.ConflictError
+	var unknown *feed.UnknownError
+	var field *config.FieldError
+	var te twirp.Error
+	message := keys.Redact(err.Error())
+	switch {
+	case errors.As(err, &te):
+		return te
+	case errors.As(err, &conflict):
+		return twirp.NewError(twirp.Aborted, message).
+			WithMeta(MetaCurrentVersion, strconv.FormatInt(conflict.Current, 10))
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unavailable, message).WithMeta(MetaOutcome, OutcomeUnknown).
+			WithMeta(MetaChangeID, unknown.ID.String()).
+			WithMeta(MetaVersion, strconv.FormatInt(unknown.Version, 10))
+	case errors.As(err, &field):
+		return twirp.NewError(twirp.InvalidArgument, message).WithMeta(MetaField, field.Field)
+	case errors.Is(err, config.ErrInvalid):
+		return twirp.NewError(twirp.InvalidArgument, message)
+	case errors.Is(err, config.ErrNotFound):
+		return twirp.NewError(twirp.NotFound, message)
+	case errors.Is(err, config.ErrExists):
+		return twirp.NewError(twirp.AlreadyExists, message)
+	case errors.Is(err, platform.ErrUnavailable):
+		return unavailable(errors.New(message))
+	default:
+		return twirp.NewError(twirp.Internal, message)
+	}
+}
+
+// unavailable reports a call that changed nothing.
+func unavailable(err error) error {
+	return twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(MetaOutcome, OutcomeNotRun)
+}
+
+// required refuses a call that lacks its message.
+func required(field string, present bool) error {
+	if present {
+		return nil
+	}
+	return twirp.RequiredArgumentError(field)
+}
+
+// find returns the entity of that name.
+func find[T any](entities map[string]*T, kind config.Kind, name string) (*T, error) {
+	v := entities[name]
+	if v == nil {
+		return nil, fmt.Errorf("%v %w", config.Entity{Kind: kind, Name: name}, config.ErrNotFound)
+	}
+	return v, nil
+}
