dispatch: permits in lease slots, fair queues and hand-over between VMs

The first whole version of the dispatcher. Permits of a target are divided between the lease slots of its region by rendezvous hashing of that target alone, so VMs with different settings still agree on the targets they share. A pool is a state machine without clock, I/O or goroutine; Scheduler puts a lock around each and runs the waits. In it: queues by priority and weighted deficit round robin, hand-over to the nearest peer with room, shifts with exact counting, drains, ejection, slow start and an adaptive limit.

Excluded: dividing permits evenly over all targets of a pool at once.

Not proved yet: fairness, slow start, reports and shifts under load.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	Latency time.Duration
 	// Shed reports that the target refused before running the request.
 	Shed bool
+	// Canceled reports that the caller went away before the answer, which
+	// says nothing of the target.
+	Canceled bool
 }
 
 // Grant is the right to send one request. Exactly one of Target and Peer is
--- /dev/null
+++ b/pkg/dispatch/pool.go
@@ -0,0 +1,401 @@
+package dispatch
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/health"
+	"crocusramp.dev/crocusramp/pkg/lease"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/permit"
+	"crocusramp.dev/crocusramp/pkg/queue"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// historyLength is how many requests that may come again are remembered.
+	historyLength = 4096
+	// latencyWeight is the part of a new sample in the pool's moving average.
+	latencyWeight = 0.05
+	// unknownLatency stands in before the first sample.
+	unknownLatency = 50 * time.Millisecond
+	// leastRetryAfter and mostRetryAfter bound what refusals say.
+	leastRetryAfter = 50 * time.Millisecond
+	mostRetryAfter  = 5 * time.Second
+)
+
+// inputs is what a decision reads besides the pool's own state.
+type inputs struct {
+	now     clock.Time
+	config  *config.Config
+	members *member.View
+	holding *lease.Holding
+}
+
+// lent is the right that a grant stands for, until its release.
+type lent struct {
+	backend *backend
+	slot    int
+	peer    *member.Peer
+	shift   *shift
+	request *request
+	started clock.Time
+}
+
+// request is a Request with its deadline on the pool's clock.
+type request struct {
+	*Request
+	class    queue.Class
+	deadline clock.Time
+	// refusedBy holds the incarnations of the peers that refused it.
+	refusedBy []string
+}
+
+// ticket is a waiting request. Once decided, lent or refusal is set.
+type ticket struct {
+	request *request
+	entry   *entry
+	lent    *lent
+	refusal *outcome.Refusal
+	// decided is for the owner of the pool, which closes it.
+	decided chan struct{}
+}
+
+type entry = queue.Entry[*ticket]
+
+// pool is the state machine that dispatches the requests of one pool on one
+// VM. It has no clock, I/O or goroutine; its owner serializes the calls.
+type pool struct {
+	name     string
+	settings Config
+	targets  []target.Target
+	local    []*backend
+	peers    peers
+	links    *links
+	queue    *queue.Queue[*ticket]
+	shifts   []*shift
+	latency  time.Duration
+	// retried maps the ID of a request that may come again to the peers
+	// that refused it.
+	retried *simplelru.LRU[string, []string]
+
+	config    *config.Config
+	holdDown  time.Duration
+	openIn    map[string]bool
+	layout    []string
+	usable    []int
+	scratch   []int
+	believing bool
+	counts    counts
+}
+
+// counts are the totals of a pool since its start.
+type counts struct {
+	granted, handedOver, queued, refused, expired int64
+}
+
+func newPool(c Config, p target.Pool, l *links, seed uint64) *pool {
+	retried, err := simplelru.NewLRU[string, []string](historyLength, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	s := &pool{
+		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, believing: true,
+		peers: newPeers(c, seed),
+		queue: queue.New[*ticket](queue.Config{Capacity: c.QueueCapacity, Floors: queue.DefaultFloors}),
+	}
+	for _, t := range p.Targets {
+		if t.Region == c.Self.Region {
+			s.local = append(s.local, &backend{Target: t})
+		}
+	}
+	return s
+}
+
+// update takes in what has changed: configuration, members and lease slots.
+func (p *pool) update(in inputs) {
+	p.peers.update(in.members)
+	if p.config != in.config {
+		p.configure(in)
+	}
+	if len(p.layout) != in.holding.Total {
+		p.layout = permit.SlotRegions(p.settings.Regions, in.holding.Total)
+	}
+	p.scratch = usableSlots(p.scratch[:0], in.holding, p.layout, p.settings.Self.Region, in.now, p.holdDown)
+	if !slices.Equal(p.scratch, p.usable) {
+		p.usable = append(p.usable[:0], p.scratch...)
+		for _, b := range p.local {
+			b.hold(p.usable, p.layout)
+		}
+	}
+}
+
+func (p *pool) configure(in inputs) {
+	p.config = in.config
+	p.holdDown = min(p.settings.MaxHoldDown, longestTimeout(in.config, p.name))
+	p.shifts = shiftsOf(in.config, p.name, p.settings.Self.Region, p.shifts, in.now)
+	p.openIn = map[string]bool{}
+	for _, t := range p.targets {
+		if !drained(in.config, t) {
+			p.openIn[t.Region] = true
+		}
+	}
+	for _, b := range p.local {
+		b.drained = drained(in.config, b.Target)
+	}
+}
+
+// acquire decides on a request: exactly one of its results is set.
+func (p *pool) acquire(in inputs, r *request) (*lent, *ticket, *outcome.Refusal) {
+	p.update(in)
+	if r.HandedOver {
+		return p.acquireHandedOver(in, r)
+	}
+	first := !p.recall(r)
+	if first {
+		if l := p.tryShift(in, r); l != nil {
+			return l, nil, nil
+		}
+	}
+	if p.queue.Len() == 0 {
+		if b := p.pick(in.now, r.Tried); b != nil {
+			return p.lend(in.now, b, r), nil, nil
+		}
+	}
+	if l := p.overflow(in, r, p.expectedWait(in.now, r)); l != nil {
+		return l, nil, nil
+	}
+	return p.wait(in, r)
+}
+
+func (p *pool) acquireHandedOver(in inputs, r *request) (*lent, *ticket, *outcome.Refusal) {
+	if p.queue.Len() == 0 {
+		if b := p.pick(in.now, r.Tried); b != nil {
+			return p.lend(in.now, b, r), nil, nil
+		}
+	}
+	return nil, nil, p.refuse(outcome.ReasonNoCapacity, p.retryAfter(in.now), "The VM has no free permit in the pool.")
+}
+
+// recall completes a request that was here before.
+func (p *pool) recall(r *request) bool {
+	if p.retried.Len() == 0 || r.ID == "" {
+		return len(r.Tried) > 0
+	}
+	refusedBy, ok := p.retried.Get(r.ID)
+	r.refusedBy = refusedBy
+	return ok || len(r.Tried) > 0
+}
+
+// tryShift counts the request with the shifts out of this region and moves it
+// where one is due.
+func (p *pool) tryShift(in inputs, r *request) *lent {
+	var moved *lent
+	for _, s := range p.shifts {
+		s.see()
+		if moved != nil || !s.due() {
+			continue
+		}
+		peer := p.choosePeer(in, r, s.To, time.Duration(1<<62), false)
+		if peer == nil {
+			continue
+		}
+		s.spend()
+		moved = p.handOver(in.now, peer, r)
+		moved.shift = s
+	}
+	return moved
+}
+
+// overflow hands the request to a peer that is nearer than the end of the
+// wait here, or returns nil.
+func (p *pool) overflow(in inputs, r *request, wait time.Duration) *lent {
+	if len(r.refusedBy) >= maxHandOvers {
+		return nil
+	}
+	blind := p.unreachable(in.now)
+	mostCost := wait / 2 // there and back
+	if blind {
+		mostCost = time.Duration(1 << 62)
+	}
+	peer := p.choosePeer(in, r, "", mostCost, blind)
+	if peer == nil {
+		return nil
+	}
+	for _, s := range p.shifts {
+		if s.To != peer.Region {
+			continue
+		}
+		if blind {
+			s.evacuated++
+		} else {
+			s.spend()
+		}
+	}
+	return p.handOver(in.now, peer, r)
+}
+
+// choosePeer returns a peer for the request: in region to, or in any region
+// where that is empty.
+func (p *pool) choosePeer(in inputs, r *request, to string, mostCost time.Duration, blind bool) *member.Peer {
+	return p.peers.choose(in.now, mostCost, blind, func(peer *member.Peer) bool {
+		if to != "" && peer.Region != to || !p.openIn[peer.Region] || slices.Contains(r.refusedBy, peer.Incarnation) {
+			return false
+		}
+		if to == "" && !blind && p.capped(peer.Region) {
+			return false
+		}
+		return peer.Region == p.settings.Self.Region || p.links.open(peer.Region, in.members)
+	})
+}
+
+// capped reports whether a shift keeps more requests from the region. Requests
+// that go there only because this VM is busy count as shifted: they load the
+// destination alike. Requests that can run nowhere here are not kept back.
+func (p *pool) capped(region string) bool {
+	for _, s := range p.shifts {
+		if s.To == region && !s.due() {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns the backend with a free permit that is the least loaded for its
+// latency, or nil. Targets that failed the request are left out.
+func (p *pool) pick(now clock.Time, tried []string) *backend {
+	if len(p.local) == 0 {
+		return nil
+	}
+	var best *backend
+	var bestLoad float64
+	start := p.peers.rand.IntN(len(p.local))
+	for i := range p.local {
+		b := p.local[(start+i)%len(p.local)]
+		if b.free() == 0 || b.running >= b.allowed(now, p.believing) || slices.Contains(tried, b.ID) {
+			continue
+		}
+		if load := p.load(b); best == nil || load < bestLoad {
+			best, bestLoad = b, load
+		}
+	}
+	return best
+}
+
+// load estimates the relative time to an answer from the backend.
+func (p *pool) load(b *backend) float64 {
+	latency := b.health.Latency()
+	if latency == 0 {
+		latency = p.usualLatency()
+	}
+	return float64(latency) * float64(b.running+1) / float64(b.held)
+}
+
+func (p *pool) usualLatency() time.Duration {
+	if p.latency == 0 {
+		return unknownLatency
+	}
+	return p.latency
+}
+
+// capacity returns how many requests may run here at once now.
+func (p *pool) capacity(now clock.Time) int {
+	n := 0
+	for _, b := range p.local {
+		n += b.allowed(now, p.believing)
+	}
+	return n
+}
+
+// freePermits returns how many more requests may run here now.
+func (p *pool) freePermits(now clock.Time) int {
+	n := 0
+	for _, b := range p.local {
+		n += max(0, min(b.free(), b.allowed(now, p.believing)-b.running))
+	}
+	return max(0, n-p.queue.Len())
+}
+
+func (p *pool) lend(now clock.Time, b *backend, r *request) *lent {
+	p.counts.granted++
+	return &lent{backend: b, slot: b.take(), request: r, started: now}
+}
+
+func (p *pool) handOver(now clock.Time, peer *member.Peer, r *request) *lent {
+	p.counts.handedOver++
+	p.peers.of(peer).running++
+	p.links.add(peer.Region, 1)
+	return &lent{peer: peer, request: r, started: now}
+}
+
+// release takes in the end of a granted request.
+func (p *pool) release(in inputs, l *lent, res Result) {
+	if res.Outcome != outcome.Done && l.request.ID != "" {
+		refusedBy := l.request.refusedBy
+		if l.peer != nil {
+			refusedBy = append(slices.Clone(refusedBy), l.peer.Incarnation)
+		}
+		p.retried.Add(l.request.ID, refusedBy)
+	}
+	if l.peer != nil {
+		p.releasePeer(in.now, l, res)
+		return
+	}
+	running := l.backend.running
+	l.backend.put(l.slot)
+	kind := classify(in.now, l.request, res)
+	l.backend.health.Done(in.now, health.Sample{
+		Kind: kind, Latency: res.Latency, Running: running, PoolLatency: p.latency,
+	})
+	if kind == health.Good {
+		p.observe(res.Latency)
+	}
+}
+
+func (p *pool) releasePeer(now clock.Time, l *lent, res Result) {
+	p.links.add(l.peer.Region, -1)
+	s := p.peers.of(l.peer)
+	s.running = max(0, s.running-1)
+	refused := res.Outcome == outcome.NotRun && !res.Canceled
+	if refused {
+		s.refused(now)
+	} else if res.Outcome == outcome.Done {
+		s.refusals = 0
+	}
+	if l.shift != nil && !res.Canceled {
+		l.shift.observe(now, res.Outcome == outcome.Done && res.Status < http.StatusInternalServerError,
+			res.Latency-2*p.peers.cost(l.peer.Region), p.latency)
+	}
+}
+
+func (p *pool) observe(latency time.Duration) {
+	if p.latency == 0 {
+		p.latency = latency
+		return
+	}
+	p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
+}
+
+// classify tells what the end of a request says of its target.
+func classify(now clock.Time, r *request, res Result) health.Kind {
+	switch {
+	case res.Canceled:
+		return health.Neutral
+	case res.Shed:
+		return health.Shed
+	case res.Status == http.StatusServiceUnavailable, res.Status == http.StatusGatewayTimeout,
+		res.Status == http.StatusTooManyRequests:
+		return health.Overloaded
+	case res.Status != 0 && res.Outcome == outcome.Done:
+		return health.Good
+	case !now.Before(r.deadline):
+		return health.Overloaded
+	}
+	return health.Broken
+}
--- /dev/null
+++ b/pkg/dispatch/scheduler.go
@@ -0,0 +1,201 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/queue"
+)
+
+// Scheduler implements Dispatcher with a pool state machine for each pool.
+type Scheduler struct {
+	config Config
+	pools  map[string]*lockedPool
+	meters meters
+}
+
+var _ Dispatcher = (*Scheduler)(nil)
+
+// lockedPool is a pool with the lock that serializes its calls.
+type lockedPool struct {
+	mu   sync.Mutex
+	pool *pool
+}
+
+// waitSamples is the size of the sample of queue waits.
+const waitSamples = 1024
+
+// meters count what the scheduler decides.
+type meters struct {
+	granted, handedOver, queued, refused metrics.Counter
+	// wait is the time in the queue, in microseconds.
+	wait metrics.Histogram
+}
+
+func newMeters(r metrics.Registry) meters {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	return meters{
+		granted:    metrics.GetOrRegisterCounter("dispatch.granted", r),
+		handedOver: metrics.GetOrRegisterCounter("dispatch.handed_over", r),
+		queued:     metrics.GetOrRegisterCounter("dispatch.queued", r),
+		refused:    metrics.GetOrRegisterCounter("dispatch.refused", r),
+		wait:       metrics.GetOrRegisterHistogram("dispatch.wait_us", r, metrics.NewUniformSample(waitSamples)),
+	}
+}
+
+// NewScheduler returns a Scheduler. Start must be called for its background
+// work.
+func NewScheduler(c Config) *Scheduler {
+	c = c.withDefaults()
+	if c.Seed == 0 {
+		c.Seed = xxhash.Sum64String(c.Self.ID + "/" + c.Self.Incarnation)
+	}
+	s := &Scheduler{config: c, pools: map[string]*lockedPool{}, meters: newMeters(c.Metrics)}
+	shared := newLinks(c.Self, c.LinkRequests, c.Regions)
+	for i, p := range c.Pools {
+		s.pools[p.Name] = &lockedPool{pool: newPool(c, p, shared, c.Seed+uint64(i))}
+	}
+	return s
+}
+
+// Acquire implements Dispatcher.
+func (s *Scheduler) Acquire(ctx context.Context, r *Request) (*Grant, *outcome.Refusal) {
+	p := s.pools[r.Route.Pool]
+	if p == nil {
+		return nil, s.refused(outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoCapacity, mostRetryAfter,
+			"This VM has no pool of the route's name."))
+	}
+	in := s.inputs()
+	remaining := time.Until(r.Deadline)
+	if remaining <= 0 || ctx.Err() != nil {
+		return nil, s.refused(refuseLate())
+	}
+	req := &request{Request: r, class: queue.ClassOf(r.Route.Priority), deadline: in.now.Add(remaining)}
+	p.mu.Lock()
+	l, t, refusal := p.pool.acquire(in, req)
+	p.mu.Unlock()
+	switch {
+	case refusal != nil:
+		return nil, s.refused(refusal)
+	case l != nil:
+		return s.grant(p, l), nil
+	}
+	return s.await(ctx, p, t, in.now)
+}
+
+// await waits for the decision on a queued request.
+func (s *Scheduler) await(ctx context.Context, p *lockedPool, t *ticket, since clock.Time) (*Grant, *outcome.Refusal) {
+	s.meters.queued.Inc(1)
+	timer := time.NewTimer(t.entry.Expires.Sub(since))
+	defer timer.Stop()
+	select {
+	case <-t.decided:
+	case <-timer.C:
+		s.abandon(p, t)
+	case <-ctx.Done():
+		s.abandon(p, t)
+	}
+	s.meters.wait.Update(s.config.Clock.Now().Sub(since).Microseconds())
+	if t.refusal != nil {
+		return nil, s.refused(t.refusal)
+	}
+	return s.grant(p, t.lent), nil
+}
+
+func (s *Scheduler) abandon(p *lockedPool, t *ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool.abandon(s.config.Clock.Now(), t)
+}
+
+func (s *Scheduler) refused(r *outcome.Refusal) *outcome.Refusal {
+	s.meters.refused.Inc(1)
+	return r
+}
+
+// grant wraps what a pool has lent. A second Release does nothing.
+func (s *Scheduler) grant(p *lockedPool, l *lent) *Grant {
+	g := &Grant{Peer: l.peer}
+	if l.backend != nil {
+		g.Target = &l.backend.Target
+		s.meters.granted.Inc(1)
+	} else {
+		s.meters.handedOver.Inc(1)
+	}
+	var released atomic.Bool
+	g.Release = func(res Result) {
+		if !released.CompareAndSwap(false, true) {
+			return
+		}
+		in := s.inputs()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pool.release(in, l, res)
+		p.pool.serve(in)
+	}
+	return g
+}
+
+func (s *Scheduler) inputs() inputs {
+	return inputs{
+		config:  s.config.Config.Snapshot().Config,
+		members: s.config.Members.View(),
+		holding: s.config.Slots.Holding(),
+		now:     s.config.Clock.Now(),
+	}
+}
+
+// FreePermits returns how many more requests this VM could grant a target now,
+// over all pools.
+func (s *Scheduler) FreePermits() int {
+	in := s.inputs()
+	n := 0
+	for _, p := range s.pools {
+		p.mu.Lock()
+		p.pool.update(in)
+		n += p.pool.freePermits(in.now)
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// Start runs the background work until ctx ends: it looks through the queues
+// and asks the targets for their load. It returns at once.
+func (s *Scheduler) Start(ctx context.Context) {
+	go s.tickUntil(ctx)
+	if s.config.PollInterval > 0 {
+		s.startPolling(ctx)
+	}
+}
+
+func (s *Scheduler) tickUntil(ctx context.Context) {
+	ticker := time.NewTicker(s.config.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Scheduler) tick() {
+	in := s.inputs()
+	for _, p := range s.pools {
+		p.mu.Lock()
+		p.pool.tick(in)
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/waiting.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/health"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+// wait queues the request, or refuses it where that has no use.
+func (p *pool) wait(in inputs, r *request) (*lent, *ticket, *outcome.Refusal) {
+	bound := p.queueBound(in.now, r)
+	if bound <= 0 {
+		return nil, nil, refuseLate()
+	}
+	if p.stranded(in.now) {
+		return nil, nil, p.refuseStranded(in.now)
+	}
+	t := &ticket{request: r, decided: make(chan struct{})}
+	e := &entry{Account: r.Account, Weight: r.Weight, Class: r.class, Expires: in.now.Add(bound), Value: t}
+	dropped := p.queue.Push(e)
+	if dropped == e {
+		return nil, nil, p.refuse(outcome.ReasonNoCapacity, p.retryAfter(in.now), "The queue of the pool is full.")
+	}
+	p.counts.queued++
+	if dropped != nil {
+		d := dropped.Value
+		d.refusal = p.refuse(outcome.ReasonNoCapacity, p.retryAfter(in.now), "The queue of the pool is full.")
+		close(d.decided)
+	}
+	t.entry = e
+	return nil, t, nil
+}
+
+// queueBound returns how long the request may wait.
+func (p *pool) queueBound(now clock.Time, r *request) time.Duration {
+	remaining := r.deadline.Sub(now)
+	fraction := p.settings.QueueFraction[r.class]
+	return min(time.Duration(float64(remaining)*fraction), p.settings.QueueBound[r.class])
+}
+
+// expectedWait estimates how long the request would wait here.
+func (p *pool) expectedWait(now clock.Time, r *request) time.Duration {
+	ahead := p.queue.Ahead(r.class, r.Account, r.Weight) + 1
+	return p.usualLatency() * time.Duration(ahead) / time.Duration(max(1, p.capacity(now)))
+}
+
+// serve grants what can be granted to the waiting requests. It must be called
+// after every event that can free a permit.
+func (p *pool) serve(in inputs) {
+	p.update(in)
+	for p.queue.Len() > 0 {
+		b := p.pick(in.now, nil)
+		if b == nil {
+			return
+		}
+		e, expired := p.queue.Pop(in.now)
+		p.expire(in.now, expired)
+		if e == nil {
+			return
+		}
+		e.Value.lent = p.lend(in.now, b, e.Value.request)
+		close(e.Value.decided)
+	}
+}
+
+// tick serves the queue and moves waiting requests elsewhere: where nothing
+// can run here any more all of them, else as many as peers have room for.
+func (p *pool) tick(in inputs) {
+	p.serve(in)
+	p.believing = p.believeDown(in.now)
+	for _, e := range p.queue.Entries() {
+		t := e.Value
+		if !in.now.Before(e.Expires) {
+			p.queue.Remove(e)
+			p.expire(in.now, []*entry{e})
+			continue
+		}
+		if l := p.overflow(in, t.request, p.drainTime(in.now)); l != nil {
+			p.queue.Remove(e)
+			t.lent = l
+			close(t.decided)
+			continue
+		}
+		if p.stranded(in.now) {
+			p.queue.Remove(e)
+			t.refusal = p.refuseStranded(in.now)
+			close(t.decided)
+		}
+	}
+}
+
+// drainTime estimates how long the queue would take to empty.
+func (p *pool) drainTime(now clock.Time) time.Duration {
+	return p.usualLatency() * time.Duration(p.queue.Len()) / time.Duration(max(1, p.capacity(now)))
+}
+
+// believeDown tells whether targets that claim to be down are believed.
+func (p *pool) believeDown(now clock.Time) bool {
+	down := 0
+	for _, b := range p.local {
+		if b.health.Down(now) {
+			down++
+		}
+	}
+	return health.Believe(down, len(p.local))
+}
+
+// stranded reports whether no target here will take a request before lease
+// slots, drains or the targets' own drains change.
+func (p *pool) stranded(now clock.Time) bool {
+	for _, b := range p.local {
+		if b.held > 0 && !b.drained && !b.health.Draining(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// unreachable reports whether nothing can run here now for more than a moment.
+func (p *pool) unreachable(now clock.Time) bool {
+	for _, b := range p.local {
+		if b.held > 0 && !b.drained && !b.health.Draining(now) && !b.health.Ejected() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *pool) refuseStranded(now clock.Time) *outcome.Refusal {
+	return p.refuse(outcome.ReasonNoCapacity, p.retryAfter(now), "No target of the pool can be reached.")
+}
+
+func (p *pool) expire(now clock.Time, expired []*entry) {
+	for _, e := range expired {
+		e.Value.refusal = p.refuseExpired(now)
+		close(e.Value.decided)
+	}
+}
+
+// abandon takes a ticket out of the queue. It reports false where the ticket
+// has been decided already.
+func (p *pool) abandon(now clock.Time, t *ticket) bool {
+	if !t.entry.Queued() {
+		return false
+	}
+	p.queue.Remove(t.entry)
+	t.refusal = p.refuseExpired(now)
+	return true
+}
+
+func (p *pool) refuseExpired(now clock.Time) *outcome.Refusal {
+	p.counts.expired++
+	return p.refuse(outcome.ReasonQueueTimeout, p.retryAfter(now), "No permit of the pool came free in time.")
+}
+
+func (p *pool) refuse(reason outcome.Reason, retryAfter time.Duration, detail string) *outcome.Refusal {
+	p.counts.refused++
+	return outcome.Refuse(http.StatusServiceUnavailable, reason, retryAfter, detail)
+}
+
+func refuseLate() *outcome.Refusal {
+	return outcome.Refuse(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "The deadline passed before the request could be sent.")
+}
+
+// retryAfter estimates when the queue will have been served.
+func (p *pool) retryAfter(now clock.Time) time.Duration {
+	wait := p.usualLatency() * time.Duration(p.queue.Len()+1) / time.Duration(max(1, p.capacity(now)))
+	return min(max(wait, leastRetryAfter), mostRetryAfter)
+}
--- /dev/null
+++ b/pkg/queue/queue.go
@@ -0,0 +1,173 @@
+// Package queue orders requests that wait for a permit: by priority class,
+// inside a class by weighted deficit round robin over client accounts. It is a
+// pure state machine; its owner supplies the time and the locking.
+package queue
+
+import (
+	"container/list"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+)
+
+// Class is the rank of a priority; lower ones are served first.
+type Class uint8
+
+// The classes in the order in which they are served.
+const (
+	High Class = iota
+	Normal
+	Low
+	classes
+)
+
+// ClassOf returns the class of a priority; unknown ones are Normal.
+func ClassOf(p config.Priority) Class {
+	switch p {
+	case config.PriorityHigh:
+		return High
+	case config.PriorityLow:
+		return Low
+	default:
+		return Normal
+	}
+}
+
+// Entry is a waiting request.
+type Entry[V any] struct {
+	Account string
+	// Weight is the account's part under contention; less than 1 counts as 1.
+	Weight int
+	Class  Class
+	// Expires is when the entry stops waiting.
+	Expires clock.Time
+	Value   V
+
+	element *list.Element
+	owner   *account[V]
+}
+
+// Queued reports whether the entry still waits.
+func (e *Entry[V]) Queued() bool { return e.element != nil }
+
+// Config bounds a queue.
+type Config struct {
+	// Capacity is how many entries one class may hold.
+	Capacity int
+	// Floors is the part of the service that a class gets at least while it
+	// has entries, however many wait in the classes above it.
+	Floors [3]float64
+}
+
+// DefaultFloors keep the lower classes from starvation.
+var DefaultFloors = [3]float64{High: 0, Normal: 0.1, Low: 0.05}
+
+// Queue holds the entries of one pool. It is not safe for concurrent use.
+type Queue[V any] struct {
+	config  Config
+	classes [classes]class[V]
+	length  int
+}
+
+// New returns an empty queue.
+func New[V any](c Config) *Queue[V] {
+	q := &Queue[V]{config: c}
+	for i := range q.classes {
+		q.classes[i].accounts = map[string]*account[V]{}
+	}
+	return q
+}
+
+// Len returns the number of entries.
+func (q *Queue[V]) Len() int { return q.length }
+
+// LenClass returns the number of entries in one class.
+func (q *Queue[V]) LenClass(c Class) int { return q.classes[c].length }
+
+// Ahead returns how many entries could be served before a new one of class c
+// and the given account: those of higher classes and, in its own class, as
+// many of each account as its own queue will be long, by weight.
+func (q *Queue[V]) Ahead(c Class, name string, weight int) int {
+	n := 0
+	for above := range c {
+		n += q.classes[above].length
+	}
+	return n + q.classes[c].ahead(name, max(weight, 1))
+}
+
+// Push adds an entry. Where its class is full, the account with the most
+// entries for its weight loses its newest one, which is returned; that may be
+// the pushed entry itself.
+func (q *Queue[V]) Push(e *Entry[V]) (dropped *Entry[V]) {
+	cl := &q.classes[e.Class]
+	if cl.length >= q.config.Capacity {
+		victim := cl.longest(e)
+		if victim == nil {
+			return e
+		}
+		q.Remove(victim)
+		dropped = victim
+	}
+	cl.push(e)
+	q.length++
+	return dropped
+}
+
+// Remove takes an entry out; it does nothing where the entry does not wait.
+func (q *Queue[V]) Remove(e *Entry[V]) {
+	if !e.Queued() {
+		return
+	}
+	q.classes[e.Class].remove(e)
+	q.length--
+}
+
+// Pop takes the next entry out, or returns nil. Entries that have expired
+// are taken out on the way and returned apart.
+func (q *Queue[V]) Pop(now clock.Time) (next *Entry[V], expired []*Entry[V]) {
+	for q.length > 0 {
+		e := q.classes[q.nextClass()].pop()
+		q.length--
+		if now.Before(e.Expires) {
+			return e, expired
+		}
+		expired = append(expired, e)
+	}
+	return nil, expired
+}
+
+// Entries returns the waiting entries by class, and inside a class one of each
+// account in turn.
+func (q *Queue[V]) Entries() []*Entry[V] {
+	all := make([]*Entry[V], 0, q.length)
+	for c := range q.classes {
+		all = q.classes[c].appendEntries(all)
+	}
+	return all
+}
+
+// nextClass returns the class to serve. Each service credits the waiting
+// classes with their floor; a class with a whole credit goes first, the others
+// strictly by rank.
+func (q *Queue[V]) nextClass() Class {
+	best, owed := classes, classes
+	for c := range classes {
+		cl := &q.classes[c]
+		if cl.length == 0 {
+			cl.credit = 0
+			continue
+		}
+		if best == classes {
+			best = c
+		}
+		cl.credit += q.config.Floors[c]
+		if cl.credit >= 1 {
+			owed = c
+		}
+	}
+	if owed == classes {
+		return best
+	}
+	q.classes[owed].credit--
+	return owed
+}
