lease, limit: slots by lease, rate limits by escrow and loans

Cause: rate and burst count over the whole fleet, and no VM may be asked on every admission.

The policy is not yet measured.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -17,6 +17,9 @@
 	// Until is when the VM must stop using the slot, unless renewed. It is
 	// already shortened by the margin for clock drift.
 	Until clock.Time
+	// New reports that the slot had no holder before this VM. Else a former
+	// holder may have lent parts of it that are still in use.
+	New bool
 }
 
 // Valid reports whether the slot may be used at now.
--- /dev/null
+++ b/pkg/lease/table_test.go
@@ -0,0 +1,88 @@
+package lease
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// memoryTable is a platform.Table with faults on demand.
+type memoryTable struct {
+	mu    sync.Mutex
+	items map[platform.Key]platform.Item
+	// down makes every call fail without effect.
+	down bool
+	// loseAnswers makes writes take effect and then fail.
+	loseAnswers bool
+	transacts   int
+}
+
+func newMemoryTable() *memoryTable {
+	return &memoryTable{items: map[platform.Key]platform.Item{}}
+}
+
+func (t *memoryTable) set(f func(*memoryTable)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t)
+}
+
+func (t *memoryTable) Get(_ context.Context, key platform.Key) (platform.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	item, ok := t.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (t *memoryTable) List(_ context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	var items []platform.Item
+	for k, item := range t.items {
+		if k.Partition == partition && k.Sort > after {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Sort < items[j].Sort })
+	return items[:min(len(items), limit)], nil
+}
+
+func (t *memoryTable) Transact(_ context.Context, writes []platform.Write) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return platform.ErrUnavailable
+	}
+	return t.apply(writes)
+}
+
+func (t *memoryTable) apply(writes []platform.Write) error {
+	t.transacts++
+	var failed []int
+	for i, w := range writes {
+		if t.items[w.Key].Revision != w.IfRevision {
+			failed = append(failed, i)
+		}
+	}
+	if len(failed) > 0 {
+		return &platform.ConflictError{Failed: failed}
+	}
+	for _, w := range writes {
+		t.items[w.Key] = platform.Item{Key: w.Key, Revision: w.IfRevision + 1, Value: w.Value}
+	}
+	if t.loseAnswers {
+		return platform.ErrIndeterminate
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/limit/meter.go
@@ -0,0 +1,38 @@
+package limit
+
+import (
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+)
+
+// meterWindow is the time over which requests are counted.
+const meterWindow = 500 * time.Millisecond
+
+// meter estimates a rate of requests from counts in windows.
+type meter struct {
+	start    clock.Time
+	count    float64
+	smoothed float64 // requests a second, from whole windows
+}
+
+// add counts one request.
+func (m *meter) add(now clock.Time) {
+	m.roll(now)
+	m.count++
+}
+
+// roll closes the window if it has ended. Windows without requests lower the
+// estimate too.
+func (m *meter) roll(now clock.Time) {
+	elapsed := now.Sub(m.start)
+	if elapsed < meterWindow {
+		return
+	}
+	m.smoothed = (m.smoothed + m.count/elapsed.Seconds()) / 2
+	m.start, m.count = now, 0
+}
+
+// rate is the estimate in requests a second. A window that is under way can
+// only raise it.
+func (m *meter) rate() float64 { return max(m.smoothed, m.count/meterWindow.Seconds()) }
--- /dev/null
+++ b/pkg/limit/service_test.go
@@ -0,0 +1,149 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/lease"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/peer"
+)
+
+// sources is what a Service reads from the rest of the daemon.
+type sources struct {
+	config  atomic.Pointer[config.Config]
+	holding atomic.Pointer[lease.Holding]
+	view    atomic.Pointer[member.View]
+}
+
+func (s *sources) Snapshot() config.Snapshot {
+	return config.Snapshot{Config: s.config.Load(), Fresh: true}
+}
+func (s *sources) Holding() *lease.Holding { return s.holding.Load() }
+func (s *sources) View() *member.View      { return s.view.Load() }
+
+func accounts(list ...config.Account) *config.Config {
+	c := config.Empty()
+	for i := range list {
+		c.Accounts[list[i].Name] = &list[i]
+	}
+	return c
+}
+
+// hold returns a holding of every n-th of total slots, from first on.
+func hold(total, first, n int) *lease.Holding {
+	h := &lease.Holding{Total: total}
+	for i := first; i < total; i += n {
+		h.Slots = append(h.Slots, lease.Slot{Index: i, Until: never, New: true})
+	}
+	return h
+}
+
+// startFleet runs n services on loopback listeners and the system's clock.
+func startFleet(t *testing.T, n int, c *config.Config) ([]*Service, []*sources) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	t.Cleanup(func() { cancel(); ended.Wait() })
+	services, all := make([]*Service, n), make([]*sources, n)
+	peers := make([]member.Peer, n)
+	for i := range n {
+		loop := control.NewLoop()
+		ended.Go(func() { loop.Run(ctx) })
+		all[i] = &sources{}
+		all[i].config.Store(c)
+		all[i].holding.Store(hold(16, i, n))
+		dialer := peer.NewDialer()
+		services[i] = NewService(Config{
+			Config: all[i], Slots: all[i], Members: all[i], Peers: dialer,
+			Clock: clock.System{}, Loop: loop, Log: zerolog.Nop(),
+		})
+		mux := http.NewServeMux()
+		mux.Handle(services[i].Handler())
+		server := httptest.NewServer(mux)
+		t.Cleanup(func() { dialer.Close(); server.Close() })
+		id := fmt.Sprintf("vm-%d", i)
+		peers[i] = member.Peer{ID: id, Incarnation: id + "/1", PeerAddress: server.Listener.Addr().String()}
+	}
+	for i := range n {
+		view := &member.View{Self: peers[i], Complete: true}
+		for j := range n {
+			if j != i {
+				view.Peers = append(view.Peers, peers[j])
+			}
+		}
+		all[i].view.Store(view)
+		services[i].Start(ctx)
+	}
+	return services, all
+}
+
+// TestSmallRateOverTheFleet admits at a VM whose own share never reaches a
+// whole token: it needs the home's.
+func TestSmallRateOverTheFleet(t *testing.T) {
+	services, _ := startFleet(t, 3, accounts(config.Account{Name: "a", Rate: 5, Burst: 3}))
+	start := time.Now()
+	admitted := 0
+	for deadline := start.Add(time.Minute); admitted < 10; {
+		for _, s := range services {
+			d := s.Admit(t.Context(), "a")
+			if d.Admitted {
+				admitted++
+			} else if d.RetryAfter <= 0 {
+				t.Fatal("refused without a time to come back")
+			}
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d admitted in a minute", admitted)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if most := 3 + 5*time.Since(start).Seconds(); float64(admitted) > most {
+		t.Errorf("%d admitted, more than burst + rate*t = %.1f", admitted, most)
+	}
+}
+
+func TestUnknownAccountIsRefused(t *testing.T) {
+	services, all := startFleet(t, 1, accounts(config.Account{Name: "a", Rate: 1e6, Burst: 10}))
+	if d := services[0].Admit(t.Context(), "b"); d.Admitted {
+		t.Error("an account that does not exist was admitted")
+	}
+	for !services[0].Admit(t.Context(), "a").Admitted {
+		time.Sleep(time.Millisecond)
+	}
+	all[0].config.Store(config.Empty())
+	if d := services[0].Admit(t.Context(), "a"); d.Admitted {
+		t.Error("a deleted account was admitted")
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	src := &sources{}
+	src.config.Store(accounts(config.Account{Name: "a", Rate: 1e12, Burst: 1e12}))
+	src.holding.Store(hold(16, 0, 1))
+	src.view.Store(&member.View{})
+	s := NewService(Config{
+		Config: src, Slots: src, Members: src, Peers: peer.NewDialer(),
+		Clock: clock.System{}, Loop: control.NewLoop(), Log: zerolog.Nop(),
+	})
+	s.refresh(src.View())
+	for !s.Admit(b.Context(), "a").Admitted {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.Admit(b.Context(), "a").Admitted {
+			b.Fatal("refused")
+		}
+	}
+}
