limit: loans measured against an ideal bucket and the static split

Cause: the first policy (all shares at the home, tokens lent for 500 ms, one request for tokens at a time) refused up to 20 % (rate 5, burst 5) and 39 % (rate 500 at 55 ms) of what one ideal bucket admits.

Changes, each from a run of TestSimulationTable: loans of tokens last as long as the round trip, since a token that is under way takes its place in the burst; every waiting admission asks for its own token; a VM with at least 32 requests a second keeps or borrows a rate equal to its demand and half of that rate's part of the burst; tokens are asked for ahead only where they are at most 5 % of the burst; the estimate of demand is smoothed over about 2 s. giveBack keeps a loan that backs what the VM lent on.

--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -13,7 +13,12 @@
 	// extends it each collectPeriod.
 	collectDuration = 3 * time.Second
 	collectPeriod   = time.Second
-	// tokenDuration is how long a loan of single tokens runs.
+	// relendDuration is how long a loan runs that the home makes of collected
+	// shares; the borrower extends it each relendPeriod. It must end before
+	// the loans that it is made of.
+	relendDuration = 1500 * time.Millisecond
+	relendPeriod   = 500 * time.Millisecond
+	// tokenDuration is the longest that a loan of single tokens runs.
 	tokenDuration = 500 * time.Millisecond
 	// driftDivisor covers clocks that differ in speed: each side of a loan
 	// leaves 1/50 of its duration as a margin.
@@ -39,6 +44,7 @@
 // excess runs out with the loans.
 func (s share) positive() share { return share{max(0, s.rate), max(0, s.capacity)} }
 
+// atMost allows for the rounding of sums.
 func (s share) atMost(o share) bool {
 	const rounding = 1e-9
 	return s.rate <= o.rate*(1+rounding) && s.capacity <= o.capacity*(1+rounding)
@@ -56,13 +62,25 @@
 	peer  string // incarnation of the other side
 	share share
 	end   clock.Time
-	// tokensOnly loans have no rate and are not extended.
-	tokensOnly bool
+	kind  loanKind
 }
 
+// loanKind says what a loan is for.
+type loanKind uint8
+
+const (
+	// collected loans bring the idle shares of VMs to the home.
+	collected loanKind = iota
+	// relent loans are what the home makes of them, for VMs with much demand.
+	relent
+	// tokensOnly loans have no rate and are not extended.
+	tokensOnly
+)
+
 // grant is a loan as the lender offers it.
 type grant struct {
 	id       uint64
+	kind     loanKind
 	share    share
 	tokens   float64
 	duration time.Duration
@@ -178,9 +196,9 @@
 	return max(time.Millisecond, time.Duration(math.Ceil(seconds*1e9)))
 }
 
-// lendable is the share that this VM has for certain until t: loans that it
-// borrowed and slots that end earlier do not count.
-func (l *ledger) lendable(t clock.Time) share {
+// certain is the share that this VM has until t: loans that it borrowed and
+// slots that end earlier do not count.
+func (l *ledger) certain(t clock.Time) share {
 	var sum share
 	for _, p := range l.parts {
 		if !l.last.Before(p.from) && !p.until.Before(t) {
@@ -192,15 +210,40 @@
 			sum = sum.plus(x.share)
 		}
 	}
+	return sum
+}
+
+// lentOut is the sum of what this VM lent.
+func (l *ledger) lentOut() share {
+	var sum share
+	for _, x := range l.lent {
+		sum = sum.plus(x.share)
+	}
+	return sum
+}
+
+// lendable is what is certain until t and not lent yet.
+func (l *ledger) lendable(t clock.Time) share {
+	return l.certain(t).minus(l.lentOut()).positive()
+}
+
+// covered reports whether all that is lent is certain until t.
+func (l *ledger) covered(t clock.Time) bool {
+	return l.lentOut().atMost(l.certain(t))
+}
+
+// lastEnd is when the last loan to a peer ends.
+func (l *ledger) lastEnd() clock.Time {
+	end := l.last
 	for _, x := range l.lent {
-		sum = sum.minus(x.share)
+		end = max(end, x.end)
 	}
-	return sum.positive()
+	return end
 }
 
 // lend gives up to want away. The lender uses none of it from now until the
 // loan has ended on its own clock, a margin after the borrower's end.
-func (l *ledger) lend(id uint64, peer string, want share, tokens float64, d time.Duration, now clock.Time) (grant, bool) {
+func (l *ledger) lend(id uint64, peer string, kind loanKind, want share, tokens float64, d time.Duration, now clock.Time) (grant, bool) {
 	l.advance(now)
 	end := now.Add(d + d/driftDivisor)
 	can := l.lendable(end)
@@ -210,19 +253,19 @@
 		return grant{}, false
 	}
 	l.tokens -= tokens
-	l.lent = append(l.lent, loan{id: id, peer: peer, share: s, end: end, tokensOnly: want.rate == 0})
+	l.lent = append(l.lent, loan{id: id, peer: peer, share: s, kind: kind, end: end})
 	l.recompute()
-	return grant{id: id, share: s, tokens: tokens, duration: d}, true
+	return grant{id: id, kind: kind, share: s, tokens: tokens, duration: d}, true
 }
 
 // lendTokens lends whole tokens without any rate.
-func (l *ledger) lendTokens(id uint64, peer string, n float64, now clock.Time) (grant, bool) {
+func (l *ledger) lendTokens(id uint64, peer string, n float64, d time.Duration, now clock.Time) (grant, bool) {
 	l.advance(now)
-	n = math.Floor(min(n, l.tokens, l.lendable(now.Add(tokenDuration+tokenDuration/driftDivisor)).capacity))
+	n = math.Floor(min(n, l.tokens, l.lendable(now.Add(d+d/driftDivisor)).capacity))
 	if n < 1 {
 		return grant{}, false
 	}
-	return l.lend(id, peer, share{capacity: n}, n, tokenDuration, now)
+	return l.lend(id, peer, tokensOnly, share{capacity: n}, n, d, now)
 }
 
 // extend lengthens a loan that was lent to peer, provided that this VM still
@@ -239,23 +282,6 @@
 	return true
 }
 
-// covered reports whether the slots held until t make up for all that is lent
-// as rate. Borrowed shares do not count: they are not lent on.
-func (l *ledger) covered(t clock.Time) bool {
-	var held, lent share
-	for _, p := range l.parts {
-		if !l.last.Before(p.from) && !p.until.Before(t) {
-			held = held.plus(p.share)
-		}
-	}
-	for _, x := range l.lent {
-		if !x.tokensOnly {
-			lent = lent.plus(x.share)
-		}
-	}
-	return lent.atMost(held)
-}
-
 // takeBack ends a loan early: the borrower has stopped using it.
 func (l *ledger) takeBack(id uint64, peer string, tokens float64, now clock.Time) {
 	l.advance(now)
@@ -276,7 +302,7 @@
 	if !now.Before(end) {
 		return false
 	}
-	l.borrowed = append(l.borrowed, loan{id: g.id, peer: peer, share: g.share, end: end, tokensOnly: g.share.rate == 0})
+	l.borrowed = append(l.borrowed, loan{id: g.id, peer: peer, share: g.share, kind: g.kind, end: end})
 	l.recompute()
 	l.tokens = min(l.net.capacity, l.tokens+min(g.tokens, g.share.capacity))
 	return true
@@ -301,15 +327,20 @@
 
 // giveBack stops using a borrowed loan and returns the tokens that go back
 // with it: those that no longer fit, so that none of its own are given away.
+// It does nothing where the loan backs what this VM lent on.
 func (l *ledger) giveBack(id uint64, peer string, now clock.Time) (tokens float64, ok bool) {
 	l.advance(now)
 	i := slices.IndexFunc(l.borrowed, func(x loan) bool { return x.id == id && x.peer == peer })
 	if i < 0 {
 		return 0, false
 	}
-	had := l.tokens
-	capacity := l.borrowed[i].share.capacity
+	x := l.borrowed[i]
 	l.borrowed = slices.Delete(l.borrowed, i, i+1)
+	if len(l.lent) > 0 && !l.covered(l.lastEnd()) {
+		l.borrowed = append(l.borrowed, x)
+		return 0, false
+	}
+	had := l.tokens
 	l.recompute()
-	return min(capacity, had-l.tokens), true
+	return min(x.share.capacity, had-l.tokens), true
 }
--- a/pkg/limit/meter.go
+++ b/pkg/limit/meter.go
@@ -29,7 +29,7 @@
 	if elapsed < meterWindow {
 		return
 	}
-	m.smoothed = (m.smoothed + m.count/elapsed.Seconds()) / 2
+	m.smoothed = (3*m.smoothed + m.count/elapsed.Seconds()) / 4
 	m.start, m.count = now, 0
 }
 
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -29,8 +29,6 @@
 	askTimeout = 400 * time.Millisecond
 	// collectTimeout bounds a collection.
 	collectTimeout = collectDuration / 2
-	// maxAsks is how often one admission waits for tokens.
-	maxAsks = 2
 )
 
 // Config says what a Service works on.
@@ -64,7 +62,7 @@
 	// config and holding are what the book's shares were made from.
 	config  *config.Account
 	holding *lease.Holding
-	// asked is closed when the request for tokens under way has ended.
+	// asked is closed when the last request for tokens has ended.
 	asked chan struct{}
 }
 
@@ -105,13 +103,12 @@
 	return s
 }
 
-// Start collects idle shares of the accounts that this VM is the home of,
-// until ctx ends. It must be called before the first Admit and returns at once.
+// Start exchanges loans with the peers until ctx ends. It must be called
+// before the first Admit and returns at once.
 func (s *Service) Start(ctx context.Context) {
 	s.ctx = ctx
-	s.cfg.Loop.Every(ctx, collectPeriod, func() {
-		s.cfg.Loop.Go(ctx, s.collectAll)
-	})
+	s.cfg.Loop.Every(ctx, collectPeriod, func() { s.cfg.Loop.Go(ctx, s.collectAll) })
+	s.cfg.Loop.Every(ctx, relendPeriod, func() { s.cfg.Loop.Go(ctx, s.relendAll) })
 }
 
 // Admit counts one request of the account.
@@ -121,13 +118,13 @@
 		s.refused.Inc(1)
 		return Decision{RetryAfter: noShareRetry}
 	}
-	for tries := 0; ; tries++ {
+	for waits := 0; ; waits++ {
 		// The clock is read before the holding: what it holds then was still
 		// held at now.
 		now := s.cfg.Clock.Now()
 		a.mu.Lock()
 		s.sync(a, c, now)
-		next := a.book.admit(tries > 0, now)
+		next := a.book.admit(waits, now)
 		switch next {
 		case stepAdmit:
 			a.mu.Unlock()
@@ -141,7 +138,7 @@
 		case stepAsk:
 			s.ask(a, now)
 		}
-		if next == stepRefuse || tries == maxAsks || s.stopping.Load() {
+		if next == stepRefuse {
 			wait := a.book.retryAfter(now)
 			a.mu.Unlock()
 			s.refused.Inc(1)
@@ -152,6 +149,9 @@
 		select {
 		case <-asked:
 		case <-ctx.Done():
+			a.mu.Lock()
+			a.book.abandon()
+			a.mu.Unlock()
 			s.refused.Inc(1)
 			return Decision{RetryAfter: failedAskPause}
 		}
@@ -222,7 +222,7 @@
 		answer := s.exchange(ctx, home, []*peerpb.AccountRequest{r})
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.book.asked(answer[a.book.name], home.Incarnation, now, s.cfg.Clock.Now())
+		a.book.asked(r, answer[a.book.name], home.Incarnation, now, s.cfg.Clock.Now())
 	}()
 }
 
@@ -282,7 +282,6 @@
 		a.mu.Lock()
 		s.sync(a, c, now)
 		a.book.home = ok && home.ID == view.Self.ID
-		a.book.demand.roll(now)
 		a.mu.Unlock()
 	}
 	s.mu.Lock()
@@ -297,25 +296,90 @@
 }
 
 func (s *Service) collectFrom(ctx context.Context, p member.Peer) {
-	var requests []*peerpb.AccountRequest
-	accounts := *s.accounts.Load()
+	for again := true; again; {
+		again = s.collectOnce(ctx, p)
+	}
+}
+
+// collectOnce makes one exchange; again reports that loans are to be returned.
+func (s *Service) collectOnce(ctx context.Context, p member.Peer) (again bool) {
 	now := s.cfg.Clock.Now()
-	for _, a := range accounts {
-		a.mu.Lock()
-		if r := a.book.collect(p.Incarnation, now); r != nil {
-			requests = append(requests, r)
+	requests := s.gather(func(a *account) *peerpb.AccountRequest {
+		return a.book.collect(p.Incarnation, now)
+	})
+	if len(requests) == 0 {
+		return false
+	}
+	s.collections.Inc(1)
+	answers := s.exchange(ctx, p, requests)
+	s.settle(requests, answers, func(a *account, q *peerpb.AccountRequest, r *peerpb.AccountResponse) {
+		if a.book.collectedFrom(q, r, p.Incarnation, now, s.cfg.Clock.Now()) {
+			again = true
+		}
+	})
+	return again
+}
+
+// relendAll makes one exchange with each home of an account that this VM has
+// more demand for than its own share covers.
+func (s *Service) relendAll(ctx context.Context) {
+	if s.stopping.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, relendPeriod)
+	defer cancel()
+	homes := map[string]member.Peer{}
+	for name := range *s.accounts.Load() {
+		if home, ok := s.home(name); ok {
+			homes[home.ID] = home
 		}
-		a.mu.Unlock()
 	}
+	var calls sync.WaitGroup
+	for _, home := range homes {
+		calls.Go(func() { s.relendFrom(ctx, home) })
+	}
+	calls.Wait()
+}
+
+func (s *Service) relendFrom(ctx context.Context, home member.Peer) {
+	now := s.cfg.Clock.Now()
+	requests := s.gather(func(a *account) *peerpb.AccountRequest {
+		if h, ok := s.home(a.book.name); !ok || h.ID != home.ID {
+			return nil
+		}
+		return a.book.relend(home.Incarnation, now)
+	})
 	if len(requests) == 0 {
 		return
 	}
-	s.collections.Inc(1)
-	answers := s.exchange(ctx, p, requests)
-	for name, r := range answers {
-		if a := accounts[name]; a != nil {
+	answers := s.exchange(ctx, home, requests)
+	s.settle(requests, answers, func(a *account, _ *peerpb.AccountRequest, r *peerpb.AccountResponse) {
+		a.book.accept(relent, r, home.Incarnation, now, s.cfg.Clock.Now())
+	})
+}
+
+// gather makes a request for each account that has something to say.
+func (s *Service) gather(request func(*account) *peerpb.AccountRequest) []*peerpb.AccountRequest {
+	var requests []*peerpb.AccountRequest
+	for _, a := range *s.accounts.Load() {
+		a.mu.Lock()
+		if r := request(a); r != nil {
+			requests = append(requests, r)
+		}
+		a.mu.Unlock()
+	}
+	return requests
+}
+
+// settle hands each answer to its account.
+func (s *Service) settle(requests []*peerpb.AccountRequest, answers map[string]*peerpb.AccountResponse,
+	accept func(*account, *peerpb.AccountRequest, *peerpb.AccountResponse)) {
+	accounts := *s.accounts.Load()
+	for _, q := range requests {
+		a, r := accounts[q.Account], answers[q.Account]
+		if a != nil && r != nil {
 			a.mu.Lock()
-			a.book.accept(r, p.Incarnation, now, s.cfg.Clock.Now())
+			accept(a, q, r)
 			a.mu.Unlock()
 		}
 	}
