platform: adapters for table, objects and list of VMs, with stand-ins

Cause: everything durable goes through the platform's service, and the worth of the adapters is in what they say of a failure. A write that surely did not take effect may be repeated by its caller, one whose answer was lost may not.

Change: dynamo (TransactWriteItems, GetItem, Query), objects (PutObject, GetObject) and directory, all on static credentials and one endpoint. A call that never had a connection, or that the service answered with 4xx, is unavailable; whatever else fails after that is indeterminate, 5xx included. The stand-ins speak only these calls, keep all in memory and take faults by POST /fault: down, slow, throttled, conflict, answer lost after the effect.

Excluded: retries of writes by the SDK.

--- /dev/null
+++ b/pkg/platform/contract_test.go
@@ -0,0 +1,225 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http/httptest"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/platform/directory"
+	"crocusramp.dev/crocusramp/pkg/platform/dynamo"
+	"crocusramp.dev/crocusramp/pkg/platform/objects"
+	standindirectory "crocusramp.dev/crocusramp/pkg/standin/directory"
+	standinobjects "crocusramp.dev/crocusramp/pkg/standin/objects"
+	standintable "crocusramp.dev/crocusramp/pkg/standin/table"
+)
+
+// tables are the adapters that must behave as platform.Table says.
+var tables = map[string]func(*testing.T) platform.Table{
+	"dynamo": func(t *testing.T) platform.Table {
+		server := httptest.NewServer(standintable.New().Handler())
+		t.Cleanup(server.Close)
+		return dynamo.New(dynamo.Config{Endpoint: server.URL, Region: "r", Table: "t", AccessKey: "a", SecretKey: "s"})
+	},
+}
+
+// stores are the adapters that must behave as platform.Objects says.
+var stores = map[string]func(*testing.T) platform.Objects{
+	"s3": func(t *testing.T) platform.Objects {
+		server := httptest.NewServer(standinobjects.New().Handler())
+		t.Cleanup(server.Close)
+		return objects.New(objects.Config{Endpoint: server.URL, Region: "r", Bucket: "b", AccessKey: "a", SecretKey: "s"})
+	},
+}
+
+func put(partition, sort string, ifRevision int64, value string) platform.Write {
+	return platform.Write{Key: platform.Key{Partition: partition, Sort: sort}, IfRevision: ifRevision, Value: []byte(value)}
+}
+
+func TestTableTransactions(t *testing.T) {
+	for name, newTable := range tables {
+		t.Run(name, func(t *testing.T) {
+			ctx, table := context.Background(), newTable(t)
+			mustTransact(t, table, put("p", "a", 0, "1"), put("p", "b", 0, ""))
+			wantConflict(t, table, []int{1}, put("p", "c", 0, "x"), put("p", "a", 0, "x"))
+			wantConflict(t, table, []int{0, 2}, put("p", "a", 2, "x"), put("p", "b", 1, "x"), put("p", "z", 1, "x"))
+			if _, err := table.Get(ctx, platform.Key{Partition: "p", Sort: "c"}); !errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("a failed transaction left an item: %v", err)
+			}
+			mustTransact(t, table, put("p", "a", 1, "2"), platform.Write{Key: platform.Key{Partition: "p", Sort: "b"}, IfRevision: 1, Delete: true})
+			item, err := table.Get(ctx, platform.Key{Partition: "p", Sort: "a"})
+			want := platform.Item{Key: platform.Key{Partition: "p", Sort: "a"}, Revision: 2, Value: []byte("2")}
+			if diff := cmp.Diff(want, item); err != nil || diff != "" {
+				t.Errorf("item after the second write: %v\n%s", err, diff)
+			}
+			if _, err := table.Get(ctx, platform.Key{Partition: "p", Sort: "b"}); !errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("deleted item: %v", err)
+			}
+			mustTransact(t, table, put("p", "b", 0, "again"))
+		})
+	}
+}
+
+func mustTransact(t *testing.T, table platform.Table, writes ...platform.Write) {
+	t.Helper()
+	if err := table.Transact(context.Background(), writes); err != nil {
+		t.Fatalf("transact: %v", err)
+	}
+}
+
+func wantConflict(t *testing.T, table platform.Table, failed []int, writes ...platform.Write) {
+	t.Helper()
+	var conflict *platform.ConflictError
+	if err := table.Transact(context.Background(), writes); !errors.As(err, &conflict) {
+		t.Fatalf("transact: %v, want a conflict", err)
+	}
+	if diff := cmp.Diff(failed, conflict.Failed); diff != "" {
+		t.Errorf("failed writes:\n%s", diff)
+	}
+}
+
+func TestTableList(t *testing.T) {
+	const items = 25
+	for name, newTable := range tables {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(t)
+			large := string(make([]byte, 200<<10)) // 25 of them pass the size of a page
+			for i := range items {
+				mustTransact(t, table, put("p", fmt.Sprintf("%04d", i), 0, large), put("other", fmt.Sprintf("%04d", i), 0, ""))
+			}
+			cases := []struct {
+				after     string
+				limit     int
+				from, end int
+			}{
+				{"", items * 2, 0, items},
+				{"", 7, 0, 7},
+				{"0004", 7, 5, 12},
+				{"0020", 100, 21, items},
+				{"9999", 100, items, items},
+			}
+			for _, c := range cases {
+				got, err := table.List(context.Background(), "p", c.after, c.limit)
+				if err != nil {
+					t.Fatal(err)
+				}
+				var want []string
+				for i := c.from; i < c.end; i++ {
+					want = append(want, fmt.Sprintf("%04d", i))
+				}
+				if diff := cmp.Diff(want, sorts(got)); diff != "" {
+					t.Errorf("list after %q, limit %d:\n%s", c.after, c.limit, diff)
+				}
+			}
+		})
+	}
+}
+
+func sorts(items []platform.Item) []string {
+	var s []string
+	for _, i := range items {
+		s = append(s, i.Sort)
+	}
+	return s
+}
+
+// TestTableFollowsModel runs random transactions against a map that does the
+// same.
+func TestTableFollowsModel(t *testing.T) {
+	for name, newTable := range tables {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) {
+				partition := rapid.StringMatching(`[a-z]{12}`).Draw(rt, "partition")
+				checkModel(rt, newTable(t), partition)
+			})
+		})
+	}
+}
+
+func checkModel(rt *rapid.T, table platform.Table, partition string) {
+	model := map[string]platform.Item{}
+	for range rapid.IntRange(1, 8).Draw(rt, "transactions") {
+		sorts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "ü", "d"}), 1, 4, rapid.ID).Draw(rt, "items")
+		var writes []platform.Write
+		var failed []int
+		for i, sort := range sorts {
+			w := put(partition, sort, rapid.Int64Range(0, 2).Draw(rt, "revision"), rapid.String().Draw(rt, "value"))
+			w.Delete = rapid.Bool().Draw(rt, "delete")
+			if w.IfRevision != model[sort].Revision {
+				failed = append(failed, i)
+			}
+			writes = append(writes, w)
+		}
+		err := table.Transact(context.Background(), writes)
+		var conflict *platform.ConflictError
+		switch {
+		case errors.As(err, &conflict) && len(failed) > 0:
+			if diff := cmp.Diff(failed, conflict.Failed); diff != "" {
+				rt.Fatalf("failed writes:\n%s", diff)
+			}
+			continue
+		case err != nil || len(failed) > 0:
+			rt.Fatalf("transact: %v, want failed %v", err, failed)
+		}
+		for _, w := range writes {
+			if w.Delete {
+				delete(model, w.Sort)
+			} else {
+				model[w.Sort] = platform.Item{Key: w.Key, Revision: w.IfRevision + 1, Value: w.Value}
+			}
+		}
+	}
+	var want []platform.Item
+	for _, sort := range slices.Sorted(maps.Keys(model)) {
+		want = append(want, model[sort])
+	}
+	got, err := table.List(context.Background(), partition, "", 100)
+	if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); err != nil || diff != "" {
+		rt.Fatalf("items: %v\n%s", err, diff)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	for name, newStore := range stores {
+		t.Run(name, func(t *testing.T) {
+			ctx, store := context.Background(), newStore(t)
+			if _, err := store.Get(ctx, "config/1"); !errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("missing object: %v", err)
+			}
+			for _, size := range []int{0, 10, 3 << 20} {
+				data := make([]byte, size)
+				for i := range data {
+					data[i] = byte(i * 7)
+				}
+				if err := store.Put(ctx, "config/ü 1", data); err != nil {
+					t.Fatal(err)
+				}
+				got, err := store.Get(ctx, "config/ü 1")
+				if err != nil || !slices.Equal(got, data) {
+					t.Errorf("object of %d bytes came back with %d: %v", size, len(got), err)
+				}
+			}
+		})
+	}
+}
+
+func TestDirectory(t *testing.T) {
+	list := standindirectory.New()
+	server := httptest.NewServer(list.Handler())
+	defer server.Close()
+	d := directory.New(server.URL)
+	want := []platform.VM{{ID: "vm-1", PeerAddress: "127.0.0.1:1", State: platform.VMLive}, {ID: "vm-2", PeerAddress: "127.0.0.1:2", State: platform.VMLeaving}}
+	list.Set(want)
+	got, err := d.VMs(context.Background())
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("list: %v\n%s", err, diff)
+	}
+}
--- /dev/null
+++ b/pkg/platform/directory/directory.go
@@ -0,0 +1,89 @@
+// Package directory reads the platform's list of VMs over HTTP: GET answers
+// {"vms":[{"id":..,"peer_address":..,"state":"live"}]}.
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/platform/internal/attempt"
+)
+
+const (
+	// timeout bounds one reading of the list.
+	timeout = 2 * time.Second
+	// maxListBytes bounds the list: 4,500 VMs take about 400 KB.
+	maxListBytes = 8 << 20
+)
+
+// errMissingList keeps an answer without a list from emptying the fleet.
+var errMissingList = errors.New(`answer has no "vms"`)
+
+// Directory is a platform.Directory.
+type Directory struct {
+	client *http.Client
+	url    string
+}
+
+var _ platform.Directory = (*Directory)(nil)
+
+// New returns the list at url.
+func New(url string) *Directory {
+	return &Directory{client: attempt.NewClient(), url: url}
+}
+
+// VMs implements platform.Directory.
+func (d *Directory) VMs(ctx context.Context) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	vms, err := d.read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", attempt.ReadError(err))
+	}
+	return vms, nil
+}
+
+func (d *Directory) read(ctx context.Context) ([]platform.VM, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return decode(io.LimitReader(resp.Body, maxListBytes))
+}
+
+// decode reads a list. An entry that is not whole makes the list invalid:
+// leaving it out would say that the platform removed the VM.
+func decode(r io.Reader) ([]platform.VM, error) {
+	var body struct {
+		VMs *[]platform.VM `json:"vms"`
+	}
+	if err := json.NewDecoder(r).Decode(&body); err != nil {
+		return nil, err
+	}
+	if body.VMs == nil {
+		return nil, errMissingList
+	}
+	for _, vm := range *body.VMs {
+		if vm.ID == "" || vm.PeerAddress == "" {
+			return nil, fmt.Errorf("VM %q at %q is not whole", vm.ID, vm.PeerAddress)
+		}
+		if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
+			return nil, fmt.Errorf("VM %q has unknown state %q", vm.ID, vm.State)
+		}
+	}
+	return *body.VMs, nil
+}
--- /dev/null
+++ b/pkg/standin/directory/directory.go
@@ -0,0 +1,108 @@
+// Package directory is a stand-in for the platform's lagging list of VMs.
+package directory
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/standin/fault"
+)
+
+// version is a list that was set at an instant.
+type version struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// Server is the list of VMs.
+type Server struct {
+	faults *fault.Injector
+
+	mu       sync.Mutex
+	lag      time.Duration
+	versions []version
+}
+
+// New returns an empty list without lag.
+func New() *Server { return &Server{faults: fault.NewInjector()} }
+
+// Faults returns the injector that makes the list fail.
+func (s *Server) Faults() *fault.Injector { return s.faults }
+
+// Set replaces the list. Readers see it once the lag has passed.
+func (s *Server) Set(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = append(s.versions, version{time.Now(), vms})
+}
+
+// SetLag sets how long readers see the older list.
+func (s *Server) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// Handler returns the service: GET / is the list, PUT / sets it, PUT /lag sets
+// the lag as {"lag":"5s"}, and /fault sets the faults.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{$}", s.serveList)
+	admin := http.NewServeMux()
+	admin.HandleFunc("PUT /{$}", s.serveSet)
+	admin.HandleFunc("PUT /lag", s.serveLag)
+	admin.Handle("/", s.faults.Wrap(mux))
+	return admin
+}
+
+// Serve answers connections of l until it is closed.
+func (s *Server) Serve(l net.Listener) error {
+	return (&http.Server{Handler: s.Handler()}).Serve(l)
+}
+
+// list is the JSON body of the service.
+type list struct {
+	VMs []platform.VM `json:"vms"`
+}
+
+func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
+	fault.WriteJSON(w, list{s.visible(time.Now())})
+}
+
+// visible returns the newest list that is older than the lag. The first list
+// is visible at once, since an empty one would mean that VMs were removed.
+func (s *Server) visible(now time.Time) []platform.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.versions) - 1; i >= 0; i-- {
+		if v := s.versions[i]; i == 0 || now.Sub(v.at) >= s.lag {
+			return v.vms
+		}
+	}
+	return []platform.VM{}
+}
+
+func (s *Server) serveSet(w http.ResponseWriter, r *http.Request) {
+	var l list
+	if err := fault.DecodeStrict(r, &l); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(l.VMs)
+	fault.WriteJSON(w, l)
+}
+
+func (s *Server) serveLag(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Lag fault.Duration `json:"lag"`
+	}
+	if err := fault.DecodeStrict(r, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetLag(time.Duration(body.Lag))
+	fault.WriteJSON(w, body)
+}
--- /dev/null
+++ b/pkg/standin/directory/directory_test.go
@@ -0,0 +1,22 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+func TestLag(t *testing.T) {
+	s := New()
+	s.SetLag(time.Minute)
+	s.Set([]platform.VM{{ID: "a"}})
+	s.Set([]platform.VM{{ID: "a"}, {ID: "b"}})
+	now := time.Now()
+	if got := len(s.visible(now)); got != 1 {
+		t.Errorf("%d VMs before the lag", got)
+	}
+	if got := len(s.visible(now.Add(2 * time.Minute))); got != 2 {
+		t.Errorf("%d VMs after the lag", got)
+	}
+}
