--- a/pkg/platform/internal/attempt/attempt.go
+++ b/pkg/platform/internal/attempt/attempt.go
@@ -69,11 +69,19 @@
 // refused reports whether the service answered that it refused the request.
 // A 5xx answer says nothing about what the service did before it.
 func refused(err error) bool {
+	status := answerStatus(err)
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusRequestTimeout
+}
+
+// Answered reports whether err is an answer of the service.
+func Answered(err error) bool { return answerStatus(err) != 0 }
+
+// answerStatus returns the status of the service's answer, or 0 without one.
+func answerStatus(err error) int {
 	var r *awshttp.ResponseError
 	if !errors.As(err, &r) {
-		return false
+		return 0
 	}
-	status := r.HTTPStatusCode()
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
-		status != http.StatusRequestTimeout
+	return r.HTTPStatusCode()
 }
