--- /dev/null
+++ b/pkg/standin/fault/fault_test.go
@@ -0,0 +1,53 @@
+package fault
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+func TestAdmin(t *testing.T) {
+	i := NewInjector()
+	h := i.Wrap(http.NotFoundHandler())
+	cases := []struct {
+		method, body string
+		status       int
+		want         Faults
+	}{
+		{http.MethodPost, `{"delay":"5ms","lose_answers":2}`, http.StatusOK, Faults{Delay: 5e6, LoseAnswers: 2}},
+		{http.MethodPost, `{"delay":5}`, http.StatusBadRequest, Faults{Delay: 5e6, LoseAnswers: 2}},
+		{http.MethodPost, `{"lose_anwsers":2}`, http.StatusBadRequest, Faults{Delay: 5e6, LoseAnswers: 2}},
+		{http.MethodPut, `{}`, http.StatusMethodNotAllowed, Faults{Delay: 5e6, LoseAnswers: 2}},
+		{http.MethodGet, ``, http.StatusOK, Faults{Delay: 5e6, LoseAnswers: 2}},
+		{http.MethodDelete, ``, http.StatusOK, Faults{}},
+	}
+	for _, c := range cases {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, Path, strings.NewReader(c.body)))
+		if got := i.Faults(); w.Code != c.status || got != c.want {
+			t.Errorf("%s %s: status %d, faults %+v", c.method, c.body, w.Code, got)
+		}
+	}
+}
+
+// TestRatesFollowTheSeed proves that a seed repeats the same faults.
+func TestRatesFollowTheSeed(t *testing.T) {
+	draw := func(seed uint64) (lost []bool) {
+		i := NewInjector()
+		i.Set(Faults{LoseRate: 0.5, Seed: seed})
+		for range 64 {
+			lost = append(lost, i.LoseAnswer())
+		}
+		return lost
+	}
+	a, b, other := draw(1), draw(1), draw(2)
+	same, differs := true, false
+	for i := range a {
+		same = same && a[i] == b[i]
+		differs = differs || a[i] != other[i]
+	}
+	if !same || !differs {
+		t.Errorf("same seed repeats: %v, another seed differs: %v", same, differs)
+	}
+}
