--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -1,6 +1,8 @@
 // Package member keeps the view that a VM has of its peers.
 package member
 
+import "crocusramp.dev/crocusramp/pkg/clock"
+
 // State is what a VM knows of a peer.
 type State uint8
 
@@ -16,6 +18,20 @@
 	Gone
 )
 
+// String returns the state's name in the operators' API.
+func (s State) String() string {
+	switch s {
+	case Live:
+		return "live"
+	case Leaving:
+		return "leaving"
+	case Silent:
+		return "silent"
+	default:
+		return "gone"
+	}
+}
+
 // Peer is one incarnation of the daemon on one VM.
 type Peer struct {
 	ID            string
@@ -31,6 +47,8 @@
 	ConfigVersion int64
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
+	// Seen is when the last heartbeat that settled State was sent.
+	Seen clock.Time
 }
 
 // View is an immutable picture of the fleet. Readers never change it.
@@ -40,6 +58,8 @@
 	Peers []Peer
 	// Complete reports that the platform's list was read at least once.
 	Complete bool
+	// Listed is when the last successful read of the platform's list began.
+	Listed clock.Time
 }
 
 // Gone reports whether the incarnation is known to be dead.
@@ -52,6 +72,29 @@
 	return false
 }
 
+// Dead reports whether there is proof, gathered after since, that the given
+// incarnation of a VM has ended: its port refused connections, another
+// incarnation answered there, or the platform's list no longer has the VM.
+//
+// Proof older than the caller's own knowledge of the incarnation says nothing:
+// the incarnation may have started between the two.
+func (v *View) Dead(id, incarnation string, since clock.Time) bool {
+	if id == v.Self.ID {
+		return incarnation != v.Self.Incarnation
+	}
+	for i := range v.Peers {
+		p := &v.Peers[i]
+		if p.ID != id {
+			continue
+		}
+		if p.Seen <= since {
+			return false
+		}
+		return p.State == Gone || (p.State != Silent && p.Incarnation != incarnation)
+	}
+	return v.Complete && v.Listed > since
+}
+
 // Source publishes views. View never returns nil and costs one atomic load.
 type Source interface {
 	View() *View
--- /dev/null
+++ b/pkg/member/prober.go
@@ -0,0 +1,199 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// Default timings.
+const (
+	DefaultListPeriod  = time.Second
+	DefaultProbePeriod = 500 * time.Millisecond
+	// DefaultProbeTimeout covers two round trips between the farthest regions.
+	DefaultProbeTimeout = time.Second
+)
+
+// Config sets up a Prober. All fields without a default are required.
+type Config struct {
+	Self      Peer
+	Directory platform.Directory
+	Dialer    *peer.Dialer
+	Loop      *control.Loop
+	Clock     clock.Clock
+	Log       zerolog.Logger
+	// Local completes Self at each heartbeat with what changes: the state,
+	// the configuration's version and the free permits. It runs on any
+	// goroutine.
+	Local func(*Peer)
+	// ListPeriod is how often the platform's list is read, 1 s if zero. A
+	// longer one delays the discovery of new VMs.
+	ListPeriod time.Duration
+	// ProbePeriod is how often each peer is asked, 500 ms if zero. A longer
+	// one delays the takeover of a dead peer's slots.
+	ProbePeriod time.Duration
+	// ProbeTimeout is how long a peer has to answer, 1 s if zero.
+	ProbeTimeout time.Duration
+}
+
+// Prober keeps the view of the fleet by heartbeats. It implements Source.
+type Prober struct {
+	cfg    Config
+	roster *roster
+	busy   map[string]bool
+	view   atomic.Pointer[View]
+}
+
+// NewProber returns a Prober that Start sets going.
+func NewProber(cfg Config) *Prober {
+	if cfg.ListPeriod == 0 {
+		cfg.ListPeriod = DefaultListPeriod
+	}
+	if cfg.ProbePeriod == 0 {
+		cfg.ProbePeriod = DefaultProbePeriod
+	}
+	if cfg.ProbeTimeout == 0 {
+		cfg.ProbeTimeout = DefaultProbeTimeout
+	}
+	if cfg.Local == nil {
+		cfg.Local = func(*Peer) {}
+	}
+	p := &Prober{cfg: cfg, roster: newRoster(cfg.Self), busy: map[string]bool{}}
+	p.publish()
+	return p
+}
+
+// View returns the present view.
+func (p *Prober) View() *View { return p.view.Load() }
+
+// Start reads the platform's list and sends heartbeats until ctx ends.
+func (p *Prober) Start(ctx context.Context) {
+	p.cfg.Loop.Go(ctx, p.readLists)
+	p.cfg.Loop.Every(ctx, p.cfg.ProbePeriod, func() { p.probeAll(ctx) })
+}
+
+// readLists runs on a goroutine of its own.
+func (p *Prober) readLists(ctx context.Context) {
+	ticker := time.NewTicker(p.cfg.ListPeriod)
+	defer ticker.Stop()
+	for {
+		p.readList(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Prober) readList(ctx context.Context) {
+	started := p.cfg.Clock.Now()
+	vms, err := p.cfg.Directory.VMs(ctx)
+	if err != nil {
+		p.cfg.Log.Debug().Err(err).Msg("reading the platform's list of VMs failed")
+		return
+	}
+	p.cfg.Loop.Post(func() {
+		p.roster.applyList(vms, started)
+		p.publish()
+	})
+}
+
+// probeAll runs on the loop.
+func (p *Prober) probeAll(ctx context.Context) {
+	for id, e := range p.roster.entries {
+		if p.busy[id] || e.peer.PeerAddress == "" {
+			continue
+		}
+		p.busy[id] = true
+		address := e.peer.PeerAddress
+		p.cfg.Loop.Go(ctx, func(ctx context.Context) {
+			result := p.probe(ctx, id, address)
+			p.cfg.Loop.Post(func() {
+				delete(p.busy, id)
+				if ctx.Err() != nil {
+					return
+				}
+				p.roster.applyProbe(result)
+				p.publish()
+			})
+		})
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, id, address string) Probe {
+	result := Probe{ID: id, Result: ProbeFailed, Sent: p.cfg.Clock.Now()}
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
+	defer cancel()
+	client := peerpb.NewMemberProtobufClient(p.cfg.Dialer.URL(address), p.cfg.Dialer.HTTP())
+	answer, err := client.Hello(ctx, &peerpb.HelloRequest{Self: toProto(p.self())})
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result.Result = ProbeRefused
+	case err == nil && answer.GetSelf().GetId() == id:
+		result.Result = ProbeAnswered
+		result.Peer = fromProto(answer.GetSelf())
+	}
+	return result
+}
+
+func (p *Prober) self() Peer {
+	self := p.cfg.Self
+	p.cfg.Local(&self)
+	return self
+}
+
+func (p *Prober) publish() { p.view.Store(p.roster.view()) }
+
+// Handler returns the path prefix and handler of the Member service.
+func (p *Prober) Handler() (string, http.Handler) {
+	server := peerpb.NewMemberServer(p)
+	return server.PathPrefix(), server
+}
+
+// Hello implements the Member service.
+func (p *Prober) Hello(context.Context, *peerpb.HelloRequest) (*peerpb.HelloResponse, error) {
+	return &peerpb.HelloResponse{Self: toProto(p.self())}, nil
+}
+
+func toProto(p Peer) *peerpb.VMInfo {
+	return &peerpb.VMInfo{
+		Id:            p.ID,
+		Incarnation:   p.Incarnation,
+		Region:        p.Region,
+		FailureDomain: p.FailureDomain,
+		PeerAddress:   p.PeerAddress,
+		CallerAddress: p.CallerAddress,
+		Leaving:       p.State == Leaving,
+		ConfigVersion: p.ConfigVersion,
+		FreePermits:   int32(p.FreePermits),
+	}
+}
+
+func fromProto(i *peerpb.VMInfo) Peer {
+	p := Peer{
+		ID:            i.GetId(),
+		Incarnation:   i.GetIncarnation(),
+		Region:        i.GetRegion(),
+		FailureDomain: i.GetFailureDomain(),
+		PeerAddress:   i.GetPeerAddress(),
+		CallerAddress: i.GetCallerAddress(),
+		ConfigVersion: i.GetConfigVersion(),
+		FreePermits:   int(i.GetFreePermits()),
+	}
+	if i.GetLeaving() {
+		p.State = Leaving
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/member/prober_test.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+type fixedList []platform.VM
+
+func (l fixedList) VMs(context.Context) ([]platform.VM, error) { return l, nil }
+
+// waitState polls the view until the peer has the state, for at most 10 s.
+func waitState(t *testing.T, p *Prober, id string, want State) Peer {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, q := range p.View().Peers {
+			if q.ID == id && q.State == want {
+				return q
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s did not become %s: %+v", id, want, p.View().Peers)
+	return Peer{}
+}
+
+func startProber(t *testing.T, self Peer, list fixedList) *Prober {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := control.NewLoop()
+	ended := make(chan struct{})
+	go func() { loop.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	p := NewProber(Config{
+		Self: self, Directory: list, Dialer: peer.NewDialer(nil), Loop: loop,
+		Clock: clock.System{}, Log: zerolog.Nop(), ProbePeriod: 20 * time.Millisecond,
+	})
+	p.Start(ctx)
+	return p
+}
+
+func serve(t *testing.T, l net.Listener, p *Prober) *http.Server {
+	t.Helper()
+	prefix, handler := p.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(prefix, handler)
+	s := &http.Server{Handler: mux}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func TestRefusedConnectionProvesDeathSilenceDoesNot(t *testing.T) {
+	answering, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer frozen.Close()
+	list := fixedList{
+		{ID: "a", PeerAddress: "127.0.0.1:1", State: platform.VMLive},
+		{ID: "b", PeerAddress: answering.Addr().String(), State: platform.VMLive},
+		{ID: "c", PeerAddress: frozen.Addr().String(), State: platform.VMLive},
+	}
+	a := startProber(t, Peer{ID: "a", Incarnation: "a1"}, list)
+	b := startProber(t, Peer{ID: "b", Incarnation: "b1"}, list)
+	server := serve(t, answering, b)
+
+	if got := waitState(t, a, "b", Live); got.Incarnation != "b1" {
+		t.Errorf("incarnation %q, want b1", got.Incarnation)
+	}
+	waitState(t, a, "c", Silent)
+	before := clock.System{}.Now()
+	if a.View().Dead("b", "b1", before) || a.View().Dead("c", "c1", 0) {
+		t.Error("a live or silent VM counts as dead")
+	}
+	_ = server.Close()
+	waitState(t, a, "b", Gone)
+	if !a.View().Dead("b", "b1", before) {
+		t.Error("a VM whose port refuses connections does not count as dead")
+	}
+}
