entry, forward: the request path, first version

forward uses net/http's codecs on connections of its own. http.Transport was excluded: it repeats a request silently on a reused connection that fails, a POST with an Idempotency-Key among them, and it does not tell whether a byte was written.

Paths that a target could read otherwise than the route match did ("/open/..", "%2f", "//") are refused, since they would reach a keyed route unkeyed.

Not yet: claims, tickets, retries after the first byte, quarantine.

--- /dev/null
+++ b/pkg/entry/body.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// replayBytes is how much of a request's body is kept for a retry.
+const replayBytes = 64 << 10
+
+// errCut reports that the exchange stopped reading the caller's body.
+var errCut = errors.New("request body was cut off")
+
+// body is a caller's request body. It keeps the first part of what was read,
+// so that a request may be sent again as long as nothing more was read.
+type body struct {
+	source io.Reader
+	// control stops a read that waits for the caller.
+	control *http.ResponseController
+
+	mu       sync.Mutex
+	kept     []byte
+	read     int64
+	complete bool
+	failed   error
+}
+
+// newBody returns nil where the request has no body.
+func newBody(w http.ResponseWriter, r *http.Request, limit int64) *body {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// A target may answer before it has read the whole body. Where the server
+	// cannot do that, it reads the rest of the body first.
+	_ = control.EnableFullDuplex()
+	return &body{source: http.MaxBytesReader(nil, r.Body, limit), control: control}
+}
+
+// sending returns a reader of the body from its start, for one exchange.
+func (b *body) sending() io.ReadCloser {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &sending{body: b, replay: b.kept}
+}
+
+// abort makes a blocked read return; the body cannot be read further.
+func (b *body) abort() {
+	b.mu.Lock()
+	if !b.complete && b.failed == nil {
+		b.failed = errCut
+	}
+	b.mu.Unlock()
+	// Fails only where the connection is gone, which unblocks the read too.
+	_ = b.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// replayable reports whether the body can be sent again from its start.
+func (b *body) replayable() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read == int64(len(b.kept)) && (b.complete || b.failed == nil)
+}
+
+// sending reads the kept part first and then the caller.
+type sending struct {
+	body   *body
+	replay []byte
+}
+
+func (s *sending) Read(p []byte) (int, error) {
+	if len(s.replay) > 0 {
+		n := copy(p, s.replay)
+		s.replay = s.replay[n:]
+		return n, nil
+	}
+	b := s.body
+	b.mu.Lock()
+	complete, failed := b.complete, b.failed
+	b.mu.Unlock()
+	if complete {
+		return 0, io.EOF
+	}
+	if failed != nil {
+		return 0, failed
+	}
+	n, err := b.source.Read(p)
+	b.note(p[:n], err)
+	return n, err
+}
+
+// Close does nothing: the server closes the caller's body.
+func (s *sending) Close() error { return nil }
+
+// note records what was read from the caller.
+func (b *body) note(p []byte, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.read == int64(len(b.kept)) && len(b.kept)+len(p) <= replayBytes {
+		b.kept = append(b.kept, p...)
+	}
+	b.read += int64(len(p))
+	switch {
+	case err == io.EOF:
+		b.complete = true
+	case err != nil && b.failed == nil:
+		b.failed = err
+	}
+}
--- /dev/null
+++ b/pkg/entry/check.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"net/http"
+	"net/url"
+	"regexp"
+	"strings"
+
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+const (
+	maxRequestIDBytes = 128
+	// minSecretBytes is the shortest part of a key that is looked for alone.
+	minSecretBytes = 8
+	// maxUnescapes bounds how often an escaped value is unescaped in search of
+	// a key.
+	maxUnescapes = 3
+)
+
+// clientKey matches the form of client account keys.
+var clientKey = regexp.MustCompile(`(?i)crk_[a-z0-9]+_[a-z0-9]`)
+
+// acceptableID reports whether a caller's request id may be logged and echoed.
+func acceptableID(id string) bool {
+	if id == "" || len(id) > maxRequestIDBytes {
+		return false
+	}
+	for _, b := range []byte(id) {
+		if b <= ' ' || b > '~' {
+			return false
+		}
+	}
+	return !clientKey.MatchString(id)
+}
+
+// checkRequest refuses what must not reach a target whatever its route is.
+func checkRequest(r *http.Request, l *Limits) *outcome.Refusal {
+	if size := headerBytes(r); size > l.MaxHeaderBytes {
+		return outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonTooLarge, 0,
+			"The request's header is too large.")
+	}
+	if r.ContentLength > l.MaxBodyBytes {
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0,
+			"The request's body is too large.")
+	}
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return badRequest("Tunnels and protocol upgrades are not supported.")
+	}
+	if !plainPath(r.URL) {
+		return badRequest("The path must be absolute, without empty, \".\" or \"..\" segments or escaped separators.")
+	}
+	if leaksKey(r) {
+		return badRequest("A client account key may only be in the Authorization header.")
+	}
+	return nil
+}
+
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// plainPath reports whether every target reads the path as the route match
+// did. A target that resolved "/open/../filings" would run a request of a
+// keyed route that was matched as open.
+func plainPath(u *url.URL) bool {
+	if !strings.HasPrefix(u.Path, "/") || u.Host != "" {
+		return false
+	}
+	escaped := strings.ToLower(u.EscapedPath())
+	for _, s := range []string{"%2f", "%5c", "%00", "%25", "\\", ";"} {
+		if strings.Contains(escaped, s) {
+			return false
+		}
+	}
+	segments := strings.Split(u.Path[1:], "/")
+	for i, s := range segments {
+		last := i == len(segments)-1
+		if s == "." || s == ".." || (s == "" && !last) {
+			return false
+		}
+	}
+	return !strings.ContainsAny(u.Path, "\\\x00\r\n")
+}
+
+// leaksKey reports whether a client account key is anywhere in the request
+// but in its Authorization header. The body is not looked at.
+func leaksKey(r *http.Request) bool {
+	secrets := secretsOf(r.Header.Get("Authorization"))
+	if holdsKey(r.RequestURI, secrets) || holdsKey(r.Host, secrets) || holdsKey(r.Method, secrets) {
+		return true
+	}
+	for name, values := range r.Header {
+		if name == "Authorization" {
+			continue
+		}
+		if holdsKey(name, secrets) {
+			return true
+		}
+		for _, v := range values {
+			if holdsKey(v, secrets) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// secretsOf returns the parts of an Authorization header that no target may
+// see: the credential and the secret in it.
+func secretsOf(authorization string) []string {
+	_, token, ok := strings.Cut(strings.TrimSpace(authorization), " ")
+	if !ok {
+		token = authorization
+	}
+	token = strings.TrimSpace(token)
+	var secrets []string
+	if len(token) >= minSecretBytes {
+		secrets = append(secrets, token)
+	}
+	if _, secret, ok := cutLast(token, "_"); ok && len(secret) >= minSecretBytes {
+		secrets = append(secrets, secret)
+	}
+	return secrets
+}
+
+func cutLast(s, sep string) (before, after string, found bool) {
+	i := strings.LastIndex(s, sep)
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+len(sep):], true
+}
+
+// holdsKey looks for a key in s as it stands and unescaped.
+func holdsKey(s string, secrets []string) bool {
+	for range maxUnescapes {
+		if matchesKey(s, secrets) {
+			return true
+		}
+		if !strings.Contains(s, "%") {
+			return false
+		}
+		next, err := url.PathUnescape(s)
+		if err != nil || next == s {
+			return false
+		}
+		s = next
+	}
+	return matchesKey(s, secrets)
+}
+
+func matchesKey(s string, secrets []string) bool {
+	for _, secret := range secrets {
+		if len(s) >= len(secret) && containsFold(s, secret) {
+			return true
+		}
+	}
+	return len(s) > len("crk_") && clientKey.MatchString(s)
+}
+
+func containsFold(s, part string) bool {
+	return strings.Contains(strings.ToLower(s), strings.ToLower(part))
+}
--- /dev/null
+++ b/pkg/entry/handover.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/protobuf/proto"
+
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/dispatch"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+const (
+	peerPrefix = "/requests/"
+	runPrefix  = peerPrefix + "run"
+)
+
+// sendToPeer has the granted peer dispatch the call in this VM's place.
+func (s *Server) sendToPeer(ctx context.Context, c *call, g *dispatch.Grant) *answer {
+	started := time.Now()
+	a := s.handOver(ctx, c, g.Peer.ID, g.Peer.PeerAddress, "")
+	s.settle(g, a, started, false)
+	return a
+}
+
+// handOver makes one exchange with a peer.
+func (s *Server) handOver(ctx context.Context, c *call, id, address, ticket string) *answer {
+	ctx, span := s.config.Tracer.Start(ctx, "forward.peer", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("vm", id)))
+	defer span.End()
+	u := *c.r.URL
+	if u.RawPath != "" {
+		u.RawPath = runPrefix + u.RawPath
+	}
+	u.Path = runPrefix + u.Path
+	req := outgoing(ctx, c, address, &u)
+	req.Header.Set(headerHandOver, s.handOverHeader(c, ticket))
+	a, err := s.exchange(ctx, c, req, address, true)
+	if err != nil {
+		a = failed(ctx, c, err)
+		a.died = false // the peer died, not a target
+		return a
+	}
+	return peerAnswer(a)
+}
+
+func (s *Server) handOverHeader(c *call, ticket string) string {
+	b, err := proto.Marshal(&peerpb.HandOver{
+		RequestId: c.id,
+		Account:   c.accountName(),
+		Route:     c.route.Name,
+		TimeoutMs: c.remaining(),
+		Tried:     c.tried,
+		Ticket:    ticket,
+		FromVm:    s.config.Members.View().Self.ID,
+	})
+	if err != nil {
+		panic(err) // only invalid UTF-8 fails, and names come from JSON
+	}
+	return base64.StdEncoding.EncodeToString(b)
+}
+
+// peerAnswer turns a peer's answer into the target's answer or the refusal
+// that it carries.
+func peerAnswer(a *answer) *answer {
+	switch a.outcome {
+	case outcome.Done.String():
+		return a
+	case outcome.NotRun.String(), outcome.Unknown.String():
+		return peerRefusal(a)
+	default:
+		a.shut()
+		return &answer{refusal: &outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ReasonTargetFailed,
+			Status: http.StatusBadGateway, Detail: "The VM that ran the request gave no outcome."}}
+	}
+}
+
+func peerRefusal(a *answer) *answer {
+	a.shut()
+	r := &outcome.Refusal{Outcome: outcome.Unknown, Status: a.status}
+	if a.outcome == outcome.NotRun.String() {
+		r.Outcome = outcome.NotRun
+	}
+	var body refusalBody
+	if err := json.Unmarshal(a.head, &body); err != nil {
+		body.Reason, body.Detail = outcome.ReasonTargetFailed, "The VM that ran the request refused it."
+	}
+	r.Reason, r.Detail = body.Reason, body.Detail
+	r.RetryAfter = time.Duration(body.RetryAfterMS) * time.Millisecond
+	return &answer{refusal: r, transient: transient(r.Reason), died: a.died}
+}
+
+// transient reports whether a request that a peer refused may succeed
+// elsewhere.
+func transient(r outcome.Reason) bool {
+	switch r {
+	case outcome.ReasonNoCapacity, outcome.ReasonQueueTimeout, outcome.ReasonTargetFailed,
+		outcome.ReasonStopping, outcome.ReasonNotReady, outcome.ReasonNoRoute:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Server) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(runPrefix+"/", s.serveHandedOver)
+	return mux
+}
+
+// serveHandedOver answers a request that a peer admitted.
+func (s *Server) serveHandedOver(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	h, err := handOverOf(r)
+	if err != nil {
+		s.refuse(w, newRequestID(), badRequest("The hand-over header is missing or malformed."))
+		return
+	}
+	if !s.running.enter() {
+		s.refuse(w, h.GetRequestId(), stopping())
+		return
+	}
+	defer s.running.leave()
+	if !s.ready.Load() {
+		s.refuse(w, h.GetRequestId(), notReady())
+		return
+	}
+	c, refusal := s.handedOverCall(w, r, h, arrived)
+	if refusal != nil {
+		s.refuse(w, h.GetRequestId(), refusal)
+		return
+	}
+	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.config.Tracer.Start(ctx, "peer.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	s.deliver(c, s.run(ctx, c))
+}
+
+func handOverOf(r *http.Request) (*peerpb.HandOver, error) {
+	b, err := base64.StdEncoding.DecodeString(r.Header.Get(headerHandOver))
+	if err != nil {
+		return nil, err
+	}
+	h := &peerpb.HandOver{}
+	if err := proto.Unmarshal(b, h); err != nil {
+		return nil, err
+	}
+	if !acceptableID(h.GetRequestId()) {
+		return nil, strconv.ErrSyntax
+	}
+	return h, nil
+}
+
+// handedOverCall rebuilds the call that the peer admitted.
+func (s *Server) handedOverCall(w http.ResponseWriter, r *http.Request, h *peerpb.HandOver, arrived time.Time) (*call, *outcome.Refusal) {
+	snapshot := s.config.Config.Snapshot()
+	route := snapshot.Routes[h.GetRoute()]
+	if route == nil {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoRoute, failedRetryAfter,
+			"This VM does not know the route yet.")
+	}
+	inner := *r
+	inner.URL = innerURL(r.URL)
+	c := &call{
+		id:         h.GetRequestId(),
+		shownID:    h.GetRequestId(),
+		route:      route,
+		account:    accountOf(snapshot, h.GetAccount()),
+		deadline:   arrived.Add(time.Duration(h.GetTimeoutMs()) * time.Millisecond),
+		handedOver: true,
+		tried:      h.GetTried(),
+		w:          w,
+		r:          &inner,
+		header:     r.Header.Clone(),
+		body:       newBody(w, r, s.config.Limits.MaxBodyBytes),
+	}
+	removeHopByHop(c.header)
+	return c, nil
+}
+
+// accountOf returns the account by name; one that this VM does not know yet
+// has the usual weight.
+func accountOf(snapshot config.Snapshot, name string) *config.Account {
+	if name == "" {
+		return nil
+	}
+	if account := snapshot.Accounts[name]; account != nil {
+		return account
+	}
+	return &config.Account{Name: name, Weight: 1}
+}
+
+func innerURL(u *url.URL) *url.URL {
+	inner := *u
+	inner.Path = strings.TrimPrefix(u.Path, runPrefix)
+	inner.RawPath = strings.TrimPrefix(u.RawPath, runPrefix)
+	return &inner
+}
--- /dev/null
+++ b/pkg/entry/refusal.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+// stoppingRetryAfter is when the caller of a VM that stops may ask again: at
+// once, elsewhere.
+const stoppingRetryAfter = time.Second
+
+// refusalBody is the JSON form of a refusal in the callers' API.
+type refusalBody struct {
+	Outcome      string         `json:"outcome"`
+	Reason       outcome.Reason `json:"reason"`
+	Detail       string         `json:"detail"`
+	RequestID    string         `json:"request_id"`
+	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
+}
+
+func newRequestID() string { return uuid.NewString() }
+
+// refuse answers with a refusal.
+func (s *Server) refuse(w http.ResponseWriter, requestID string, r *outcome.Refusal) {
+	s.meters.refused(r.Reason)
+	body, err := json.Marshal(refusalBody{
+		Outcome:      r.Outcome.String(),
+		Reason:       r.Reason,
+		Detail:       r.Detail,
+		RequestID:    requestID,
+		RetryAfterMS: r.RetryAfter.Milliseconds(),
+	})
+	if err != nil {
+		panic(err) // strings and integers always have a JSON form
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
+	h.Set("Cache-Control", "no-store")
+	h.Set(headerRequestID, requestID)
+	h.Set(headerOutcome, r.Outcome.String())
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", retrySeconds(r.RetryAfter))
+	}
+	if r.Reason == outcome.ReasonStopping {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(r.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// retrySeconds rounds up, so that nobody comes back too early.
+func retrySeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+func stopping() *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonStopping,
+		stoppingRetryAfter, "This VM is stopping; ask another one.")
+}
+
+func notReady() *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady,
+		stoppingRetryAfter, "This VM has not started up yet.")
+}
+
+func badRequest(detail string) *outcome.Refusal {
+	return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, detail)
+}
--- /dev/null
+++ b/pkg/entry/serve.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocusramp.dev/crocusramp/pkg/dispatch"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+// maxAttempts bounds how often a request is granted a place, whatever the
+// retry budget says.
+const maxAttempts = 4
+
+// traceContext carries traces between hops in the W3C format.
+var traceContext = propagation.TraceContext{}
+
+// serve answers one request of a caller.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	c := s.newCall(w, r)
+	if !s.running.enter() {
+		s.refuse(w, c.shownID, stopping())
+		return
+	}
+	defer s.running.leave()
+	if !s.ready.Load() {
+		s.refuse(w, c.shownID, notReady())
+		return
+	}
+	s.meters.requests.Inc(1)
+	defer s.meters.finished(arrived)
+	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	if refusal := s.prepare(ctx, c, arrived); refusal != nil {
+		s.refuse(w, c.shownID, refusal)
+		return
+	}
+	span.SetAttributes(attribute.String("request.id", c.id), attribute.String("route", c.route.Name))
+	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	a := s.run(ctx, c)
+	s.deliver(c, a)
+}
+
+// run sends the call until it has an answer that may go to the caller.
+func (s *Server) run(ctx context.Context, c *call) *answer {
+	for attempt := 1; ; attempt++ {
+		grant, refusal := s.config.Dispatcher.Acquire(ctx, s.dispatchRequest(c))
+		if refusal != nil {
+			return &answer{refusal: refusal}
+		}
+		a := s.attempt(ctx, c, grant)
+		if a.refusal == nil || attempt == maxAttempts || !s.mayRetry(ctx, c, a) {
+			return a
+		}
+		s.meters.retries.Inc(1)
+	}
+}
+
+// mayRetry reports whether the call may be sent again after a.
+func (s *Server) mayRetry(ctx context.Context, c *call, a *answer) bool {
+	if ctx.Err() != nil || !c.body.replayable() || c.handedOver {
+		return false
+	}
+	return a.refusal.Outcome == outcome.NotRun && a.transient
+}
+
+func (s *Server) dispatchRequest(c *call) *dispatch.Request {
+	r := &dispatch.Request{
+		ID:         c.id,
+		Account:    c.accountName(),
+		Route:      c.route,
+		Deadline:   c.deadline,
+		HandedOver: c.handedOver,
+		Tried:      c.tried,
+	}
+	if c.account != nil {
+		r.Weight = c.account.Weight
+	}
+	return r
+}
+
+// attempt sends the call to the place that was granted.
+func (s *Server) attempt(ctx context.Context, c *call, g *dispatch.Grant) *answer {
+	if g.Peer != nil {
+		return s.sendToPeer(ctx, c, g)
+	}
+	return s.sendToTarget(ctx, c, g)
+}
--- /dev/null
+++ b/pkg/forward/conn.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// conn is one HTTP/1.1 connection to a target. It carries one exchange at a
+// time and counts what it wrote, so that a failure can be told from one that
+// happened before the target saw the first byte.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// written counts the bytes that the kernel took in the current exchange.
+	written atomic.Int64
+	// budget is how many more bytes may be read; it bounds response headers,
+	// for which net/http's parser has no limit of its own.
+	budget atomic.Int64
+	// idleSince is when the connection came back to the pool.
+	idleSince time.Time
+}
+
+func newConn(c net.Conn) *conn {
+	t := &conn{Conn: c}
+	t.reader = bufio.NewReaderSize(readLimiter{t}, bufferBytes)
+	return t
+}
+
+// Write sends p and counts what left.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// readLimiter reads from a connection within its budget.
+type readLimiter struct{ c *conn }
+
+func (r readLimiter) Read(p []byte) (int, error) {
+	left := r.c.budget.Load()
+	if left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	if int64(len(p)) > left {
+		p = p[:left]
+	}
+	n, err := r.c.Conn.Read(p)
+	r.c.budget.Add(-int64(n))
+	return n, err
+}
+
+// alive reports whether an idle connection may carry another exchange: the
+// target has neither closed it nor sent bytes that nobody asked for, which
+// would be taken for the answer to the next request.
+func (c *conn) alive() bool {
+	if c.reader.Buffered() != 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// closed reports whether err tells that the other side closed or reset the
+// connection, as a dying process does.
+func closed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
