--- /dev/null
+++ b/pkg/claim/table_test.go
@@ -0,0 +1,107 @@
+package claim
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// fault is what happens to one transaction.
+type fault int
+
+const (
+	none fault = iota
+	down
+	// lostBefore and lostAfter lose the answer to a transaction that did not
+	// or did take effect.
+	lostBefore
+	lostAfter
+	// late loses the answer and applies the transaction at the next call.
+	late
+	// collision refuses without naming a write.
+	collision
+	numFaults
+)
+
+// fakeTable is a table in memory whose faults a test chooses.
+type fakeTable struct {
+	mu    sync.Mutex
+	items map[platform.Key]platform.Item
+	// next names the fault of a transaction; nil means none.
+	next func() fault
+	// getDown makes reads fail.
+	getDown func() bool
+	delayed [][]platform.Write
+	sizes   []int
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{items: map[platform.Key]platform.Item{}} }
+
+func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.getDown != nil && f.getDown() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	item, ok := f.items[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (f *fakeTable) List(context.Context, string, string, int) ([]platform.Item, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (f *fakeTable) Transact(_ context.Context, writes []platform.Write) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.flushLocked()
+	f.sizes = append(f.sizes, len(writes))
+	next := none
+	if f.next != nil {
+		next = f.next()
+	}
+	switch next {
+	case down:
+		return platform.ErrUnavailable
+	case lostBefore:
+		return platform.ErrIndeterminate
+	case late:
+		f.delayed = append(f.delayed, slices.Clone(writes))
+		return platform.ErrIndeterminate
+	case collision:
+		return &platform.ConflictError{}
+	}
+	err := f.applyLocked(writes)
+	if next == lostAfter {
+		return platform.ErrIndeterminate
+	}
+	return err
+}
+
+func (f *fakeTable) flushLocked() {
+	for _, writes := range f.delayed {
+		_ = f.applyLocked(writes) // its answer is lost in any case
+	}
+	f.delayed = nil
+}
+
+func (f *fakeTable) applyLocked(writes []platform.Write) error {
+	var failed []int
+	for i, w := range writes {
+		if f.items[w.Key].Revision != w.IfRevision {
+			failed = append(failed, i)
+		}
+	}
+	if failed != nil {
+		return &platform.ConflictError{Failed: failed}
+	}
+	for _, w := range writes {
+		f.items[w.Key] = platform.Item{Key: w.Key, Revision: w.IfRevision + 1, Value: w.Value}
+	}
+	return nil
+}
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -28,6 +29,8 @@
 	transient bool
 	// died reports that the target died while it ran the request.
 	died bool
+	// unreached reports that a peer was sent nothing.
+	unreached bool
 	// shed reports that the target refused before running the request.
 	shed bool
 
@@ -41,6 +44,8 @@
 	// release gives the permit back; it is set together with stream.
 	release func(dispatch.Result)
 	started time.Time
+	// finish, where set, records the end of the stream.
+	finish func(claim.State, claim.Answer)
 }
 
 // readAnswer reads a response whole if it is small. A response that ends too
@@ -124,8 +129,12 @@
 	c.w.WriteHeader(a.status)
 	err := copyAnswer(c.w, a)
 	result := dispatch.Result{Outcome: outcome.Done, Status: a.status, Latency: time.Since(a.started)}
+	state := claim.Done
 	if err != nil {
-		result.Outcome = outcome.Unknown
+		result.Outcome, state = outcome.Unknown, claim.Ended
+	}
+	if a.finish != nil {
+		a.finish(state, claim.Answer{Status: a.status})
 	}
 	a.stream.Close()
 	a.release(result)
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -24,11 +24,13 @@
 	deadline time.Time
 	// handedOver calls came from a peer.
 	handedOver bool
-	tried      []string
-	header     http.Header
-	body       *body
-	w          http.ResponseWriter
-	r          *http.Request
+	// key is the idempotency key of an at-most-once request; it may be empty.
+	key    string
+	tried  []string
+	header http.Header
+	body   *body
+	w      http.ResponseWriter
+	r      *http.Request
 }
 
 func (c *call) accountName() string {
@@ -71,6 +73,11 @@
 		return refusal
 	}
 	c.deadline = arrived.Add(timeout)
+	if c.once() {
+		if c.key, refusal = idempotencyKey(c.r.Header); refusal != nil {
+			return refusal
+		}
+	}
 	if refusal := s.authenticate(c, snapshot); refusal != nil {
 		return refusal
 	}
--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -23,15 +23,17 @@
 
 // acceptableID reports whether a caller's request id may be logged and echoed.
 func acceptableID(id string) bool {
-	if id == "" || len(id) > maxRequestIDBytes {
-		return false
-	}
-	for _, b := range []byte(id) {
+	return id != "" && len(id) <= maxRequestIDBytes && printable(id) && !clientKey.MatchString(id)
+}
+
+// printable reports whether s holds only visible ASCII characters.
+func printable(s string) bool {
+	for _, b := range []byte(s) {
 		if b <= ' ' || b > '~' {
 			return false
 		}
 	}
-	return !clientKey.MatchString(id)
+	return true
 }
 
 // checkRequest refuses what must not reach a target whatever its route is.
@@ -57,8 +59,13 @@
 }
 
 func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
+	return len(r.Method) + len(r.RequestURI) + len(r.Host) + fieldBytes(r.Header)
+}
+
+// fieldBytes is the size of a header on the wire.
+func fieldBytes(h http.Header) int {
+	size := 0
+	for name, values := range h {
 		for _, v := range values {
 			size += len(name) + len(v) + len(": \r\n")
 		}
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		a = failed(ctx, c, err)
 		a.died = false // the peer died, not a target
+		a.unreached = !err.Wrote
 		return a
 	}
 	return peerAnswer(a)
@@ -144,9 +145,7 @@
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.config.Tracer.Start(ctx, "peer.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	defer cancel()
-	s.deliver(c, s.run(ctx, c))
+	s.answer(ctx, c)
 }
 
 func handOverOf(r *http.Request) (*peerpb.HandOver, error) {
@@ -181,6 +180,7 @@
 		account:    accountOf(snapshot, h.GetAccount()),
 		deadline:   arrived.Add(time.Duration(h.GetTimeoutMs()) * time.Millisecond),
 		handedOver: true,
+		key:        h.GetTicket(),
 		tried:      h.GetTried(),
 		w:          w,
 		r:          &inner,
--- a/pkg/entry/locate.go
+++ b/pkg/entry/locate.go
@@ -6,6 +6,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/member"
 )
 
@@ -30,6 +31,11 @@
 type locateAnswer struct {
 	VMs   []located `json:"vms"`
 	TTLMS int64     `json:"ttl_ms"`
+	// Ticket begins the idempotency keys of requests that this VM is to run
+	// without the table: "TICKET/" and a part of the caller's own. It serves
+	// many requests. Set for callers that show a key.
+	Ticket      string `json:"ticket,omitempty"`
+	TicketTTLMS int64  `json:"ticket_ttl_ms,omitempty"`
 }
 
 func (s *Server) locate(c *echo.Context) error {
@@ -43,6 +49,7 @@
 		s.refuse(w, id, notReady())
 		return nil
 	}
+	answer := locateAnswer{TTLMS: s.config.Limits.LocateTTL.Milliseconds()}
 	var homes []string
 	if header := r.Header.Get("Authorization"); header != "" {
 		snapshot := s.config.Config.Snapshot()
@@ -53,13 +60,13 @@
 		}
 		if refusal == nil {
 			homes = s.config.Homes(account.Name)
+			answer.Ticket = s.session.Issue(account.Name)
+			answer.TicketTTLMS = claim.TicketTTL.Milliseconds()
 		}
 	}
 	w.Header().Set("Cache-Control", "private, max-age="+retrySeconds(s.config.Limits.LocateTTL))
-	return c.JSON(http.StatusOK, locateAnswer{
-		VMs:   order(s.config.Members.View(), homes),
-		TTLMS: s.config.Limits.LocateTTL.Milliseconds(),
-	})
+	answer.VMs = order(s.config.Members.View(), homes)
+	return c.JSON(http.StatusOK, answer)
 }
 
 // order returns the live VMs: homes first, in the order given, then those of
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"crocusramp.dev/crocusramp/pkg/dispatch"
-	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/retry"
 )
 
 // maxAttempts bounds how often a request is granted a place, whatever the
@@ -34,6 +34,7 @@
 		return
 	}
 	s.meters.requests.Inc(1)
+	s.budget.Count(s.config.Clock.Now())
 	defer s.meters.finished(arrived)
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
@@ -44,10 +45,23 @@
 	}
 	span.SetAttributes(attribute.String("request.id", c.id), attribute.String("route", c.route.Name))
 	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes)
+	s.answer(ctx, c)
+}
+
+// answer runs the call and delivers what came of it.
+func (s *Server) answer(ctx context.Context, c *call) {
+	if c.key != "" {
+		// The answer is recorded for the caller's next sending, so the request
+		// goes on when the caller is gone.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	a := s.run(ctx, c)
-	s.deliver(c, a)
+	if c.key != "" {
+		s.deliver(c, s.runOnce(ctx, c))
+		return
+	}
+	s.deliver(c, s.run(ctx, c))
 }
 
 // run sends the call until it has an answer that may go to the caller.
@@ -67,10 +81,15 @@
 
 // mayRetry reports whether the call may be sent again after a.
 func (s *Server) mayRetry(ctx context.Context, c *call, a *answer) bool {
-	if ctx.Err() != nil || !c.body.replayable() || c.handedOver {
+	if ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
-	return a.refusal.Outcome == outcome.NotRun && a.transient
+	d := retry.Decide(c.route.Mode, retry.Failure{Outcome: a.refusal.Outcome, Transient: a.transient, Shed: a.shed})
+	if !d.Charged {
+		return d.Retry
+	}
+	// The VM that admitted the request pays for its retries.
+	return !c.handedOver && s.budget.Take(s.config.Clock.Now())
 }
 
 func (s *Server) dispatchRequest(c *call) *dispatch.Request {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
@@ -24,6 +25,7 @@
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peer"
 	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/retry"
 )
 
 // Limits bounds what a caller may send.
@@ -75,6 +77,8 @@
 	RequireEcho func(pool string) bool
 	// Forward holds the settings of the connections to targets.
 	Forward forward.Config
+	// Retry bounds the retries.
+	Retry retry.Config
 }
 
 // Server is the request path of one VM.
@@ -86,6 +90,10 @@
 	callers http.Handler
 	peers   http.Handler
 	meters  *meters
+	budget  *retry.Budget
+	session *claim.Session
+	// claims is nil without a table.
+	claims *claim.Store
 }
 
 // NewServer returns a Server that is not ready yet: SetReady opens it.
@@ -96,6 +104,12 @@
 		client:  forward.NewClient(c.Forward),
 		running: newGate(),
 		meters:  newMeters(c.Metrics),
+		budget:  retry.NewBudget(c.Retry),
+	}
+	self := c.Members.View().Self
+	s.session = claim.NewSession(claim.SessionConfig{VM: self.ID, Incarnation: self.Incarnation, Clock: c.Clock})
+	if c.Table != nil {
+		s.claims = claim.NewStore(claim.StoreConfig{Table: c.Table, VM: self.ID, Incarnation: self.Incarnation})
 	}
 	s.callers = s.callerRoutes()
 	s.peers = s.peerRoutes()
@@ -148,7 +162,28 @@
 // ctx's error where ctx ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.client.Close()
-	return s.running.close(ctx)
+	if err := s.running.close(ctx); err != nil {
+		return err
+	}
+	return s.recordClaims(ctx)
+}
+
+// recordClaims waits until the results of at-most-once requests are recorded.
+func (s *Server) recordClaims(ctx context.Context) error {
+	if s.claims == nil {
+		return nil
+	}
+	recorded := make(chan struct{})
+	go func() {
+		s.claims.Wait()
+		close(recorded)
+	}()
+	select {
+	case <-recorded:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (s *Server) callerRoutes() http.Handler {
