--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -47,10 +47,23 @@
 	ConfigVersion int64
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
+	// SlotsHeld is its number of slots at the last heartbeat.
+	SlotsHeld int
+	// Pools is its part of each pool at the last heartbeat.
+	Pools []PoolLoad
 	// Seen is when the last heartbeat that settled State was sent.
 	Seen clock.Time
 }
 
+// PoolLoad is a VM's part of a pool of targets in its own region.
+type PoolLoad struct {
+	Pool string
+	// Permits is how many requests the VM may run at once.
+	Permits int
+	Running int
+	Queued  int
+}
+
 // View is an immutable picture of the fleet. Readers never change it.
 type View struct {
 	Self Peer
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -168,7 +168,7 @@
 }
 
 func toProto(p Peer) *peerpb.VMInfo {
-	return &peerpb.VMInfo{
+	info := &peerpb.VMInfo{
 		Id:            p.ID,
 		Incarnation:   p.Incarnation,
 		Region:        p.Region,
@@ -178,7 +178,14 @@
 		Leaving:       p.State == Leaving,
 		ConfigVersion: p.ConfigVersion,
 		FreePermits:   int32(p.FreePermits),
+		SlotsHeld:     int32(p.SlotsHeld),
 	}
+	for _, l := range p.Pools {
+		info.Pools = append(info.Pools, &peerpb.PoolLoad{
+			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued),
+		})
+	}
+	return info
 }
 
 func fromProto(i *peerpb.VMInfo) Peer {
@@ -191,9 +198,15 @@
 		CallerAddress: i.GetCallerAddress(),
 		ConfigVersion: i.GetConfigVersion(),
 		FreePermits:   int(i.GetFreePermits()),
+		SlotsHeld:     int(i.GetSlotsHeld()),
 	}
 	if i.GetLeaving() {
 		p.State = Leaving
 	}
+	for _, l := range i.GetPools() {
+		p.Pools = append(p.Pools, PoolLoad{
+			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
+		})
+	}
 	return p
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -25,6 +25,8 @@
 	defaultMaxBodyBytes   = 256 << 20
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultMaxDeadline    = 5 * time.Minute
+	defaultLocateTTL      = 5 * time.Second
+	defaultNotice         = 5 * time.Second
 	defaultGrace          = 30 * time.Second
 	// marginDivisor makes the default drift margin 1 % of the lease, far above
 	// the 500 ppm that a disciplined clock may drift.
@@ -75,6 +77,8 @@
 	orDefault(&s.Feed.RelayLease, defaultRelayLease)
 	orDefault(&s.Callers.HeaderTimeout, defaultHeaderTimeout)
 	orDefault(&s.Callers.MaxDeadline, defaultMaxDeadline)
+	orDefault(&s.Callers.LocateTTL, defaultLocateTTL)
+	orDefault(&s.Stop.Notice, defaultNotice)
 	orDefault(&s.Stop.Grace, defaultGrace)
 }
 
@@ -98,6 +102,14 @@
 		}
 		return nil
 	}
+	if v.Kind() == reflect.Map {
+		for _, key := range v.MapKeys() {
+			if err := walkDurations(v.MapIndex(key), path+"."+key.String()); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	if v.Kind() != reflect.Struct {
 		return nil
 	}
@@ -147,6 +159,11 @@
 	if !seen[s.VM.Region] {
 		return invalid("vm.region", "%q is not one of regions", s.VM.Region)
 	}
+	for r := range s.RegionCost {
+		if !seen[r] {
+			return invalid("region_cost", "%q is not one of regions", r)
+		}
+	}
 	if s.Slots < len(s.Regions) || s.Slots > maxSlots {
 		return invalid("slots", "%d is not between the number of regions and %d", s.Slots, maxSlots)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -50,6 +50,9 @@
 	// Regions lists every region of the fleet. It must be the same on all VMs:
 	// slots are assigned to regions by their place in it.
 	Regions []string `json:"regions"`
+	// RegionCost is the one-way network time from this VM to other regions, by
+	// name. It orders the regions that take a request which finds no room here.
+	RegionCost map[string]Duration `json:"region_cost"`
 	// Slots is the number of slots that limits are cut into, 16 by default. It
 	// must be the same on all VMs and at least the number of VMs.
 	Slots    int       `json:"slots"`
@@ -170,6 +173,9 @@
 	HeaderTimeout Duration `json:"header_timeout"`
 	// MaxDeadline is the longest deadline, 5 min by default.
 	MaxDeadline Duration `json:"max_deadline"`
+	// LocateTTL is how long callers may keep an answer of /v1/locate, 5 s by
+	// default.
+	LocateTTL Duration `json:"locate_ttl"`
 }
 
 // Operators guards the operators' API.
@@ -215,8 +221,12 @@
 
 // Stop sets the graceful shutdown.
 type Stop struct {
-	// Grace bounds the wait for running requests, 30 s by default. Requests
-	// that run longer are cut.
+	// Notice is how long the VM serves on after a stop was asked for, while
+	// callers' cached answers of /v1/locate still name it; 5 s by default. It
+	// ends early once no request has come for a second.
+	Notice Duration `json:"notice"`
+	// Grace bounds the wait for running requests after Notice, 30 s by default.
+	// Requests that run longer are cut.
 	Grace Duration `json:"grace"`
 }
 
