--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -21,6 +21,9 @@
 	// maxDeny bounds how long a VM relies on the home's word that there are no
 	// tokens.
 	maxDeny = 50 * time.Millisecond
+	// maxAmount is the largest rate or burst; float64 counts single tokens up
+	// to it.
+	maxAmount = 1 << 52
 	// noShareRetry is the RetryAfter where no token is in sight.
 	noShareRetry = time.Second
 	// minLendFraction is the smallest part of its own share that a VM lends
@@ -90,8 +93,8 @@
 // slot that had a holder before counts only once that holder's loans ended.
 func (b *book) setShares(a *config.Account, h *lease.Holding, now clock.Time) {
 	b.limit = share{}
-	if a != nil && a.Rate > 0 && a.Burst > 0 {
-		b.limit = share{a.Rate, a.Burst}
+	if a != nil {
+		b.limit = share{finite(a.Rate), finite(a.Burst)}
 	}
 	n := float64(max(1, h.Total))
 	each := share{b.limit.rate / n, b.limit.capacity / n}
@@ -217,8 +220,8 @@
 		b.borrow(grant{
 			id:       g.Id,
 			kind:     kind,
-			share:    share{g.Rate, g.Capacity},
-			tokens:   g.Tokens,
+			share:    share{finite(g.Rate), finite(g.Capacity)},
+			tokens:   finite(g.Tokens),
 			duration: time.Duration(g.DurationUs) * time.Microsecond,
 		}, peer, sent, now)
 	}
@@ -320,10 +323,19 @@
 	}
 }
 
+// finite returns x, or 0 where no limit can have that value: one such value
+// would spread to every sum.
+func finite(x float64) float64 {
+	if x >= 0 && x <= maxAmount {
+		return x
+	}
+	return 0
+}
+
 // serve answers a peer's request as the lender.
 func (b *book) serve(r *peerpb.AccountRequest, peer string, now clock.Time) *peerpb.AccountResponse {
 	for _, x := range r.Returns {
-		b.takeBack(x.Id, peer, x.Tokens, now)
+		b.takeBack(x.Id, peer, finite(x.Tokens), now)
 	}
 	out := &peerpb.AccountResponse{Account: b.name}
 	d := relendDuration
@@ -341,11 +353,11 @@
 	if r.Collect && !b.home {
 		b.grantIdle(out, peer, now)
 	}
-	if r.Rate > 0 && b.home {
-		b.grantShare(out, share{r.Rate, r.Capacity}, peer, now)
+	if want := (share{finite(r.Rate), finite(r.Capacity)}); want.rate > 0 && b.home {
+		b.grantShare(out, want, peer, now)
 	}
-	if r.Tokens >= 1 {
-		b.grantTokens(out, r, peer, now)
+	if n := finite(r.Tokens); n >= 1 {
+		b.grantTokens(out, n, time.Duration(r.TokensUs)*time.Microsecond, peer, now)
 	}
 	return out
 }
@@ -397,9 +409,9 @@
 	}
 }
 
-func (b *book) grantTokens(out *peerpb.AccountResponse, r *peerpb.AccountRequest, peer string, now clock.Time) {
-	d := min(tokenDuration, time.Duration(r.TokensUs)*time.Microsecond)
-	g, ok := b.lendTokens(b.nextID(), peer, r.Tokens, d, now)
+func (b *book) grantTokens(out *peerpb.AccountResponse, n float64, d time.Duration, peer string, now clock.Time) {
+	d = max(0, min(tokenDuration, d))
+	g, ok := b.lendTokens(b.nextID(), peer, n, d, now)
 	if ok {
 		out.Grants = append(out.Grants, g.message())
 		return
--- /dev/null
+++ b/pkg/limit/ledger_test.go
@@ -0,0 +1,141 @@
+package limit
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/clock"
+)
+
+// newLedger returns a full ledger that has the share from t=0 on.
+func newLedger(s share) *ledger {
+	l := &ledger{}
+	l.setParts([]part{{share: s, until: never}}, 0)
+	l.tokens = s.capacity
+	return l
+}
+
+func at(d time.Duration) clock.Time { return clock.Time(d) }
+
+// TestGiveBackKeepsWhatWasLentOn: the home borrowed 16 of the burst and lent
+// them on. Until that loan has ended its own lender must not use them.
+func TestGiveBackKeepsWhatWasLentOn(t *testing.T) {
+	home := newLedger(share{10, 4})
+	home.borrow(grant{id: 1, share: share{40, 16}, tokens: 16, duration: collectDuration}, "x", 0, 0)
+	if _, ok := home.lendTokens(2, "y", 16, tokenDuration, 0); !ok {
+		t.Fatal("no tokens lent")
+	}
+	if _, ok := home.giveBack(1, "x", at(tokenDuration/2)); ok {
+		t.Error("gave back what it had lent on")
+	}
+	if _, ok := home.giveBack(1, "x", at(2*tokenDuration)); !ok {
+		t.Error("did not give back once what it lent on had ended")
+	}
+}
+
+// TestLoweredLimitIsNotExtended: a loan that is larger than the lender's share
+// under the new limit runs out.
+func TestLoweredLimitIsNotExtended(t *testing.T) {
+	l := newLedger(share{10, 4})
+	g, _ := l.lend(1, "home", collected, share{10, 4}, 4, collectDuration, 0)
+	if !l.extend(g.id, "home", collectDuration, at(time.Second)) {
+		t.Fatal("not extended under the same limit")
+	}
+	l.setParts([]part{{share: share{1, 1}, until: never}}, at(2*time.Second))
+	if l.extend(g.id, "home", collectDuration, at(2*time.Second)) {
+		t.Error("extended beyond the lowered share")
+	}
+	l.advance(at(time.Second + collectDuration + collectDuration/driftDivisor))
+	if l.net != (share{1, 1}) || l.tokens > 1 {
+		t.Errorf("share %v with %g tokens after the loan, want {1 1}", l.net, l.tokens)
+	}
+}
+
+// TestLoanOutlastsBorrower: the lender's end is after the borrower's even if
+// the answer took as long as it could.
+func TestLoanOutlastsBorrower(t *testing.T) {
+	lender, borrower := newLedger(share{10, 4}), newLedger(share{10, 4})
+	const delay = time.Second
+	g, _ := lender.lend(1, "b", collected, share{10, 4}, 4, collectDuration, at(delay))
+	if lender.take(at(delay)) {
+		t.Error("the lender used what it had lent")
+	}
+	borrower.borrow(g, "a", 0, at(2*delay))
+	if got, before := borrower.borrowed[0].end, lender.lent[0].end; !got.Before(before) {
+		t.Errorf("the borrower's end %v is not before the lender's %v", got, before)
+	}
+	if borrower.borrow(grant{id: 2, share: share{10, 4}, duration: collectDuration}, "a", 0, at(collectDuration)) {
+		t.Error("borrowed a loan whose answer came after its end")
+	}
+}
+
+// TestSlotWithFormerHolderSettles: the loans of the former holder may be in use
+// until they end.
+func TestSlotWithFormerHolderSettles(t *testing.T) {
+	b := &book{name: "a"}
+	h := hold(1, 0, 1)
+	h.Slots[0].New = false
+	b.setShares(&accountOf10, h, 0)
+	if b.take(at(settleTime)) {
+		t.Error("tokens existed before the former holder's loans had ended")
+	}
+	if !b.take(at(settleTime + time.Second)) {
+		t.Error("no tokens a second after the former holder's loans had ended")
+	}
+}
+
+// TestShareEndsWithLease: a VM that was frozen past its lease admits nothing.
+func TestShareEndsWithLease(t *testing.T) {
+	b := &book{name: "a"}
+	h := hold(1, 0, 1)
+	h.Slots[0].Until = at(time.Minute)
+	b.setShares(&accountOf10, h, 0)
+	if !b.take(at(time.Second)) {
+		t.Fatal("refused within the lease")
+	}
+	if b.take(at(time.Hour)) {
+		t.Error("admitted after the lease")
+	}
+	if g, ok := b.lendTokens(1, "y", 1, tokenDuration, at(time.Hour)); ok {
+		t.Errorf("lent %v after the lease", g)
+	}
+}
+
+func TestRefusalTellsWhenATokenExists(t *testing.T) {
+	l := newLedger(share{10, 4})
+	l.tokens = 0
+	wait := l.wait(1)
+	if l.take(at(wait - time.Millisecond)) {
+		t.Error("a token existed before the time told")
+	}
+	if !l.take(at(wait)) {
+		t.Error("no token at the time told")
+	}
+}
+
+// FuzzServe checks that no request of a peer breaks the lender's books.
+func FuzzServe(f *testing.F) {
+	f.Add(1.0, 1.0, 1.0, 1.0, int64(1000), uint64(1), true)
+	f.Add(math.NaN(), math.Inf(1), -1.0, 1e308, int64(math.MinInt64), uint64(0), false)
+	f.Add(math.Inf(-1), math.NaN(), math.NaN(), math.NaN(), int64(math.MaxInt64), uint64(2), true)
+	f.Fuzz(func(t *testing.T, rate, capacity, tokens, returned float64, us int64, id uint64, home bool) {
+		n := uint64(0)
+		b := &book{name: "a", home: home, nextID: func() uint64 { n++; return n }}
+		b.setShares(&accountOf10, hold(1, 0, 1), 0)
+		for i := range 3 {
+			b.serve(&peerpb.AccountRequest{
+				Account: "a", Rate: rate, Capacity: capacity, Tokens: tokens, TokensUs: us, Collect: i == 1,
+				Returns: []*peerpb.LoanReturn{{Id: id, Tokens: returned}}, Extend: []uint64{id},
+			}, "p", at(time.Duration(i+1)*time.Second))
+			lent := b.lentOut()
+			if !(b.tokens >= 0) || !(b.tokens <= b.net.capacity) {
+				t.Fatalf("%g tokens in a bucket of %g", b.tokens, b.net.capacity)
+			}
+			if !lent.plus(b.net).atMost(b.limit) { // Up to the rounding of sums.
+				t.Fatalf("lent %v and kept %v of %v", lent, b.net, accountOf10)
+			}
+		}
+	})
+}
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -41,6 +41,8 @@
 	return c
 }
 
+var accountOf10 = config.Account{Name: "a", Rate: 10, Burst: 4}
+
 // hold returns a holding of every n-th of total slots, from first on.
 func hold(total, first, n int) *lease.Holding {
 	h := &lease.Holding{Total: total}
@@ -63,7 +65,7 @@
 		all[i] = &sources{}
 		all[i].config.Store(c)
 		all[i].holding.Store(hold(16, i, n))
-		dialer := peer.NewDialer()
+		dialer := peer.NewDialer(nil)
 		services[i] = NewService(Config{
 			Config: all[i], Slots: all[i], Members: all[i], Peers: dialer,
 			Clock: clock.System{}, Loop: loop, Log: zerolog.Nop(),
@@ -133,7 +135,7 @@
 	src.holding.Store(hold(16, 0, 1))
 	src.view.Store(&member.View{})
 	s := NewService(Config{
-		Config: src, Slots: src, Members: src, Peers: peer.NewDialer(),
+		Config: src, Slots: src, Members: src, Peers: peer.NewDialer(nil),
 		Clock: clock.System{}, Loop: control.NewLoop(), Log: zerolog.Nop(),
 	})
 	s.refresh(src.View())
