--- a/test/scenario/call_test.go
+++ b/test/scenario/call_test.go
@@ -46,7 +46,6 @@
 type request struct {
 	method, key, idempotencyKey, body string
 	header                            []string
-	urls                              []string
 }
 
 // result is what came back.
@@ -166,27 +165,25 @@
 	f := flag.NewFlagSet("call", flag.ContinueOnError)
 	f.SetOutput(ts.Stderr())
 	r.flags(f)
+	from := w.callerFlags(f)
 	want := f.String("want", string(kindDone), "kind of answer, or any")
 	status := f.Int("status", 0, "HTTP status of the answer; 0 is any")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
-	if err := usage(f.Args(), 1, "call [FLAG...] URL"); err != nil {
+	urls, err := from.resolve(w, &r, f.Args())
+	if err != nil {
 		return err
 	}
 	client := newCaller(1)
 	defer client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	res := r.send(ctx, client, f.Arg(0))
+	res := r.send(ctx, client, urls[0])
 	w.values["call.ms"] = float64(res.latency.Milliseconds())
-	fmt.Fprintf(ts.Stdout(), "%s %d\n", res.kind, res.status)
-	for _, name := range shownHeaders {
-		if v := res.header.Get(name); v != "" {
-			fmt.Fprintf(ts.Stdout(), "%s: %s\n", name, v)
-		}
-	}
-	fmt.Fprintln(ts.Stdout(), strings.TrimSpace(res.body))
+	text := res.text()
+	fmt.Fprint(ts.Stdout(), text)
+	w.record("call "+strings.Join(args, " "), text)
 	if *want != "any" && string(res.kind) != *want {
 		return fmt.Errorf("answer was %s, want %s (%v)", res.kind, *want, res.err)
 	}
@@ -196,6 +193,51 @@
 	return nil
 }
 
+// text is what call prints.
+func (r *result) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %d\n", r.kind, r.status)
+	for _, name := range shownHeaders {
+		if v := r.header.Get(name); v != "" {
+			fmt.Fprintf(&b, "%s: %s\n", name, v)
+		}
+	}
+	fmt.Fprintln(&b, strings.TrimSpace(r.body))
+	return b.String()
+}
+
+// caller is who sends and where to.
+type caller struct {
+	account, path, vms string
+}
+
+func (w *world) callerFlags(f *flag.FlagSet) *caller {
+	c := &caller{}
+	f.StringVar(&c.account, "as", "", "client account whose key is shown")
+	f.StringVar(&c.path, "path", "", "path on VMs of the fleet, in place of URLs")
+	f.StringVar(&c.vms, "vms", "", "numbers of the VMs for -path, such as 1,2; empty is all")
+	return c
+}
+
+// resolve sets the key and returns the URLs to send to.
+func (c *caller) resolve(w *world, r *request, urls []string) ([]string, error) {
+	if c.account != "" {
+		r.key = w.keys[c.account]
+		if r.key == "" {
+			return nil, fmt.Errorf("account %s has no key", c.account)
+		}
+	}
+	if c.path != "" {
+		for _, name := range w.current.names(c.vms) {
+			urls = append(urls, w.current.vms[name]+c.path)
+		}
+	}
+	if len(urls) == 0 {
+		return nil, errors.New("name URLs, or a path with -path")
+	}
+	return urls, nil
+}
+
 func newCaller(connections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: connections,
--- a/test/scenario/ledger_test.go
+++ b/test/scenario/ledger_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -23,6 +24,7 @@
 //	ledger.shed           requests that came while all slots were taken
 //	ledger.over_slots     requests above the slots that ran at once, at most
 //	ledger.keys_seen      requests that held a client account key
+//	ledger.after          requests that started -after or later past the mark -since
 //	ledger.run_twice      idempotency keys that ran more than once
 //	ledger.excess         requests of the -account above -burst + -rate x t in
 //	                      any window t; admissions are counted once
@@ -32,10 +34,16 @@
 	account := f.String("account", "", "client account")
 	rate := f.Float64("rate", 0, "requests a second")
 	burst := f.Float64("burst", 0, "requests at once")
+	since := f.String("since", "", "mark")
+	after := f.Duration("after", 0, "time past the mark")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
-	records, err := readLedgers(f.Args())
+	urls := f.Args()
+	if len(urls) == 0 {
+		urls = slices.Collect(maps.Values(w.current.targets))
+	}
+	records, err := readLedgers(urls)
 	if err != nil {
 		return err
 	}
@@ -58,25 +66,19 @@
 			v["run_twice"]++
 		}
 	}
+	if *since != "" {
+		v["after"] = float64(startedFrom(entries, w.marks[*since].Add(*after)))
+	}
 	if *account != "" {
 		v["excess"] = excess(admissions(entries, *account), *rate, *burst)
 	}
-	for _, name := range sortedNames(v) {
+	for _, name := range slices.Sorted(maps.Keys(v)) {
 		w.values["ledger."+name] = v[name]
 		fmt.Fprintf(ts.Stdout(), "ledger.%s %.6g\n", name, v[name])
 	}
 	return nil
 }
 
-func sortedNames(v map[string]float64) []string {
-	var names []string
-	for name := range v {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func readLedgers(urls []string) ([]target.Record, error) {
 	var records []target.Record
 	for _, url := range urls {
@@ -93,6 +95,17 @@
 	return records, nil
 }
 
+// startedFrom counts the requests that started at an instant or later.
+func startedFrom(entries []target.Entry, from time.Time) int {
+	n := 0
+	for _, e := range entries {
+		if !e.At.Before(from) {
+			n++
+		}
+	}
+	return n
+}
+
 // admissions returns when requests of an account first reached a target; a
 // retry of an admitted request is no second admission.
 func admissions(entries []target.Entry, account string) []time.Time {
--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -21,7 +21,7 @@
 	maxLoadRate = 2000 // requests a second
 	maxLoadTime = 30 * time.Second
 	// maxInFlight is how many requests of one load wait for answers.
-	maxInFlight = 500
+	maxInFlight = 2000
 	// callTimeout is how long a caller waits for one answer.
 	callTimeout = 20 * time.Second
 )
@@ -29,12 +29,15 @@
 // load sends requests at a steady rate, whatever becomes of them.
 type load struct {
 	request
+	urls     []string
 	rate     float64
 	duration time.Duration
 	// connections bounds those to each VM.
 	connections int
 	// unique gives each request an idempotency key of its own.
 	unique bool
+	// idemPrefix begins the idempotency keys of unique requests.
+	idemPrefix string
 	// attempts is how often one request is sent, to one URL after the other,
 	// until it is done. All have the same idempotency key.
 	attempts int
@@ -58,17 +61,22 @@
 	f := flag.NewFlagSet("load", flag.ContinueOnError)
 	f.SetOutput(ts.Stderr())
 	l.flags(f)
+	from := w.callerFlags(f)
 	f.Float64Var(&l.rate, "rate", 50, "requests a second")
 	f.DurationVar(&l.duration, "for", 5*time.Second, "length")
 	f.IntVar(&l.connections, "connections", 64, "connections to each VM")
 	f.BoolVar(&l.unique, "unique", false, "an idempotency key for each request")
+	f.StringVar(&l.idemPrefix, "idem-prefix", "", "begins the keys of -unique")
 	f.IntVar(&l.attempts, "attempts", 1, "sendings of each request")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
 	}
-	l.urls = f.Args()
-	if len(l.urls) == 0 || l.rate <= 0 || l.rate > maxLoadRate || l.duration > maxLoadTime {
-		return fmt.Errorf("load needs URLs, a rate up to %d a second and a length up to %s", maxLoadRate, maxLoadTime)
+	var err error
+	if l.urls, err = from.resolve(w, &l.request, f.Args()); err != nil {
+		return err
+	}
+	if l.rate <= 0 || l.rate > maxLoadRate || l.duration > maxLoadTime {
+		return fmt.Errorf("load needs a rate up to %d a second and a length up to %s", maxLoadRate, maxLoadTime)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
@@ -119,7 +127,7 @@
 func (l *load) one(ctx context.Context, client *http.Client, i int) {
 	r := l.request
 	if l.unique {
-		r.idempotencyKey = rand.Text()
+		r.idempotencyKey = l.idemPrefix + rand.Text()
 	}
 	var res result
 	start := time.Now()
@@ -130,6 +138,7 @@
 		attemptCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		res = r.send(attemptCtx, client, l.urls[(i+attempt)%len(l.urls)])
 		cancel()
+		l.add("attempt."+string(res.kind), 1)
 		if res.kind == kindDone || ctx.Err() != nil {
 			break
 		}
@@ -162,7 +171,8 @@
 }
 
 // loaded waits for the end of a load and makes its counts values that expect
-// compares: loaded NAME. It prints them.
+// compares, and prints them: loaded NAME [MARK]. With a mark, NAME.last_done_s
+// is how long after it the last answer came.
 func (w *world) loaded(ts *testscript.TestScript, args []string) error {
 	if err := usage(args, 1, "loaded NAME"); err != nil {
 		return err
@@ -181,6 +191,9 @@
 	values := maps.Clone(l.counts)
 	slices.Sort(l.latencies)
 	values["p50_ms"], values["p99_ms"] = quantile(l.latencies, 0.50), quantile(l.latencies, 0.99)
+	if len(args) > 1 {
+		values["last_done_s"] = l.lastDone.Sub(w.marks[args[1]]).Seconds()
+	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		w.values[args[0]+"."+name] = values[name]
 		fmt.Fprintf(ts.Stdout(), "%s.%s %.6g\n", args[0], name, values[name])
@@ -191,6 +204,15 @@
 	return nil
 }
 
+// mark remembers the present instant: mark NAME
+func (w *world) mark(_ *testscript.TestScript, args []string) error {
+	if err := usage(args, 1, "mark NAME"); err != nil {
+		return err
+	}
+	w.marks[args[0]] = time.Now()
+	return nil
+}
+
 // quantile returns the q quantile of sorted latencies in milliseconds.
 func quantile(sorted []time.Duration, q float64) float64 {
 	if len(sorted) == 0 {
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -261,20 +260,24 @@
 	if err := usage(args, 2, "post [-put] URL JSON"); err != nil {
 		return err
 	}
-	r, err := http.NewRequest(method, args[0], bytes.NewBufferString(strings.Join(args[1:], " ")))
+	body, err := send(method, args[0], strings.Join(args[1:], " "))
+	fmt.Fprint(ts.Stdout(), body)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %s", err, body)
 	}
-	resp, err := admin.Do(r)
+	return nil
+}
+
+func send(method, url, body string) (string, error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
-		return err
+		return "", err
 	}
-	body, err := readAnswer(resp)
-	fmt.Fprint(ts.Stdout(), body)
+	resp, err := admin.Do(r)
 	if err != nil {
-		return fmt.Errorf("%w: %s", err, body)
+		return "", err
 	}
-	return nil
+	return readAnswer(resp)
 }
 
 // pause lets time pass that the scenario is about, such as the length of a
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -4,9 +4,12 @@
 package scenario
 
 import (
+	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -19,6 +22,9 @@
 	})
 }
 
+// update rewrites the golden files in scripts.
+var update = flag.Bool("update", false, "rewrite golden files")
+
 func TestScenarios(t *testing.T) {
 	if testing.Short() {
 		t.Skip("separate processes under load")
@@ -29,11 +35,21 @@
 		Cmds:                commands,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
+		UpdateScripts:       *update,
 	})
 }
 
 // commands are what the scripts can use beside testscript's own.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"fleet":   withWorld((*world).fleet),
+	"vm":      withWorld((*world).vm),
+	"newvm":   withWorld((*world).newVM),
+	"listed":  withWorld((*world).listed),
+	"account": withWorld((*world).account),
+	"mark":    withWorld((*world).mark),
+	"ramp":    withWorld((*world).ramp),
+	"session": withWorld((*world).recordSession),
+	"waitkey": withWorld((*world).waitKeys),
 	"ports":   withWorld((*world).ports),
 	"start":   withWorld((*world).start),
 	"signal":  withWorld((*world).signal),
@@ -56,7 +72,16 @@
 	processes map[string]*process
 	loads     map[string]*load
 	// values are the results that expect compares.
-	values map[string]float64
+	values  map[string]float64
+	current *fleet
+	// marks are instants that results are measured from.
+	marks map[string]time.Time
+	// labels stand for variable texts in golden files.
+	labels map[string]string
+	// session is what was called since the script began to record.
+	session *strings.Builder
+	// keys are the keys of client accounts by account.
+	keys map[string]string
 }
 
 // worldKey finds the world in a script's values.
@@ -68,6 +93,9 @@
 		processes: map[string]*process{},
 		loads:     map[string]*load{},
 		values:    map[string]float64{},
+		keys:      map[string]string{},
+		marks:     map[string]time.Time{},
+		labels:    map[string]string{},
 	}
 	env.Values[worldKey{}] = w
 	env.Setenv("HOST", w.host)
