--- a/pkg/platform/dynamo/dynamo_test.go
+++ b/pkg/platform/dynamo/dynamo_test.go
@@ -116,8 +116,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		sent++
 		if sent == 1 {
-			fault.Drop(w)
-			return
+			panic(http.ErrAbortHandler) // closes the connection without an answer
 		}
 		stand.Faults().Set(fault.Faults{Conflicts: 1})
 		stand.Handler().ServeHTTP(w, r)
--- a/pkg/standin/directory/directory.go
+++ b/pkg/standin/directory/directory.go
@@ -9,6 +9,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // version is a list that was set at an instant.
@@ -51,11 +52,11 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /{$}", s.serveList)
-	admin := http.NewServeMux()
-	admin.HandleFunc("PUT /{$}", s.serveSet)
-	admin.HandleFunc("PUT /lag", s.serveLag)
-	admin.Handle("/", s.faults.Wrap(mux))
-	return admin
+	outer := http.NewServeMux()
+	outer.HandleFunc("PUT /{$}", s.serveSet)
+	outer.HandleFunc("PUT /lag", s.serveLag)
+	outer.Handle("/", s.faults.Wrap(mux))
+	return outer
 }
 
 // Serve answers connections of l until it is closed.
@@ -69,7 +70,7 @@
 }
 
 func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
-	fault.WriteJSON(w, list{s.visible(time.Now())})
+	admin.Answer(w, list{s.visible(time.Now())})
 }
 
 // visible returns the newest list that is older than the lag. The first list
@@ -87,22 +88,22 @@
 
 func (s *Server) serveSet(w http.ResponseWriter, r *http.Request) {
 	var l list
-	if err := fault.DecodeStrict(r, &l); err != nil {
+	if err := admin.Decode(r, &l); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	s.Set(l.VMs)
-	fault.WriteJSON(w, l)
+	admin.Answer(w, l)
 }
 
 func (s *Server) serveLag(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Lag fault.Duration `json:"lag"`
 	}
-	if err := fault.DecodeStrict(r, &body); err != nil {
+	if err := admin.Decode(r, &body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	s.SetLag(time.Duration(body.Lag))
-	fault.WriteJSON(w, body)
+	admin.Answer(w, body)
 }
--- a/pkg/standin/fault/fault.go
+++ b/pkg/standin/fault/fault.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // Path is where an HTTP stand-in accepts faults: GET shows them, POST replaces
@@ -128,9 +130,10 @@
 // Wrap returns a handler that serves Path, applies Down and Delay, and hands
 // everything else to next.
 func (i *Injector) Wrap(next http.Handler) http.Handler {
+	document := admin.Document(i.Faults, i.Set)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == Path {
-			i.serveAdmin(w, r)
+			document.ServeHTTP(w, r)
 			return
 		}
 		f := i.Faults()
@@ -139,53 +142,9 @@
 		case DownRefuse:
 			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
 		case DownClose:
-			Drop(w)
+			admin.Drop(w)
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
-
-// Drop closes the client's connection without an answer.
-func Drop(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler) // closes the connection as well
-	}
-	conn.Close()
-}
-
-func (i *Injector) serveAdmin(w http.ResponseWriter, r *http.Request) {
-	switch r.Method {
-	case http.MethodGet:
-	case http.MethodDelete:
-		i.Set(Faults{})
-	case http.MethodPost:
-		var f Faults
-		if err := DecodeStrict(r, &f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		i.Set(f)
-	default:
-		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-		return
-	}
-	WriteJSON(w, i.Faults())
-}
-
-// DecodeStrict reads a JSON body into v and refuses unknown fields.
-func DecodeStrict(r *http.Request, v any) error {
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return fmt.Errorf("request body: %w", err)
-	}
-	return nil
-}
-
-// WriteJSON answers with v as JSON.
-func WriteJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the client may have left
-}
--- a/pkg/standin/objects/objects.go
+++ b/pkg/standin/objects/objects.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // maxObjectBytes bounds one object.
@@ -89,7 +90,7 @@
 	s.objects[r.URL.Path] = data
 	s.mu.Unlock()
 	if s.faults.LoseAnswer() {
-		fault.Drop(w)
+		admin.Drop(w)
 		return
 	}
 	w.Header().Set("ETag", `"stand-in"`)
--- a/pkg/standin/table/protocol.go
+++ b/pkg/standin/table/protocol.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // The limits of the service that callers must keep.
@@ -221,7 +221,7 @@
 	failed, err := s.apply(in.ClientRequestToken, t)
 	switch {
 	case s.faults.LoseAnswer():
-		fault.Drop(w)
+		admin.Drop(w)
 	case err != nil:
 		writeError(w, http.StatusBadRequest, "IdempotentParameterMismatchException", err.Error(), nil)
 	case len(failed) > 0:
--- a/pkg/standin/table/table.go
+++ b/pkg/standin/table/table.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // key names a row.
@@ -63,10 +64,10 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /{$}", s.serveCall)
-	admin := http.NewServeMux()
-	admin.HandleFunc("/counts", s.serveCounts)
-	admin.Handle("/", s.faults.Wrap(mux))
-	return admin
+	outer := http.NewServeMux()
+	outer.HandleFunc("/counts", s.serveCounts)
+	outer.Handle("/", s.faults.Wrap(mux))
+	return outer
 }
 
 // Serve answers connections of l until it is closed.
@@ -87,7 +88,7 @@
 }
 
 func (s *Server) serveCounts(w http.ResponseWriter, r *http.Request) {
-	fault.WriteJSON(w, s.Counts(r.Method == http.MethodPost))
+	admin.Answer(w, s.Counts(r.Method == http.MethodPost))
 }
 
 func (s *Server) get(k key) (row, bool) {
--- a/pkg/standin/target/faults.go
+++ b/pkg/standin/target/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // Faults is what is wrong with a target. The zero value is a healthy one.
@@ -62,25 +63,6 @@
 	return s.faults
 }
 
-func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	switch r.Method {
-	case http.MethodGet:
-	case http.MethodDelete:
-		s.SetFaults(Faults{})
-	case http.MethodPost:
-		var f Faults
-		if err := fault.DecodeStrict(r, &f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(f)
-	default:
-		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-		return
-	}
-	fault.WriteJSON(w, s.Faults())
-}
-
 // answerFault is how the answer to one request goes wrong.
 type answerFault struct {
 	truncate, lose, noEcho bool
@@ -150,7 +132,7 @@
 
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	r := s.visible(time.Now())
-	fault.WriteJSON(w, struct {
+	admin.Answer(w, struct {
 		Running int   `json:"running"`
 		Slots   int   `json:"slots"`
 		State   State `json:"state"`
--- a/pkg/standin/target/ledger.go
+++ b/pkg/standin/target/ledger.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // maxEntries bounds the requests that a ledger keeps.
@@ -116,5 +116,5 @@
 }
 
 func (l *Ledger) serve(w http.ResponseWriter, _ *http.Request) {
-	fault.WriteJSON(w, l.Record())
+	admin.Answer(w, l.Record())
 }
--- a/pkg/standin/target/request.go
+++ b/pkg/standin/target/request.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 const (
@@ -65,16 +65,16 @@
 	}
 	if scan.markerSeen {
 		s.Crash()
-		fault.Drop(w)
+		admin.Drop(w)
 		return
 	}
 	if err != nil || !s.work(r, current) {
 		ending = EndingCancelled
-		fault.Drop(w)
+		admin.Drop(w)
 		return
 	}
 	if s.isCrashed() {
-		fault.Drop(w)
+		admin.Drop(w)
 		return
 	}
 	ending = s.answer(w, r, current.answer, size)
@@ -136,7 +136,7 @@
 // answer writes the answer with what is wrong with it.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, f answerFault, size int64) Ending {
 	if f.lose {
-		fault.Drop(w)
+		admin.Drop(w)
 		return EndingLost
 	}
 	id, ending := r.Header.Get(headerRequestID), EndingDone
@@ -159,7 +159,7 @@
 	if f.truncate {
 		_, _ = w.Write(body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
-		fault.Drop(w)
+		admin.Drop(w)
 		return EndingTruncated
 	}
 	_, _ = w.Write(body) // the caller may have left
--- a/pkg/standin/target/target.go
+++ b/pkg/standin/target/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // Distribution is how service times are spread about their mean.
@@ -107,11 +108,11 @@
 	mux.HandleFunc("/load", s.serveLoad)
 	mux.HandleFunc("/healthz", s.serveHealth)
 	mux.HandleFunc("/ledger", s.ledger.serve)
-	mux.HandleFunc(fault.Path, s.serveFaults)
+	mux.Handle(fault.Path, admin.Document(s.Faults, s.SetFaults))
 	mux.HandleFunc("/", s.serveRequest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isCrashed() && r.URL.Path != fault.Path && r.URL.Path != "/ledger" {
-			fault.Drop(w)
+			admin.Drop(w)
 			return
 		}
 		mux.ServeHTTP(w, r)
