--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -39,6 +39,11 @@
 	})
 }
 
+// maxScripts is how many scripts run at once; each starts about ten processes.
+const maxScripts = 3
+
+var scripts = make(chan struct{}, maxScripts)
+
 // commands are what the scripts can use beside testscript's own.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
 	"fleet":   withWorld((*world).fleet),
@@ -88,6 +93,8 @@
 type worldKey struct{}
 
 func setup(env *testscript.Env) error {
+	scripts <- struct{}{}
+	env.Defer(func() { <-scripts })
 	w := &world{
 		host:      newHost(),
 		processes: map[string]*process{},
