--- a/pkg/standin/fault/fault.go
+++ b/pkg/standin/fault/fault.go
@@ -61,6 +61,10 @@
 	// Throttle refuses every request before doing anything, as a service
 	// does that is over its provisioned rate.
 	Throttle bool `json:"throttle,omitempty"`
+	// ReadRate and WriteRate are the reads and the written items a second that
+	// are executed; more are throttled. 0 is unbounded.
+	ReadRate  float64 `json:"read_rate,omitempty"`
+	WriteRate float64 `json:"write_rate,omitempty"`
 	// LoseAnswers is how many of the next writes take effect without an answer.
 	LoseAnswers int `json:"lose_answers,omitempty"`
 	// LoseRate is the part of writes, 0 to 1, whose answer is lost.
@@ -79,6 +83,8 @@
 	mu     sync.Mutex
 	faults Faults
 	random *rand.Rand
+	reads  capacity
+	writes capacity
 }
 
 // NewInjector returns an Injector without faults.
@@ -93,6 +99,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.faults = f
+	now := time.Now()
+	i.reads, i.writes = newCapacity(f.ReadRate, now), newCapacity(f.WriteRate, now)
 	i.random = rand.New(rand.NewPCG(f.Seed, f.Seed))
 }
 
@@ -103,6 +111,20 @@
 	return i.faults
 }
 
+// ThrottleRead reports whether a read must be refused.
+func (i *Injector) ThrottleRead() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.faults.Throttle || !i.reads.take(1, time.Now())
+}
+
+// ThrottleWrite reports whether a write of n items must be refused.
+func (i *Injector) ThrottleWrite(n int) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.faults.Throttle || !i.writes.take(n, time.Now())
+}
+
 // LoseAnswer reports whether the answer to the write that was just executed
 // must be lost. It uses up one of LoseAnswers.
 func (i *Injector) LoseAnswer() bool {
--- a/pkg/standin/fault/fault_test.go
+++ b/pkg/standin/fault/fault_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestAdmin(t *testing.T) {
@@ -51,3 +52,19 @@
 		t.Errorf("same seed repeats: %v, another seed differs: %v", same, differs)
 	}
 }
+
+func TestCapacity(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newCapacity(10, now)
+	steps := []struct {
+		after time.Duration
+		n     int
+		want  bool
+	}{{0, 10, true}, {0, 1, false}, {100 * time.Millisecond, 1, true}, {0, 1, false}, {time.Hour, 11, false}, {0, 10, true}}
+	for i, s := range steps {
+		now = now.Add(s.after)
+		if got := c.take(s.n, now); got != s.want {
+			t.Errorf("step %d: %v", i, got)
+		}
+	}
+}
--- a/pkg/standin/objects/objects.go
+++ b/pkg/standin/objects/objects.go
@@ -45,10 +45,6 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if s.faults.Faults().Throttle {
-		writeError(w, http.StatusTooManyRequests, "SlowDown", "reduce the request rate")
-		return
-	}
 	bucket, name, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if !ok || bucket == "" || name == "" {
 		writeError(w, http.StatusBadRequest, "InvalidRequest", "only objects in a bucket are served")
@@ -65,6 +61,10 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, path string) {
+	if s.faults.ThrottleRead() {
+		writeThrottled(w)
+		return
+	}
 	s.mu.Lock()
 	data, ok := s.objects[path]
 	s.mu.Unlock()
@@ -81,6 +81,10 @@
 		writeError(w, http.StatusNotImplemented, "NotImplemented", "chunked signatures are not supported")
 		return
 	}
+	if s.faults.ThrottleWrite(1) {
+		writeThrottled(w)
+		return
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "IncompleteBody", err.Error())
@@ -96,6 +100,10 @@
 	w.Header().Set("ETag", `"stand-in"`)
 }
 
+func writeThrottled(w http.ResponseWriter) {
+	writeError(w, http.StatusTooManyRequests, "SlowDown", "reduce the request rate")
+}
+
 func writeError(w http.ResponseWriter, status int, code, message string) {
 	w.Header().Set("Content-Type", "application/xml")
 	w.WriteHeader(status)
--- a/pkg/standin/table/protocol.go
+++ b/pkg/standin/table/protocol.go
@@ -112,10 +112,6 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	if s.faults.Faults().Throttle {
-		writeError(w, http.StatusBadRequest, "ProvisionedThroughputExceededException", "over the provisioned rate", nil)
-		return
-	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	_, call, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
 	switch call {
@@ -140,6 +136,10 @@
 		writeValidation(w, err)
 		return
 	}
+	if s.faults.ThrottleRead() {
+		writeThrottled(w)
+		return
+	}
 	out := struct {
 		Item attributes `json:",omitempty"`
 	}{}
@@ -159,6 +159,10 @@
 		writeValidation(w, err)
 		return
 	}
+	if s.faults.ThrottleRead() {
+		writeThrottled(w)
+		return
+	}
 	found, more := s.list(partition, after, in.Limit)
 	out := struct {
 		Items            []attributes
@@ -214,6 +218,10 @@
 		writeValidation(w, err)
 		return
 	}
+	if s.faults.ThrottleWrite(len(t)) {
+		writeThrottled(w)
+		return
+	}
 	if s.faults.Conflict() {
 		writeCancelled(w, len(t), "TransactionConflict", []int{0})
 		return
@@ -323,6 +331,10 @@
 	writeError(w, http.StatusBadRequest, "TransactionCanceledException", "transaction cancelled", reasons)
 }
 
+func writeThrottled(w http.ResponseWriter) {
+	writeError(w, http.StatusBadRequest, "ProvisionedThroughputExceededException", "over the provisioned rate", nil)
+}
+
 func writeValidation(w http.ResponseWriter, err error) {
 	writeError(w, http.StatusBadRequest, "ValidationException", err.Error(), nil)
 }
