--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,265 @@
+// Package daemon wires the parts of one VM together and runs them from the
+// first listener to the graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v5"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/dispatch"
+	"crocusramp.dev/crocusramp/pkg/entry"
+	"crocusramp.dev/crocusramp/pkg/feed"
+	"crocusramp.dev/crocusramp/pkg/keys"
+	"crocusramp.dev/crocusramp/pkg/lease"
+	"crocusramp.dev/crocusramp/pkg/limit"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/operator"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/platform/directory"
+	"crocusramp.dev/crocusramp/pkg/platform/dynamo"
+	"crocusramp.dev/crocusramp/pkg/platform/objects"
+	"crocusramp.dev/crocusramp/pkg/route"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/telemetry"
+)
+
+const (
+	// idleTimeout closes callers' connections that send nothing.
+	idleTimeout = 2 * time.Minute
+	// quietPeriod without a new request ends the notice of a stop early.
+	quietPeriod = time.Second
+	// releaseTimeout bounds giving slots back while stopping; those that were
+	// not given back are freed by their refused peer port.
+	releaseTimeout = 3 * time.Second
+	// pollPeriod is how often a wait looks at its condition.
+	pollPeriod = 10 * time.Millisecond
+)
+
+// Daemon is one VM of the fleet.
+type Daemon struct {
+	settings *settings.Settings
+	self     member.Peer
+	log      zerolog.Logger
+	registry metrics.Registry
+	tracer   trace.Tracer
+	flush    func(context.Context) error
+
+	loop      *control.Loop
+	dialer    *peer.Dialer
+	table     platform.Table
+	members   *member.Prober
+	leases    *lease.Manager
+	feed      *feed.Feed
+	limiter   *limit.Service
+	scheduler *dispatch.Scheduler
+	entry     *entry.Server
+	operators *operator.Server
+
+	listeners *listeners
+	servers   servers
+	leaving   atomic.Bool
+	// arrivals counts callers' requests; a stop waits until it rests.
+	arrivals atomic.Int64
+}
+
+type servers struct {
+	callers, operators, peers *http.Server
+}
+
+// New binds the listeners and builds every part; Run starts them. Errors wrap
+// settings.ErrInvalid where the settings are at fault.
+func New(ctx context.Context, s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), loop: control.NewLoop()}
+	var err error
+	if d.listeners, err = listen(s); err != nil {
+		return nil, err
+	}
+	s.Advertise.Callers = advertised(s.Advertise.Callers, d.listeners.callers)
+	s.Advertise.Peers = advertised(s.Advertise.Peers, d.listeners.peers)
+	if err := d.build(ctx); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// PeerAddress returns the host:port that peers reach this VM at.
+func (d *Daemon) PeerAddress() string { return d.self.PeerAddress }
+
+func (d *Daemon) build(ctx context.Context) error {
+	s := d.settings
+	var err error
+	d.tracer, d.flush, err = telemetry.NewTracer(ctx, telemetry.TraceConfig{
+		Endpoint: s.Traces.Endpoint, SamplePercent: s.Traces.SamplePercent, VM: s.VM.ID,
+	})
+	if err != nil {
+		return fmt.Errorf("%w: traces.endpoint: %w", settings.ErrInvalid, err)
+	}
+	d.self = member.Peer{
+		ID:            s.VM.ID,
+		Incarnation:   uuid.NewString(),
+		Region:        s.VM.Region,
+		FailureDomain: s.VM.FailureDomain,
+		PeerAddress:   s.Advertise.Peers,
+		CallerAddress: s.Advertise.Callers,
+	}
+	if err := d.buildServers(); err != nil {
+		return err
+	}
+	d.buildControl()
+	d.buildTraffic()
+	return nil
+}
+
+// buildControl builds what the control loop owns.
+func (d *Daemon) buildControl() {
+	s := d.settings
+	d.table = dynamo.New(dynamo.Config{
+		Endpoint: s.Platform.Table.Endpoint, Region: s.Platform.Table.Region, Table: s.Platform.Table.Name,
+		AccessKey: s.Platform.Table.AccessKey, SecretKey: s.Platform.Table.SecretKey,
+		Timeout: s.Platform.Table.Timeout.Duration,
+	})
+	store := objects.New(objects.Config{
+		Endpoint: s.Platform.Objects.Endpoint, Region: s.Platform.Objects.Region, Bucket: s.Platform.Objects.Name,
+		AccessKey: s.Platform.Objects.AccessKey, SecretKey: s.Platform.Objects.SecretKey,
+		Timeout: s.Platform.Objects.Timeout.Duration,
+	})
+	d.members = member.NewProber(member.Config{
+		Self: d.self, Directory: directory.New(s.Platform.Directory.URL), Dialer: d.dialer,
+		Loop: d.loop, Clock: clock.System{}, Log: d.log, Local: d.describe,
+		ListPeriod: s.Platform.Directory.Poll.Duration,
+	})
+	d.leases = lease.NewManager(lease.Config{
+		Table: d.table, Loop: d.loop, Clock: clock.System{}, Members: d.members, Self: d.self,
+		Slots: s.Slots, Regions: s.Regions,
+		Duration: s.Lease.Duration.Duration, Margin: s.Lease.Margin.Duration, Poll: s.Lease.Poll.Duration,
+		Log: d.log, Metrics: d.registry,
+	})
+	d.feed = feed.New(feed.Config{
+		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
+		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
+		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
+	})
+}
+
+// buildTraffic builds what a request passes.
+func (d *Daemon) buildTraffic() {
+	s := d.settings
+	d.limiter = limit.NewService(limit.Config{
+		Config: d.feed, Slots: d.leases, Members: d.members, Peers: d.dialer,
+		Clock: clock.System{}, Loop: d.loop, Log: d.log, Metrics: d.registry,
+	})
+	costs := map[string]time.Duration{}
+	for region, cost := range s.RegionCost {
+		costs[region] = cost.Duration
+	}
+	d.scheduler = dispatch.NewScheduler(dispatch.Config{
+		Pools: s.TargetPools(), Self: d.self, Members: d.members, Slots: d.leases, Config: d.feed,
+		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Regions: s.Regions, RegionCost: costs,
+	})
+	echoed := map[string]bool{}
+	for _, p := range s.Pools {
+		echoed[p.Name] = p.RequireEcho
+	}
+	d.entry = entry.NewServer(entry.Config{
+		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.limiter, Dispatcher: d.scheduler,
+		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, Peers: d.dialer, Table: d.table,
+		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
+		Limits: entry.Limits{
+			MaxHeaderBytes: s.Callers.MaxHeaderBytes, MaxBodyBytes: s.Callers.MaxBodyBytes,
+			MaxTimeout: s.Callers.MaxDeadline.Duration, LocateTTL: s.Callers.LocateTTL.Duration,
+		},
+		RequireEcho: func(pool string) bool { return echoed[pool] },
+	})
+	d.operators = operator.NewServer(operator.Config{
+		Feed: d.feed, Status: d, Log: d.log, Metrics: d.registry,
+	})
+	d.servers.callers.Handler = d.callersHandler()
+	d.servers.operators.Handler = d.operatorsHandler()
+	d.servers.peers.Handler = d.peersHandler()
+}
+
+func (d *Daemon) buildServers() error {
+	s := d.settings
+	operatorsTLS, err := serverTLS(s.TLS.Operators)
+	if err != nil {
+		return err
+	}
+	d.servers.operators = &http.Server{ReadHeaderTimeout: s.Callers.HeaderTimeout.Duration, TLSConfig: operatorsTLS}
+	d.servers.peers = &http.Server{IdleTimeout: idleTimeout}
+	if s.TLS.Peers.Enabled() {
+		d.servers.peers.TLSConfig, err = peer.Credentials(s.TLS.Peers).TLSConfig()
+		if err != nil {
+			return fmt.Errorf("%w: tls.peers: %w", settings.ErrInvalid, err)
+		}
+	}
+	d.dialer = peer.NewDialer(d.servers.peers.TLSConfig)
+	d.servers.callers = &http.Server{
+		ReadHeaderTimeout: s.Callers.HeaderTimeout.Duration,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.Callers.MaxHeaderBytes,
+	}
+	return nil
+}
+
+// describe completes what heartbeats say of this VM.
+func (d *Daemon) describe(p *member.Peer) {
+	if d.leaving.Load() {
+		p.State = member.Leaving
+	}
+	p.ConfigVersion = d.feed.Snapshot().Version
+	p.FreePermits = d.scheduler.FreePermits()
+	p.SlotsHeld = len(d.leases.Holding().Slots)
+	p.Pools = d.poolLoads()
+}
+
+func (d *Daemon) callersHandler() http.Handler {
+	next := d.entry.Callers()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", d.readyz)
+	mux.HandleFunc("GET /healthz", healthz)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		d.arrivals.Add(1)
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	return mux
+}
+
+func (d *Daemon) operatorsHandler() http.Handler {
+	var api http.Handler = d.operators.Handler()
+	if hashes := d.settings.Operator.TokenHashes; len(hashes) > 0 {
+		api = operator.RequireToken(hashes)(api)
+	}
+	e := echo.New()
+	e.GET("/healthz", echo.WrapHandler(http.HandlerFunc(healthz)))
+	e.GET("/readyz", echo.WrapHandler(http.HandlerFunc(d.readyz)))
+	e.GET("/metrics", echo.WrapHandler(telemetry.Handler(d.registry, nil)))
+	e.Any("/twirp/*", echo.WrapHandler(api))
+	return e
+}
+
+func (d *Daemon) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	for _, service := range []func() (string, http.Handler){
+		d.members.Handler, d.limiter.Handler, d.entry.Peers,
+	} {
+		prefix, handler := service()
+		mux.Handle(prefix, handler)
+	}
+	return mux
+}
--- /dev/null
+++ b/pkg/daemon/health.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready bool `json:"ready"`
+	// Missing names what the daemon still waits for, or why it takes no work.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// healthz answers as long as the process serves HTTP.
+func healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]bool{"alive": true})
+}
+
+// readyz answers 200 once this VM can serve keyed requests, and 503 with the
+// causes otherwise.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	state := readiness{Missing: d.missing()}
+	state.Ready = len(state.Missing) == 0
+	status := http.StatusOK
+	if !state.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, state)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// missing lists what keeps the daemon from serving keyed requests.
+func (d *Daemon) missing() []string {
+	var missing []string
+	if d.leaving.Load() {
+		missing = append(missing, "the VM is stopping")
+	}
+	if !d.feed.Ready() {
+		missing = append(missing, "no configuration yet")
+	} else if !d.feed.Snapshot().Fresh {
+		missing = append(missing, "the configuration may be stale")
+	}
+	if !d.members.View().Complete {
+		missing = append(missing, "the platform's list of VMs was not read yet")
+	}
+	return missing
+}
--- /dev/null
+++ b/pkg/daemon/main.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/telemetry"
+)
+
+// The exit statuses of crocusrampd.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage is for a wrong command line or wrong settings.
+	ExitUsage = 2
+)
+
+type fileCommand struct {
+	Config string `arg:"--config,required" placeholder:"FILE" help:"settings in JSON"`
+}
+
+// DevCommand are the options of `crocusrampd dev`.
+type DevCommand struct {
+	Operators string   `arg:"--operators" default:"127.0.0.1:7070" placeholder:"ADDR" help:"address of the operators' API"`
+	Callers   []string `arg:"--callers" placeholder:"ADDR" help:"callers' addresses, one for each VM [default: 127.0.0.1:8080 127.0.0.1:8081 127.0.0.1:8082]"`
+	Targets   int      `arg:"--targets" default:"2" help:"targets in each region and pool"`
+	LogLevel  string   `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+type commands struct {
+	Serve *fileCommand `arg:"subcommand:serve" help:"run one VM's daemon"`
+	Check *fileCommand `arg:"subcommand:check" help:"check settings and exit"`
+	Dev   *DevCommand  `arg:"subcommand:dev" help:"run three VMs, targets and a platform stand-in in one process, for trying things out"`
+}
+
+// Description implements arg.Described.
+func (commands) Description() string {
+	return "crocusrampd steers requests from callers to targets."
+}
+
+// Main executes one command line, without the program's name, and returns the
+// exit status. dev runs the dev command.
+func Main(args []string, stdout, stderr io.Writer, dev func(ctx context.Context, c *DevCommand, stdout, stderr io.Writer) error) int {
+	var c commands
+	parser, err := arg.NewParser(arg.Config{Program: "crocusrampd", IgnoreEnv: true}, &c)
+	if err != nil {
+		return fail(stderr, ExitUsage, err)
+	}
+	if err := parser.Parse(args); errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return ExitOK
+	} else if err != nil {
+		return fail(stderr, ExitUsage, err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	switch {
+	case c.Serve != nil:
+		err = serveFile(ctx, c.Serve.Config, stderr)
+	case c.Check != nil:
+		err = checkFile(c.Check.Config, stdout)
+	case c.Dev != nil:
+		err = dev(ctx, c.Dev, stdout, stderr)
+	default:
+		return fail(stderr, ExitUsage, errors.New("a command is missing: serve, check or dev"))
+	}
+	switch {
+	case errors.Is(err, settings.ErrInvalid):
+		return fail(stderr, ExitUsage, err)
+	case err != nil:
+		return fail(stderr, ExitFailure, err)
+	}
+	return ExitOK
+}
+
+func fail(stderr io.Writer, status int, err error) int {
+	fmt.Fprintf(stderr, "crocusrampd: %v\n", err)
+	return status
+}
+
+func checkFile(path string, stdout io.Writer) error {
+	if _, err := settings.Load(path); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "%s: the settings are valid\n", path)
+	return nil
+}
+
+func serveFile(ctx context.Context, path string, stderr io.Writer) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(stderr, telemetry.LogConfig{Level: s.Log.Level, Text: s.Log.Format == "text", VM: s.VM.ID})
+	if err != nil {
+		return fmt.Errorf("%w: log: %w", settings.ErrInvalid, err)
+	}
+	d, err := New(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/pkg/daemon/run.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Run serves until ctx ends, then shuts down gracefully. It returns an error
+// only where a listener failed while serving.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	loopEnded := make(chan struct{})
+	go func() { d.loop.Run(background); close(loopEnded) }()
+	failed := make(chan error, 3)
+	// The peer listener serves first: a VM that holds a slot must never refuse
+	// connections there.
+	go serve(d.servers.peers, d.listeners.peers, d.servers.peers.TLSConfig, failed)
+	d.start(background)
+	go serve(d.servers.operators, d.listeners.operators, d.servers.operators.TLSConfig, failed)
+	go serve(d.servers.callers, d.listeners.callers, nil, failed)
+	d.log.Info().Str("incarnation", d.self.Incarnation).
+		Stringer("callers", d.listeners.callers.Addr()).
+		Stringer("operators", d.listeners.operators.Addr()).
+		Stringer("peers", d.listeners.peers.Addr()).Msg("started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		d.log.Error().Err(err).Msg("a listener failed")
+	}
+	d.stop()
+	cancel()
+	<-loopEnded
+	_ = d.servers.peers.Close()
+	d.dialer.Close()
+	d.log.Info().Msg("stopped")
+	return err
+}
+
+// start sets every part going; it returns at once.
+func (d *Daemon) start(ctx context.Context) {
+	d.members.Start(ctx)
+	d.feed.Start(ctx)
+	d.leases.Start(ctx)
+	d.limiter.Start(ctx)
+	d.scheduler.Start(ctx)
+	d.entry.SetReady(true)
+}
+
+// stop lets every request in flight end and gives back what this VM holds.
+// The peer listener stays open until the slots are released, since a refused
+// connection there means to the others that this VM uses nothing any more.
+func (d *Daemon) stop() {
+	started := time.Now()
+	d.leaving.Store(true)
+	d.log.Info().Msg("stopping: new callers are sent elsewhere")
+	d.waitQuiet(d.settings.Stop.Notice.Duration)
+
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Stop.Grace.Duration)
+	defer cancel()
+	if err := d.entry.Shutdown(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("requests were still running at the end of stop.grace")
+	}
+	if err := d.servers.callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		d.log.Warn().Err(err).Msg("closing the callers' listener failed")
+	}
+	_ = d.servers.callers.Close()
+	d.release()
+	_ = d.servers.operators.Close()
+	_ = d.flush(ctx)
+	d.log.Info().Dur("took_ms", time.Since(started)).Msg("nothing is running any more")
+}
+
+// release gives shares and slots back.
+func (d *Daemon) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	d.limiter.Release(ctx)
+	if err := d.leases.Release(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("slots were not released; peers take them over by the closed port")
+	}
+}
+
+// waitQuiet returns after a quiet period without new requests, at the latest
+// after limit.
+func (d *Daemon) waitQuiet(limit time.Duration) {
+	end := time.Now().Add(limit)
+	last, since := d.arrivals.Load(), time.Now()
+	for time.Now().Before(end) && time.Since(since) < quietPeriod {
+		time.Sleep(pollPeriod)
+		if n := d.arrivals.Load(); n != last {
+			last, since = n, time.Now()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/daemon/status.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
+	"crocusramp.dev/crocusramp/pkg/member"
+)
+
+// Status reports the fleet as this VM knows it: its own parts exactly, its
+// peers' parts as of their last heartbeat.
+func (d *Daemon) Status(context.Context) (*operatorpb.StatusResponse, error) {
+	self := d.members.View().Self
+	d.describe(&self)
+	vms := append([]member.Peer{self}, d.members.View().Peers...)
+	slices.SortFunc(vms, func(a, b member.Peer) int { return strings.Compare(a.ID, b.ID) })
+	response := &operatorpb.StatusResponse{
+		Vm:       d.self.ID,
+		Vms:      vmStatus(vms),
+		Regions:  regionStatus(vms),
+		Accounts: d.accountStatus(),
+	}
+	response.Config, response.Store = d.feedStatus()
+	d.addPoolStatus(response)
+	return response, nil
+}
+
+func (d *Daemon) feedStatus() (*operatorpb.ConfigStatus, *operatorpb.StoreStatus) {
+	s := d.feed.Status()
+	c := &operatorpb.ConfigStatus{Version: s.Version, Fresh: s.Fresh, Relay: s.Relay}
+	if s.Age >= 0 {
+		c.Age = durationpb.New(s.Age)
+	}
+	store := &operatorpb.StoreStatus{TableReachable: s.StoreReachable}
+	if s.SinceStore >= 0 {
+		store.SinceAnswer = durationpb.New(s.SinceStore)
+	}
+	return c, store
+}
+
+func vmStatus(vms []member.Peer) []*operatorpb.VMStatus {
+	var out []*operatorpb.VMStatus
+	for _, p := range vms {
+		out = append(out, &operatorpb.VMStatus{
+			Id: p.ID, Region: p.Region, FailureDomain: p.FailureDomain, State: p.State.String(),
+			ConfigVersion: p.ConfigVersion, SlotsHeld: int32(p.SlotsHeld),
+			FreePermits: int32(p.FreePermits), CallerAddress: p.CallerAddress,
+		})
+	}
+	return out
+}
+
+// regionStatus adds up the VMs of each region, in order of region and pool.
+func regionStatus(vms []member.Peer) []*operatorpb.RegionStatus {
+	type place struct{ region, pool string }
+	sums := map[place]*operatorpb.RegionStatus{}
+	for _, vm := range vms {
+		if vm.State == member.Gone || vm.State == member.Silent {
+			continue
+		}
+		for _, l := range vm.Pools {
+			k := place{vm.Region, l.Pool}
+			if sums[k] == nil {
+				sums[k] = &operatorpb.RegionStatus{Name: k.region, Pool: k.pool}
+			}
+			sums[k].Permits += int32(l.Permits)
+			sums[k].InUse += int32(l.Running)
+			sums[k].Queued += int32(l.Queued)
+		}
+	}
+	var out []*operatorpb.RegionStatus
+	for _, s := range sums {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *operatorpb.RegionStatus) int {
+		if c := strings.Compare(a.GetName(), b.GetName()); c != 0 {
+			return c
+		}
+		return strings.Compare(a.GetPool(), b.GetPool())
+	})
+	return out
+}
+
+func (d *Daemon) accountStatus() []*operatorpb.AccountStatus {
+	accounts := d.feed.Snapshot().Accounts
+	var out []*operatorpb.AccountStatus
+	for _, s := range d.limiter.Shares() {
+		status := &operatorpb.AccountStatus{Name: s.Account, Share: s.Rate - s.Lent + s.Borrowed}
+		if a := accounts[s.Account]; a != nil {
+			status.Rate = a.Rate
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+// addPoolStatus adds shifts and the targets that are leaving.
+func (d *Daemon) addPoolStatus(response *operatorpb.StatusResponse) {
+	s := d.scheduler.Status()
+	for _, p := range s.Pools {
+		for _, t := range p.Targets {
+			if t.Draining {
+				response.LeavingTargets = append(response.LeavingTargets, &operatorpb.TargetStatus{
+					Id: t.ID, Pool: p.Name, Region: s.Region, InUse: int32(t.Running),
+				})
+			}
+		}
+		for _, shift := range p.Shifts {
+			status := &operatorpb.ShiftStatus{
+				Name: shift.Name, Pool: shift.Pool, From: shift.From, To: shift.To,
+				CapPercent: shift.CapPercent, Seen: shift.Seen, Moved: shift.Shifted,
+			}
+			if shift.Seen > 0 {
+				status.ActualPercent = 100 * float64(shift.Shifted) / float64(shift.Seen)
+			}
+			response.Shifts = append(response.Shifts, status)
+		}
+	}
+}
+
+// poolLoads sums up this VM's part of each pool for heartbeats.
+func (d *Daemon) poolLoads() []member.PoolLoad {
+	var loads []member.PoolLoad
+	for _, p := range d.scheduler.Status().Pools {
+		l := member.PoolLoad{Pool: p.Name, Permits: p.Limit, Running: p.Running}
+		for _, n := range p.Queued {
+			l.Queued += n
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -160,7 +160,7 @@
 		Dispatcher:   v.dispatcher,
 		Members:      v.members,
 		Match:        fakeMatch,
-		Peers:        peer.NewDialer(),
+		Peers:        peer.NewDialer(nil),
 		Log:          zerolog.New(v.log),
 	}
 	if change != nil {
