block: a compact table from client blocks to sites

Cause: the size to design for has 1.9 million blocks of clients and 1,300 sites within 64 MB a VM for control; a map of prefixes takes several times that.

--- /dev/null
+++ b/pkg/block/block.go
@@ -0,0 +1,209 @@
+// Package block maps callers' addresses to regions or sites by a table of
+// client blocks (CIDR prefixes). A table is immutable and compact: it is laid
+// out for 1.9 million blocks within the 64 MB that a VM may spend on control.
+package block
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+)
+
+// ErrInvalid reports a block that a table cannot hold.
+var ErrInvalid = errors.New("invalid client block")
+
+// maxSites is the number of distinct sites that fit the table's 16-bit index;
+// one index stands for addresses outside all blocks.
+const maxSites = 1<<16 - 1
+
+// noSite marks address ranges outside all blocks.
+const noSite = maxSites
+
+// buckets is the number of entries of the first-level index: one for each
+// value of an address's upper 16 bits.
+const buckets = 1 << 16
+
+// Block assigns the addresses of a prefix to a site.
+type Block struct {
+	Prefix netip.Prefix
+	Site   string
+}
+
+// Table finds the site of an address by the longest matching prefix. IPv6
+// prefixes longer than 64 bits are not held.
+type Table struct {
+	sites []string
+	v4    ranges[uint32]
+	v6    ranges[uint64]
+}
+
+// ranges holds disjoint ranges: range i begins at starts[i], ends before
+// starts[i+1] and belongs to sites[i].
+type ranges[T cmp.Ordered] struct {
+	starts []T
+	sites  []uint16
+	// first[h] is the last range that begins at or before the smallest
+	// address whose upper 16 bits are h.
+	first []uint32
+}
+
+// New returns a table of blocks in any order. Nested blocks are resolved to
+// the longest prefix. Errors: ErrInvalid for an IPv6 prefix longer than 64
+// bits, a block given twice, or more than 65,535 sites.
+func New(blocks []Block) (*Table, error) {
+	t := &Table{}
+	index := map[string]uint16{}
+	var v4 []span[uint32]
+	var v6 []span[uint64]
+	for _, b := range blocks {
+		site, ok := index[b.Site]
+		if !ok {
+			if len(t.sites) == maxSites {
+				return nil, fmt.Errorf("%w: more than %d sites", ErrInvalid, maxSites)
+			}
+			site = uint16(len(t.sites))
+			index[b.Site] = site
+			t.sites = append(t.sites, b.Site)
+		}
+		prefix := b.Prefix.Masked()
+		switch {
+		case !prefix.IsValid():
+			return nil, fmt.Errorf("%w: site %q has no prefix", ErrInvalid, b.Site)
+		case prefix.Addr().Is4():
+			start := v4Key(prefix.Addr())
+			v4 = append(v4, span[uint32]{start, start | uint32(1<<(32-prefix.Bits())-1), site})
+		case prefix.Bits() > 64:
+			return nil, fmt.Errorf("%w: %s is longer than 64 bits", ErrInvalid, prefix)
+		default:
+			start := v6Key(prefix.Addr())
+			last := start | (1<<(64-prefix.Bits()) - 1)
+			v6 = append(v6, span[uint64]{start, last, site})
+		}
+	}
+	var err error
+	if t.v4, err = flatten(v4, func(k uint32) uint32 { return k >> 16 }); err != nil {
+		return nil, err
+	}
+	t.v6, err = flatten(v6, func(k uint64) uint32 { return uint32(k >> 48) })
+	return t, err
+}
+
+// Lookup returns the site of an address and whether a block holds it.
+func (t *Table) Lookup(a netip.Addr) (site string, ok bool) {
+	a = a.Unmap()
+	i := uint16(noSite)
+	switch {
+	case a.Is4():
+		k := v4Key(a)
+		i = t.v4.find(k, k>>16)
+	case a.Is6():
+		k := v6Key(a)
+		i = t.v6.find(k, uint32(k>>48))
+	}
+	if i == noSite {
+		return "", false
+	}
+	return t.sites[i], true
+}
+
+func v4Key(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+// v6Key returns the network half of an address.
+func v6Key(a netip.Addr) uint64 {
+	b := a.As16()
+	return binary.BigEndian.Uint64(b[:8])
+}
+
+// span is a block as an inclusive range.
+type span[T uint32 | uint64] struct {
+	start, last T
+	site        uint16
+}
+
+// flatten turns nested spans into disjoint ranges. Prefixes either nest or are
+// disjoint, so a stack of the spans that are open suffices.
+func flatten[T uint32 | uint64](spans []span[T], bucket func(T) uint32) (ranges[T], error) {
+	slices.SortFunc(spans, func(a, b span[T]) int {
+		return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(b.last, a.last))
+	})
+	r := ranges[T]{starts: make([]T, 0, len(spans)+1), sites: make([]uint16, 0, len(spans)+1)}
+	r.add(0, noSite)
+	var open []span[T]
+	closeBefore := func(start T, all bool) {
+		for len(open) > 0 && (all || open[len(open)-1].last < start) {
+			ended := open[len(open)-1]
+			open = open[:len(open)-1]
+			next := uint16(noSite)
+			if len(open) > 0 {
+				next = open[len(open)-1].site
+			}
+			if ended.last+1 != 0 {
+				r.add(ended.last+1, next)
+			}
+		}
+	}
+	for i, s := range spans {
+		if i > 0 && s.start == spans[i-1].start && s.last == spans[i-1].last {
+			return r, fmt.Errorf("%w: a prefix is listed twice", ErrInvalid)
+		}
+		closeBefore(s.start, false)
+		r.add(s.start, s.site)
+		open = append(open, s)
+	}
+	closeBefore(0, true)
+	r.index(bucket)
+	return r, nil
+}
+
+// add begins a range; one that begins where the last one does replaces it, and
+// one of the same site continues it.
+func (r *ranges[T]) add(start T, site uint16) {
+	n := len(r.starts)
+	if n > 0 && r.starts[n-1] == start {
+		r.starts, r.sites = r.starts[:n-1], r.sites[:n-1]
+		n--
+	}
+	if n > 0 && r.sites[n-1] == site {
+		return
+	}
+	r.starts, r.sites = append(r.starts, start), append(r.sites, site)
+}
+
+func (r *ranges[T]) index(bucket func(T) uint32) {
+	r.starts, r.sites = slices.Clip(r.starts), slices.Clip(r.sites)
+	r.first = make([]uint32, buckets+1)
+	i := 0
+	for h := range uint32(buckets) {
+		for i+1 < len(r.starts) && (bucket(r.starts[i+1]) < h) {
+			i++
+		}
+		r.first[h] = uint32(i)
+	}
+	r.first[buckets] = uint32(len(r.starts) - 1)
+}
+
+// find returns the site of the range that holds k, whose bucket is h.
+func (r *ranges[T]) find(k T, h uint32) uint16 {
+	low, high := int(r.first[h]), int(r.first[h+1])+1
+	high = min(high, len(r.starts)-1)
+	for low < high {
+		middle := int(uint(low+high+1) >> 1)
+		if r.starts[middle] <= k {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return r.sites[low]
+}
+
+// Bytes returns the memory that the table's ranges take.
+func (t *Table) Bytes() int {
+	return len(t.v4.starts)*(4+2) + len(t.v6.starts)*(8+2) + (len(t.v4.first)+len(t.v6.first))*4
+}
