--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -28,6 +28,8 @@
 	patiencePolls = 5
 	// maxBackoffPolls bounds the pause after failures of the table.
 	maxBackoffPolls = 8
+	// maxReleasePause bounds the pause between attempts to release.
+	maxReleasePause = 200 * time.Millisecond
 	// callTimeout bounds one call of the table.
 	callTimeout = 5 * time.Second
 )
@@ -36,6 +38,9 @@
 // they become free when its lease ends.
 var ErrNotReleased = errors.New("slots not released")
 
+// errNotDecided reports that the loop or the context ended before a decision.
+var errNotDecided = errors.New("control loop did not answer")
+
 // Config says what a Manager works on.
 type Config struct {
 	Table   platform.Table
@@ -180,10 +185,11 @@
 		return fmt.Errorf("read slots: %w", err)
 	}
 	end := m.cfg.Clock.Now()
-	var writes []platform.Write
-	if !m.cfg.Loop.Call(ctx, func() { writes = m.decide(items, start, end) }) {
-		return context.Cause(ctx)
+	planned := make(chan []platform.Write, 1)
+	if !m.cfg.Loop.Call(ctx, func() { planned <- m.decide(items, start, end) }) {
+		return fmt.Errorf("decide on slots: %w", errNotDecided)
 	}
+	writes := <-planned
 	if len(writes) == 0 {
 		return nil
 	}
@@ -297,20 +303,28 @@
 	})
 	for {
 		err := m.round(ctx)
-		remaining := -1
-		if !m.cfg.Loop.Call(ctx, func() { remaining = len(m.state.giving) }) && ctx.Err() == nil {
-			return fmt.Errorf("%w: control loop has ended", ErrNotReleased)
-		}
+		remaining := m.remaining(ctx)
 		if err == nil && remaining == 0 {
 			return nil
 		}
+		if remaining < 0 && ctx.Err() == nil {
+			return fmt.Errorf("%w: control loop has ended", ErrNotReleased)
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %d slots: %w", ErrNotReleased, remaining, ctx.Err())
+			return fmt.Errorf("%w: %w", ErrNotReleased, ctx.Err())
 		case <-time.After(min(m.cfg.Poll, maxReleasePause)):
 		}
 	}
 }
 
-// maxReleasePause bounds the pause between attempts to release.
-const maxReleasePause = 200 * time.Millisecond
+// remaining is the number of slots whose release is not confirmed, or -1 where
+// the loop or ctx has ended.
+func (m *Manager) remaining(ctx context.Context) int {
+	// The loop may run the function after Call has returned.
+	n := make(chan int, 1)
+	if !m.cfg.Loop.Call(ctx, func() { n <- len(m.state.giving) }) {
+		return -1
+	}
+	return <-n
+}
--- /dev/null
+++ b/pkg/lease/manager_test.go
@@ -0,0 +1,200 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/member"
+)
+
+const (
+	managerSlots = 16
+	managerPoll  = 5 * time.Millisecond
+	// patienceForTests bounds waits for something that happens in milliseconds.
+	patienceForTests = 30 * time.Second
+)
+
+type viewSource struct{ view atomic.Pointer[member.View] }
+
+func (s *viewSource) View() *member.View { return s.view.Load() }
+
+// managers is a fleet on one table, with the system's clock.
+type managers struct {
+	table *memoryTable
+	peers []member.Peer
+	views []*viewSource
+	list  []*Manager
+	stop  []context.CancelFunc
+	ended sync.WaitGroup
+}
+
+func startManagers(t *testing.T, n int) *managers {
+	f := &managers{table: newMemoryTable()}
+	for i := range n {
+		id := fmt.Sprintf("vm-%d", i)
+		f.peers = append(f.peers, member.Peer{ID: id, Incarnation: id + "/1", Region: "a"})
+	}
+	for i := range n {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for _, stop := range f.stop {
+			stop()
+		}
+		f.ended.Wait()
+	})
+	return f
+}
+
+// start starts the i-th manager, for its peer's present incarnation.
+func (f *managers) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := control.NewLoop()
+	f.ended.Go(func() { loop.Run(ctx) })
+	src := &viewSource{}
+	src.view.Store(f.view(i))
+	m := NewManager(Config{
+		Table: f.table, Loop: loop, Clock: clock.System{}, Members: src, Self: f.peers[i],
+		Slots: managerSlots, Regions: []string{"a"}, Poll: managerPoll, Log: zerolog.Nop(),
+	})
+	if i < len(f.list) {
+		f.list[i], f.views[i], f.stop[i] = m, src, cancel
+	} else {
+		f.list, f.views, f.stop = append(f.list, m), append(f.views, src), append(f.stop, cancel)
+	}
+	m.Start(ctx)
+}
+
+func (f *managers) view(i int) *member.View {
+	v := &member.View{Self: f.peers[i], Complete: true}
+	for j, p := range f.peers {
+		if j != i {
+			v.Peers = append(v.Peers, p)
+		}
+	}
+	return v
+}
+
+func (f *managers) counts() (list []int, total int) {
+	now := clock.System{}.Now()
+	for _, m := range f.list {
+		n := 0
+		for _, s := range m.Holding().Slots {
+			if s.Valid(now) {
+				n++
+			}
+		}
+		list, total = append(list, n), total+n
+	}
+	return list, total
+}
+
+func (f *managers) wait(t *testing.T, what string, ok func(counts []int, total int) bool) {
+	t.Helper()
+	deadline := time.Now().Add(patienceForTests)
+	for {
+		list, total := f.counts()
+		if ok(list, total) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: slots by VM: %v", what, list)
+		}
+		time.Sleep(managerPoll)
+	}
+}
+
+func spread(list []int, total int) bool {
+	for _, n := range list {
+		if n < managerSlots/len(list) {
+			return false
+		}
+	}
+	return total == managerSlots
+}
+
+func TestManagersShareAndRelease(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	f := startManagers(t, 3)
+	f.wait(t, "start", spread)
+	if err := f.list[0].Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.list[0].Holding().Slots); n != 0 {
+		t.Errorf("%d slots held after the release", n)
+	}
+	left := *f.views[1].View()
+	left.Peers = left.Peers[1:]
+	f.views[1].view.Store(&left)
+	f.wait(t, "release", func(list []int, total int) bool { return list[0] == 0 && total == managerSlots })
+	// The status is that of the last poll.
+	f.wait(t, "status", func([]int, int) bool {
+		for _, s := range f.list[1].Status() {
+			if s.VM == "" || s.VM == f.peers[0].ID {
+				return false
+			}
+		}
+		return true
+	})
+	for _, stop := range f.stop {
+		stop()
+	}
+	f.ended.Wait()
+}
+
+func TestReleaseWhileTheTableIsDown(t *testing.T) {
+	f := startManagers(t, 1)
+	f.wait(t, "start", spread)
+	f.table.set(func(m *memoryTable) { m.down = true })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := f.list[0].Release(ctx); !errors.Is(err, ErrNotReleased) {
+		t.Errorf("Release: %v, want ErrNotReleased", err)
+	}
+	if n := len(f.list[0].Holding().Slots); n != 0 {
+		t.Errorf("%d slots in use after Release", n)
+	}
+}
+
+// TestAllRestartedAtOnce: every VM comes back under a new incarnation, without
+// a clean stop, and knows that the former ones are gone.
+func TestAllRestartedAtOnce(t *testing.T) {
+	f := startManagers(t, 3)
+	f.wait(t, "start", spread)
+	for _, stop := range f.stop {
+		stop()
+	}
+	f.ended.Wait()
+	former := f.peers
+	f.peers = nil
+	for _, p := range former {
+		p.Incarnation = p.ID + "/2"
+		f.peers = append(f.peers, p)
+	}
+	for i := range f.peers {
+		f.start(i)
+	}
+	time.Sleep(10 * managerPoll)
+	if _, total := f.counts(); total != 0 {
+		t.Errorf("%d slots taken without evidence that their holders are gone", total)
+	}
+	for i, src := range f.views {
+		v := f.view(i)
+		for _, p := range former {
+			p.State = member.Gone
+			v.Peers = append(v.Peers, p)
+		}
+		src.view.Store(v)
+	}
+	f.wait(t, "restart", spread)
+}
