--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -22,6 +22,7 @@
 
 // peers chooses the VM that a request is handed over to.
 type peers struct {
+	pool string
 	self member.Peer
 	cost func(region string) time.Duration
 	rand *rand.Rand
@@ -31,9 +32,9 @@
 	state map[string]*peerState
 }
 
-func newPeers(c Config, seed uint64) peers {
+func newPeers(c Config, pool string, seed uint64) peers {
 	return peers{
-		self: c.Self, cost: c.cost, state: map[string]*peerState{},
+		pool: pool, self: c.Self, cost: c.cost, state: map[string]*peerState{},
 		rand: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -133,13 +134,26 @@
 	return best
 }
 
-// room is the peer's free permits at its last heartbeat less the requests that
+// room is what the peer had free at its last heartbeat less the requests that
 // run there for this VM, most of which the heartbeat does not show yet.
 func (p *peers) room(peer *member.Peer, s *peerState) int {
-	if s == nil {
-		return peer.FreePermits
+	free := peer.FreePermits
+	if len(peer.Pools) > 0 {
+		free = freeIn(peer, p.pool)
+	}
+	if s != nil {
+		free -= s.running
+	}
+	return free
+}
+
+func freeIn(peer *member.Peer, pool string) int {
+	for _, l := range peer.Pools {
+		if l.Pool == pool {
+			return l.Permits - l.Running - l.Queued
+		}
 	}
-	return peer.FreePermits - s.running
+	return 0
 }
 
 // refused notes that the peer had no permit after all.
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -107,7 +107,7 @@
 	}
 	s := &pool{
 		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, believing: true,
-		peers: newPeers(c, seed),
+		peers: newPeers(c, p.Name, seed),
 		queue: queue.New[*ticket](queue.Config{Capacity: c.QueueCapacity, Floors: queue.DefaultFloors}),
 	}
 	for _, t := range p.Targets {
@@ -313,6 +313,15 @@
 	return n
 }
 
+// running returns how many requests run here.
+func (p *pool) running() int {
+	n := 0
+	for _, b := range p.local {
+		n += b.running
+	}
+	return n
+}
+
 // freePermits returns how many more requests may run here now.
 func (p *pool) freePermits(now clock.Time) int {
 	n := 0
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/queue"
 )
@@ -169,6 +170,22 @@
 	return n
 }
 
+// PoolLoads returns this VM's part of each pool, for its heartbeats.
+func (s *Scheduler) PoolLoads() []member.PoolLoad {
+	in := s.inputs()
+	loads := make([]member.PoolLoad, 0, len(s.pools))
+	for _, name := range sortedKeys(s.pools) {
+		p := s.pools[name]
+		p.mu.Lock()
+		p.pool.update(in)
+		loads = append(loads, member.PoolLoad{
+			Pool: name, Permits: p.pool.capacity(in.now), Running: p.pool.running(), Queued: p.pool.queue.Len(),
+		})
+		p.mu.Unlock()
+	}
+	return loads
+}
+
 // Start runs the background work until ctx ends: it looks through the queues
 // and asks the targets for their load. It returns at once.
 func (s *Scheduler) Start(ctx context.Context) {
--- /dev/null
+++ b/pkg/health/health_test.go
@@ -0,0 +1,133 @@
+package health
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+)
+
+const held = 3
+
+func good(t *Tracker, now clock.Time, n int) {
+	for range n {
+		t.Done(now, Sample{Kind: Good, Latency: 10 * time.Millisecond, Running: held, PoolLatency: 10 * time.Millisecond})
+	}
+}
+
+func TestColdTargetStartsSlowly(t *testing.T) {
+	var tr Tracker
+	if n := tr.Allowed(0, held, 0); n != 1 {
+		t.Fatalf("a cold target gets %d", n)
+	}
+	good(&tr, 0, growthSamples)
+	if n := tr.Allowed(0, held, 0); n != 2 {
+		t.Errorf("after %d answers it gets %d", growthSamples, n)
+	}
+	good(&tr, 0, 3*growthSamples)
+	if n := tr.Allowed(0, held, 0); n != held {
+		t.Errorf("a warm target gets %d", n)
+	}
+}
+
+func TestEjectionBacksOffAndTries(t *testing.T) {
+	var tr Tracker
+	good(&tr, 0, 20)
+	now := clock.Time(0)
+	for _, wait := range []time.Duration{ejectionBase, 2 * ejectionBase, 4 * ejectionBase} {
+		for range failuresToEject {
+			tr.Done(now, Sample{Kind: Broken})
+		}
+		if n := tr.Allowed(now.Add(wait-1), held, 0); n != 0 {
+			t.Fatalf("ejected target gets %d before %v", n, wait)
+		}
+		now = now.Add(wait)
+		if tr.Allowed(now, held, 0) != 1 || tr.Allowed(now, held, 1) != 0 {
+			t.Fatalf("after %v the target gets no single trial", wait)
+		}
+	}
+	good(&tr, now, 1)
+	if n := tr.Allowed(now, held, 0); n != 1 || tr.Ejected() {
+		t.Errorf("after a good trial the target gets %d", n)
+	}
+}
+
+func TestOverloadLowersTheLimit(t *testing.T) {
+	for _, kind := range []Kind{Shed, Overloaded} {
+		var tr Tracker
+		good(&tr, 0, 20)
+		now := clock.Time(time.Second)
+		for range 10 {
+			now = now.Add(decreaseInterval)
+			tr.Done(now, Sample{Kind: kind})
+		}
+		if n := tr.Allowed(now.Add(shedPauseMax), held, 0); n != 1 {
+			t.Errorf("kind %d: limit %d", kind, n)
+		}
+		if paused := tr.Allowed(now, held, 0) == 0; paused != (kind == Shed) {
+			t.Errorf("kind %d: paused %v", kind, paused)
+		}
+	}
+	var slow Tracker
+	good(&slow, 0, 20)
+	for i := range 20 {
+		now := clock.Time(0).Add(time.Duration(i) * decreaseInterval)
+		slow.Done(now, Sample{Kind: Good, Latency: time.Second, Running: held, PoolLatency: 10 * time.Millisecond})
+	}
+	if n := slow.Allowed(0, held, 0); n != 1 {
+		t.Errorf("a slow target gets %d", n)
+	}
+}
+
+// TestReportsOnlyLower checks that no report raises what a target gets and
+// that only claims to drain or to be down take all of it.
+func TestReportsOnlyLower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tr Tracker
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		held := rapid.IntRange(1, slots).Draw(t, "held")
+		tr.Observe(0, Report{
+			Running: rapid.IntRange(0, 1000).Draw(t, "running"), Slots: rapid.IntRange(0, 1000).Draw(t, "reported"),
+			State: rapid.SampledFrom([]State{StateOK, StateDraining, StateCold}).Draw(t, "state"),
+		})
+		now := clock.Time(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "age"))
+		if n := tr.Reported(now, held, slots); n < 1 || n > held {
+			t.Fatalf("%d of %d held", n, held)
+		}
+		if now.Sub(0) >= reportLifetime && (tr.Draining(now) || tr.Down(now) || tr.Reported(now, held, slots) != held) {
+			t.Fatal("an old report counts")
+		}
+	})
+}
+
+func TestBelieve(t *testing.T) {
+	for _, tc := range []struct {
+		down, targets int
+		want          bool
+	}{{0, 7, true}, {3, 7, true}, {4, 7, false}, {7, 7, false}, {1, 2, true}, {1, 1, false}} {
+		if got := Believe(tc.down, tc.targets); got != tc.want {
+			t.Errorf("%d of %d down: %v", tc.down, tc.targets, got)
+		}
+	}
+}
+
+func FuzzParseReport(f *testing.F) {
+	for _, s := range []string{`{"running":3,"slots":9,"state":"ok"}`, `{}`, `{"state":"cold"}`, `{"slots":-1}`, `[]`, `{"state":"x"}`, ``} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := ParseReport(data, 9)
+		if err != nil {
+			if !errors.Is(err, ErrReport) {
+				t.Errorf("error %v", err)
+			}
+			return
+		}
+		if r.Running < 0 || r.Slots < 0 || r.State == "" {
+			t.Errorf("report %+v", r)
+		}
+	})
+}
--- a/pkg/health/tracker.go
+++ b/pkg/health/tracker.go
@@ -4,6 +4,7 @@
 package health
 
 import (
+	"math"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -34,7 +35,7 @@
 	// slowMargin is the difference in latency below which it does not matter.
 	slowMargin = 5 * time.Millisecond
 
-	// growthSamples is how many answers at the limit raise it by one.
+	// growthSamples times the limit is how many answers raise it by one.
 	growthSamples = 4
 	// latencyWeight is the part of a new sample in the moving average.
 	latencyWeight = 0.2
@@ -134,7 +135,8 @@
 		return
 	}
 	if float64(s.Running) >= t.limit-1 {
-		t.limit = max(1, t.limit) + 1.0/growthSamples/max(1, t.limit)
+		t.limit = max(1, t.limit)
+		t.limit += 1 / (growthSamples * math.Floor(t.limit))
 	}
 }
 
