lease: take slots over only by proof of death that is newer than the row

Cause: View.Gone(incarnation) knows only incarnations that this VM's heartbeats have seen. A VM that restarted under its own ID, or peers that all restarted at once, had to wait out the former incarnation's lease (15 min); and a proof older than the row could free a slot whose holder had started since. Excluded: the lease's length (a long one must outlast an outage of the table). Change: View.Dead asks for proof gathered after the row was seen: a refused connection, another incarnation on the VM's port, or its removal from the list. Before (go test ./pkg/lease, Gone): TestRestartedVMReplacesItsFormerIncarnation AtOnce holds 2 of 4 slots; TestOldProofOfDeathIsNoProof: 'slot 0 is used by vm-00 and vm-01'.

--- a/pkg/lease/assign.go
+++ b/pkg/lease/assign.go
@@ -33,7 +33,7 @@
 		return false
 	case seen.row.Released:
 		return true
-	case view.Gone(seen.row.Incarnation):
+	case view.Dead(seen.row.VM, seen.row.Incarnation, seen.since):
 		return true
 	}
 	return !readStart.Before(seen.since.Add(s.duration + s.margin))
--- a/pkg/lease/state_test.go
+++ b/pkg/lease/state_test.go
@@ -72,6 +72,7 @@
 		for i := range v.view.Peers {
 			if v.view.Peers[i].ID == id {
 				v.view.Peers[i].State = state
+				v.view.Peers[i].Seen = v.clock.Now() + 1
 			}
 		}
 	}
@@ -225,6 +226,44 @@
 	}
 }
 
+// restart replaces a VM by a new incarnation of itself and shows it to all.
+func (c *cluster) restart(i int) *vm {
+	old := c.vms[i]
+	c.vms = append(c.vms[:i], c.vms[i+1:]...)
+	fresh := c.add(old.peer.ID, old.peer.Region, old.slots, old.regions)
+	fresh.peer.Incarnation = old.peer.ID + "/2"
+	fresh.state.self = fresh.peer
+	c.setViews()
+	c.setState(fresh.peer.ID, member.Live)
+	return fresh
+}
+
+func TestRestartedVMReplacesItsFormerIncarnationAtOnce(t *testing.T) {
+	c := newCluster(t, 4, 2, "a")
+	c.run(10)
+	c.restart(0)
+	c.run(patiencePolls + 3)
+	if got := c.total(); got != 4 {
+		t.Fatalf("%d slots held after the restart, want 4", got)
+	}
+}
+
+// TestOldProofOfDeathIsNoProof: proof gathered before the row was seen says
+// nothing, since the incarnation in the row may have started after it.
+func TestOldProofOfDeathIsNoProof(t *testing.T) {
+	c := newCluster(t, 4, 2, "a")
+	c.run(10)
+	holder, observer := c.vms[0], c.vms[1]
+	c.setState(holder.peer.ID, member.Gone)
+	for i := range observer.view.Peers {
+		observer.view.Peers[i].Seen = 0
+	}
+	c.run(20, holder)
+	if got := len(observer.holding()); got != 2 {
+		t.Fatalf("the observer holds %d slots by an old proof, want its own 2", got)
+	}
+}
+
 func TestOutageOfTheTableChangesNothing(t *testing.T) {
 	c := newCluster(t, 16, 3, "a", "b", "c")
 	c.run(20)
