--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -70,7 +70,8 @@
 		cfg.Local = func(*Peer) {}
 	}
 	p := &Prober{cfg: cfg, roster: newRoster(cfg.Self), busy: map[string]bool{}}
-	p.publish()
+	// Local may not be ready to be called before Start.
+	p.view.Store(p.roster.view())
 	return p
 }
 
@@ -112,6 +113,7 @@
 
 // probeAll runs on the loop.
 func (p *Prober) probeAll(ctx context.Context) {
+	p.publish()
 	for id, e := range p.roster.entries {
 		if p.busy[id] || e.peer.PeerAddress == "" {
 			continue
@@ -154,7 +156,10 @@
 	return self
 }
 
-func (p *Prober) publish() { p.view.Store(p.roster.view()) }
+func (p *Prober) publish() {
+	p.roster.self = p.self()
+	p.view.Store(p.roster.view())
+}
 
 // Handler returns the path prefix and handler of the Member service.
 func (p *Prober) Handler() (string, http.Handler) {
