--- /dev/null
+++ b/pkg/daemon/main_test.go
@@ -0,0 +1,256 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/standin/directory"
+	"crocusramp.dev/crocusramp/pkg/standin/objects"
+	"crocusramp.dev/crocusramp/pkg/standin/table"
+)
+
+// bound is how long a test waits for what happens within a second.
+const bound = 30 * time.Second
+
+type standins struct {
+	platform  settings.Platform
+	directory *directory.Server
+}
+
+func startStandins(t *testing.T) *standins {
+	t.Helper()
+	s := &standins{directory: directory.New()}
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return server.URL
+	}
+	service := func(url string) settings.Service {
+		return settings.Service{Endpoint: url, Region: "local", Name: "crocusramp", AccessKey: "k", SecretKey: "s"}
+	}
+	s.platform = settings.Platform{
+		Table:     service(serve(table.New().Handler())),
+		Objects:   service(serve(objects.New().Handler())),
+		Directory: settings.Directory{URL: serve(s.directory.Handler()) + "/"},
+	}
+	return s
+}
+
+func (s *standins) settings(id string) settings.Settings {
+	return settings.Settings{
+		VM:       settings.VM{ID: id, Region: "north", FailureDomain: "north-a"},
+		Listen:   settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+		Regions:  []string{"north"},
+		Platform: s.platform,
+	}
+}
+
+func write(t *testing.T, s settings.Settings) string {
+	t.Helper()
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestMainRefusesInOneLine checks the exit status and the error of command
+// lines and settings that cannot run.
+func TestMainRefusesInOneLine(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	s := startStandins(t)
+	inUse := s.settings("vm-1")
+	inUse.Listen.Callers = taken.Addr().String()
+	noCert := s.settings("vm-1")
+	noCert.TLS.Operators = settings.KeyPair{CertFile: "/nonexistent", KeyFile: "/nonexistent"}
+	wrongUnit := filepath.Join(t.TempDir(), "unit.json")
+	if err := os.WriteFile(wrongUnit, []byte(`{"lease":{"duration":"15 min"}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name, want string
+		args       []string
+		status     int
+	}{
+		{"no command", "a command is missing", nil, ExitUsage},
+		{"unknown flag", "--nope", []string{"serve", "--nope"}, ExitUsage},
+		{"missing file", "no such file", []string{"serve", "--config", "/nonexistent"}, ExitUsage},
+		{"wrong unit", "lease.duration", []string{"check", "--config", wrongUnit}, ExitUsage},
+		{"port in use", "listen.callers", []string{"serve", "--config", write(t, inUse)}, ExitUsage},
+		{"certificate missing", "tls.operators", []string{"serve", "--config", write(t, noCert)}, ExitUsage},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			status := Main(tt.args, &stdout, &stderr, nil)
+			if status != tt.status || !strings.Contains(stderr.String(), tt.want) || strings.Count(stderr.String(), "\n") != 1 {
+				t.Errorf("status %d, stderr %q; want status %d and one line with %q", status, stderr.String(), tt.status, tt.want)
+			}
+		})
+	}
+	var stdout, stderr bytes.Buffer
+	if status := Main([]string{"check", "--config", write(t, s.settings("vm-1"))}, &stdout, &stderr, nil); status != ExitOK {
+		t.Errorf("check: status %d, %s", status, stderr.String())
+	}
+}
+
+// start runs a daemon until the test ends.
+func start(t *testing.T, s settings.Settings) *Daemon {
+	t.Helper()
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := settings.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := New(context.Background(), parsed, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", bound, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestHealthAndReadinessDiffer(t *testing.T) {
+	s := startStandins(t)
+	vm := s.settings("vm-1")
+	vm.Stop.Notice = settings.Duration{Duration: 10 * time.Millisecond}
+	d := start(t, vm)
+	get := func(path string) (int, string) {
+		r, err := http.Get("http://" + d.listeners.callers.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		body, _ := io.ReadAll(r.Body)
+		return r.StatusCode, string(body)
+	}
+	waitFor(t, "ready", func() bool { status, _ := get("/readyz"); return status == http.StatusOK })
+	d.leaving.Store(true)
+	if status, body := get("/readyz"); status != http.StatusServiceUnavailable || !strings.Contains(body, "stopping") {
+		t.Errorf("/readyz of a stopping VM: %d %s", status, body)
+	}
+	if status, _ := get("/healthz"); status != http.StatusOK {
+		t.Errorf("/healthz of a stopping VM: %d", status)
+	}
+}
+
+// issue makes a certificate for 127.0.0.1 that is its own authority.
+func issue(t *testing.T, dir string) settings.KeyPair {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "vm"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair := settings.KeyPair{
+		CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), CAFile: filepath.Join(dir, "cert.pem"),
+	}
+	for path, block := range map[string]*pem.Block{
+		pair.CertFile: {Type: "CERTIFICATE", Bytes: der}, pair.KeyFile: {Type: "EC PRIVATE KEY", Bytes: private},
+	} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return pair
+}
+
+// TestPeersNeedTheCertificate checks that VMs reach each other over TLS and
+// that a client without a certificate reaches none.
+func TestPeersNeedTheCertificate(t *testing.T) {
+	s := startStandins(t)
+	pair := issue(t, t.TempDir())
+	var daemons []*Daemon
+	var list []platform.VM
+	for i := range 2 {
+		vm := s.settings(fmt.Sprint("vm-", i))
+		vm.TLS.Peers = pair
+		vm.Stop.Notice = settings.Duration{Duration: 10 * time.Millisecond}
+		d := start(t, vm)
+		daemons = append(daemons, d)
+		list = append(list, platform.VM{ID: vm.VM.ID, PeerAddress: d.PeerAddress(), State: platform.VMLive})
+	}
+	s.directory.Set(list)
+	waitFor(t, "each VM sees the other", func() bool {
+		for _, d := range daemons {
+			v := d.members.View()
+			if len(v.Peers) != 1 || v.Peers[0].State != member.Live || v.Peers[0].Incarnation == "" {
+				return false
+			}
+		}
+		return true
+	})
+	if r, err := http.Get("http://" + daemons[0].PeerAddress()); err == nil {
+		defer r.Body.Close()
+		if r.StatusCode != http.StatusBadRequest {
+			t.Errorf("plain HTTP to the peer port: %d", r.StatusCode)
+		}
+	}
+}
