dispatch: windows for evacuated requests, a short wait at the peer, fair overflow

Excluded one at a time: the entry's retries (4 in place of 3), the pause after a refusal, a reserve of 10 % for local requests. What it was: heartbeats are up to a second old, so a peer that reports room has none when the request arrives, and one that reports none is left idle.

--- a/pkg/dispatch/config.go
+++ b/pkg/dispatch/config.go
@@ -40,7 +40,7 @@
 	// bandwidth; default 512. Each VM has an equal part.
 	LinkRequests int
 	// QueueCapacity is how many requests one priority class of a pool may
-	// have waiting on this VM; default 64.
+	// have waiting on this VM; default 256.
 	QueueCapacity int
 	// QueueFraction is the part of a request's remaining time that it may
 	// wait, by class; default 0.6, 0.4 and 0.4.
@@ -48,6 +48,10 @@
 	// QueueBound is the longest wait by class, whatever the request's
 	// deadline; default 4 s, 2 s and 2 s.
 	QueueBound [3]time.Duration
+	// HandedOverBound is how long a request from another VM may wait here;
+	// default 100 ms. Without a wait, a VM's heartbeat that is a second old
+	// gets most of the requests of a failed region refused.
+	HandedOverBound time.Duration
 	// MaxHoldDown bounds how long the permits of a slot that was not released
 	// by its last holder stay unused, while that holder's requests may still
 	// run; default 30 s. A route with a longer timeout can then overload a
@@ -72,11 +76,12 @@
 	// zoneCost is the one-way time between VMs of one region.
 	zoneCost = time.Millisecond
 
-	defaultLinkRequests  = 512
-	defaultQueueCapacity = 64
-	defaultMaxHoldDown   = 30 * time.Second
-	defaultTickInterval  = 50 * time.Millisecond
-	defaultPollInterval  = time.Second
+	defaultLinkRequests    = 512
+	defaultQueueCapacity   = 256
+	defaultHandedOverBound = 100 * time.Millisecond
+	defaultMaxHoldDown     = 30 * time.Second
+	defaultTickInterval    = 50 * time.Millisecond
+	defaultPollInterval    = time.Second
 )
 
 var (
@@ -95,6 +100,7 @@
 	setDefault(&c.QueueCapacity, defaultQueueCapacity)
 	setDefault(&c.QueueFraction, defaultQueueFraction)
 	setDefault(&c.QueueBound, defaultQueueBound)
+	setDefault(&c.HandedOverBound, defaultHandedOverBound)
 	setDefault(&c.MaxHoldDown, defaultMaxHoldDown)
 	setDefault(&c.TickInterval, defaultTickInterval)
 	setDefault(&c.PollInterval, defaultPollInterval)
--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -16,8 +16,16 @@
 	// refused; it doubles with each refusal in a row.
 	refusedPauseBase = 50 * time.Millisecond
 	refusedPauseMax  = time.Second
-	// maxHandOvers is how many peers one request may be handed to in turn.
-	maxHandOvers = 2
+
+	// A window bounds the requests that a VM without targets has at a peer,
+	// whatever room the peer reports. It grows by one for each window of
+	// answers and shrinks with refusals.
+	windowStart    = 4
+	windowLeast    = 1
+	windowDecrease = 0.8
+	// windowInterval is the least time between two decreases, so that one
+	// burst of refusals counts once.
+	windowInterval = 50 * time.Millisecond
 )
 
 // peers chooses the VM that a request is handed over to.
@@ -59,9 +67,13 @@
 // peerState is what this VM knows of a peer from its own requests, which is
 // newer than the peer's heartbeat.
 type peerState struct {
-	running     int
+	running int
+	// shown is how many of the running ones its heartbeat can show.
+	shown       int
 	refusals    int
 	pausedUntil clock.Time
+	window      float64
+	decreased   clock.Time
 }
 
 // update sorts the live peers by cost when the view has changed.
@@ -75,6 +87,7 @@
 	for i := range view.Peers {
 		peer := &view.Peers[i]
 		if old := p.state[peer.Incarnation]; old != nil {
+			old.shown = old.running
 			known[peer.Incarnation] = old
 		}
 		if peer.State == member.Live && peer.Incarnation != p.self.Incarnation {
@@ -93,39 +106,39 @@
 func (p *peers) of(peer *member.Peer) *peerState {
 	s := p.state[peer.Incarnation]
 	if s == nil {
-		s = &peerState{}
+		s = &peerState{window: windowStart}
 		p.state[peer.Incarnation] = s
 	}
 	return s
 }
 
 // choose returns the better of two random peers with room at the least cost,
-// or nil. allowed excludes peers. With blind, the reported room is ignored.
-func (p *peers) choose(now clock.Time, mostCost time.Duration, blind bool, allowed func(*member.Peer) bool) *member.Peer {
+// or nil. allowed excludes peers.
+func (p *peers) choose(mostCost time.Duration, room func(*member.Peer) float64, allowed func(*member.Peer) bool) *member.Peer {
 	for _, t := range p.tiers {
 		if t.cost > mostCost {
 			return nil
 		}
-		if peer := p.chooseFrom(now, t.peers, blind, allowed); peer != nil {
+		if peer := p.chooseFrom(t.peers, room, allowed); peer != nil {
 			return peer
 		}
 	}
 	return nil
 }
 
-func (p *peers) chooseFrom(now clock.Time, from []*member.Peer, blind bool, allowed func(*member.Peer) bool) *member.Peer {
+func (p *peers) chooseFrom(from []*member.Peer, room func(*member.Peer) float64, allowed func(*member.Peer) bool) *member.Peer {
 	var best *member.Peer
-	bestRoom, candidates := 0, 0
+	var bestRoom float64
+	candidates := 0
 	start := p.rand.IntN(len(from))
 	for i := range from {
 		peer := from[(start+i)%len(from)]
-		s := p.state[peer.Incarnation]
-		room := p.room(peer, s)
-		if room <= 0 && !blind || s != nil && now.Before(s.pausedUntil) || !allowed(peer) {
+		r := room(peer)
+		if r <= 0 || !allowed(peer) {
 			continue
 		}
-		if best == nil || room > bestRoom {
-			best, bestRoom = peer, room
+		if best == nil || r > bestRoom {
+			best, bestRoom = peer, r
 		}
 		if candidates++; candidates == 2 {
 			break
@@ -134,26 +147,43 @@
 	return best
 }
 
-// room is what the peer had free at its last heartbeat less the requests that
-// run there for this VM, most of which the heartbeat does not show yet.
-func (p *peers) room(peer *member.Peer, s *peerState) int {
-	free := peer.FreePermits
-	if len(peer.Pools) > 0 {
-		free = freeIn(peer, p.pool)
+// reported is the room of a peer for what is too much here: what was free at
+// its last heartbeat less the requests that this VM has handed to it since.
+func (p *peers) reported(now clock.Time) func(*member.Peer) float64 {
+	return func(peer *member.Peer) float64 {
+		free := peer.FreePermits
+		if len(peer.Pools) > 0 {
+			l := loadOf(peer, p.pool)
+			free = l.Permits - l.Running - l.Queued
+		}
+		if s := p.state[peer.Incarnation]; s != nil {
+			if now.Before(s.pausedUntil) {
+				return 0
+			}
+			free -= max(0, s.running-s.shown)
+		}
+		return float64(free)
 	}
-	if s != nil {
-		free -= s.running
+}
+
+// windowed is the room of a peer for what cannot run here at all: the free part
+// of this VM's window there. A peer that says it can run nothing has none.
+func (p *peers) windowed(peer *member.Peer) float64 {
+	if len(peer.Pools) > 0 && loadOf(peer, p.pool).Permits == 0 {
+		return 0
 	}
-	return free
+	s := p.of(peer)
+	return (s.window - float64(s.running)) / s.window
 }
 
-func freeIn(peer *member.Peer, pool string) int {
+// loadOf returns the peer's part of the pool at its last heartbeat.
+func loadOf(peer *member.Peer, pool string) member.PoolLoad {
 	for _, l := range peer.Pools {
 		if l.Pool == pool {
-			return l.Permits - l.Running - l.Queued
+			return l
 		}
 	}
-	return 0
+	return member.PoolLoad{Pool: pool}
 }
 
 // refused notes that the peer had no permit after all.
@@ -161,6 +191,18 @@
 	pause := refusedPauseBase << min(s.refusals, 10)
 	s.pausedUntil = now.Add(min(pause, refusedPauseMax))
 	s.refusals++
+	if now.Sub(s.decreased) >= windowInterval {
+		s.decreased = now
+		s.window = max(windowLeast, s.window*windowDecrease)
+	}
+}
+
+// ran notes that the peer ran a request, which was one of running.
+func (s *peerState) ran(running int) {
+	s.refusals = 0
+	if float64(running) >= s.window/2 {
+		s.window += 1 / s.window
+	}
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -154,11 +155,7 @@
 // acquire decides on a request: exactly one of its results is set.
 func (p *pool) acquire(in inputs, r *request) (*lent, *ticket, *outcome.Refusal) {
 	p.update(in)
-	if r.HandedOver {
-		return p.acquireHandedOver(in, r)
-	}
-	first := !p.recall(r)
-	if first {
+	if !r.HandedOver && !p.recall(r) {
 		if l := p.tryShift(in, r); l != nil {
 			return l, nil, nil
 		}
@@ -168,19 +165,14 @@
 			return p.lend(in.now, b, r), nil, nil
 		}
 	}
-	if l := p.overflow(in, r, p.expectedWait(in.now, r)); l != nil {
-		return l, nil, nil
+	l, t, refusal := p.wait(in, r)
+	if t == nil {
+		return l, nil, refusal
 	}
-	return p.wait(in, r)
-}
-
-func (p *pool) acquireHandedOver(in inputs, r *request) (*lent, *ticket, *outcome.Refusal) {
-	if p.queue.Len() == 0 {
-		if b := p.pick(in.now, r.Tried); b != nil {
-			return p.lend(in.now, b, r), nil, nil
-		}
+	if !r.HandedOver {
+		p.spill(in)
 	}
-	return nil, nil, p.refuse(outcome.ReasonNoCapacity, p.retryAfter(in.now), "The VM has no free permit in the pool.")
+	return nil, t, nil
 }
 
 // recall completes a request that was here before.
@@ -202,7 +194,9 @@
 		if moved != nil || !s.due() {
 			continue
 		}
-		peer := p.choosePeer(in, r, s.To, time.Duration(1<<62), false)
+		peer := p.peers.choose(math.MaxInt64, p.peers.reported(in.now), func(peer *member.Peer) bool {
+			return peer.Region == s.To && p.reachable(in, r, peer)
+		})
 		if peer == nil {
 			continue
 		}
@@ -213,18 +207,21 @@
 	return moved
 }
 
-// overflow hands the request to a peer that is nearer than the end of the
-// wait here, or returns nil.
+// overflow hands the request to a peer, or returns nil: from a busy VM to one
+// that reports room and is nearer than the end of the wait here, from a VM
+// where nothing can run to any.
 func (p *pool) overflow(in inputs, r *request, wait time.Duration) *lent {
-	if len(r.refusedBy) >= maxHandOvers {
+	if r.HandedOver {
 		return nil
 	}
-	blind := p.unreachable(in.now)
-	mostCost := wait / 2 // there and back
-	if blind {
-		mostCost = time.Duration(1 << 62)
+	evacuating := p.unreachable(in.now)
+	mostCost, room := wait/2, p.peers.reported(in.now) // there and back
+	if evacuating {
+		mostCost, room = math.MaxInt64, p.peers.windowed
 	}
-	peer := p.choosePeer(in, r, "", mostCost, blind)
+	peer := p.peers.choose(mostCost, room, func(peer *member.Peer) bool {
+		return p.reachable(in, r, peer) && (evacuating || !p.capped(peer.Region))
+	})
 	if peer == nil {
 		return nil
 	}
@@ -232,7 +229,7 @@
 		if s.To != peer.Region {
 			continue
 		}
-		if blind {
+		if evacuating {
 			s.evacuated++
 		} else {
 			s.spend()
@@ -241,18 +238,13 @@
 	return p.handOver(in.now, peer, r)
 }
 
-// choosePeer returns a peer for the request: in region to, or in any region
-// where that is empty.
-func (p *pool) choosePeer(in inputs, r *request, to string, mostCost time.Duration, blind bool) *member.Peer {
-	return p.peers.choose(in.now, mostCost, blind, func(peer *member.Peer) bool {
-		if to != "" && peer.Region != to || !p.openIn[peer.Region] || slices.Contains(r.refusedBy, peer.Incarnation) {
-			return false
-		}
-		if to == "" && !blind && p.capped(peer.Region) {
-			return false
-		}
-		return peer.Region == p.settings.Self.Region || p.links.open(peer.Region, in.members)
-	})
+// reachable reports whether the request may go to the peer: its region has
+// targets that are not drained, and bandwidth to it is left.
+func (p *pool) reachable(in inputs, r *request, peer *member.Peer) bool {
+	if !p.openIn[peer.Region] || slices.Contains(r.refusedBy, peer.Incarnation) {
+		return false
+	}
+	return peer.Region == p.settings.Self.Region || p.links.open(peer.Region, in.members)
 }
 
 // capped reports whether a shift keeps more requests from the region. Requests
@@ -370,12 +362,13 @@
 func (p *pool) releasePeer(now clock.Time, l *lent, res Result) {
 	p.links.add(l.peer.Region, -1)
 	s := p.peers.of(l.peer)
+	running := s.running
 	s.running = max(0, s.running-1)
 	refused := res.Outcome == outcome.NotRun && !res.Canceled
 	if refused {
 		s.refused(now)
 	} else if res.Outcome == outcome.Done {
-		s.refusals = 0
+		s.ran(running)
 	}
 	if l.shift != nil && !res.Canceled {
 		l.shift.observe(now, res.Outcome == outcome.Done && res.Status < http.StatusInternalServerError,
@@ -405,6 +398,8 @@
 		return health.Good
 	case !now.Before(r.deadline):
 		return health.Overloaded
+	case res.Outcome == outcome.NotRun:
+		return health.Refused
 	}
 	return health.Broken
 }
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -15,7 +15,10 @@
 	if bound <= 0 {
 		return nil, nil, refuseLate()
 	}
-	if p.stranded(in.now) {
+	if p.stranded(in.now) || r.HandedOver && p.unreachable(in.now) {
+		if l := p.overflow(in, r, bound); l != nil {
+			return l, nil, nil
+		}
 		return nil, nil, p.refuseStranded(in.now)
 	}
 	t := &ticket{request: r, decided: make(chan struct{})}
@@ -38,22 +41,21 @@
 func (p *pool) queueBound(now clock.Time, r *request) time.Duration {
 	remaining := r.deadline.Sub(now)
 	fraction := p.settings.QueueFraction[r.class]
-	return min(time.Duration(float64(remaining)*fraction), p.settings.QueueBound[r.class])
-}
-
-// expectedWait estimates how long the request would wait here.
-func (p *pool) expectedWait(now clock.Time, r *request) time.Duration {
-	ahead := p.queue.Ahead(r.class, r.Account, r.Weight) + 1
-	return p.usualLatency() * time.Duration(ahead) / time.Duration(max(1, p.capacity(now)))
+	bound := min(time.Duration(float64(remaining)*fraction), p.settings.QueueBound[r.class])
+	if r.HandedOver {
+		bound = min(bound, p.settings.HandedOverBound)
+	}
+	return bound
 }
 
 // serve grants what can be granted to the waiting requests. It must be called
-// after every event that can free a permit.
+// after every event that can free a permit, here or in a peer.
 func (p *pool) serve(in inputs) {
 	p.update(in)
 	for p.queue.Len() > 0 {
 		b := p.pick(in.now, nil)
 		if b == nil {
+			p.spill(in)
 			return
 		}
 		e, expired := p.queue.Pop(in.now)
@@ -66,6 +68,24 @@
 	}
 }
 
+// spill hands waiting requests to peers, in the order of the queue, while the
+// peers have room and are nearer than the end of the wait here.
+func (p *pool) spill(in inputs) {
+	for e := p.queue.Peek(); e != nil; e = p.queue.Peek() {
+		if in.now.Before(e.Expires) {
+			l := p.overflow(in, e.Value.request, p.drainTime(in.now))
+			if l == nil {
+				return
+			}
+			e.Value.lent = l
+			close(e.Value.decided)
+		}
+		// Nothing has changed the queue since Peek, so this is e.
+		_, expired := p.queue.Pop(in.now)
+		p.expire(in.now, expired)
+	}
+}
+
 // tick serves the queue and moves waiting requests elsewhere: where nothing
 // can run here any more all of them, else as many as peers have room for.
 func (p *pool) tick(in inputs) {
--- a/pkg/health/tracker.go
+++ b/pkg/health/tracker.go
@@ -54,6 +54,8 @@
 	Overloaded
 	// Broken connections gave no answer.
 	Broken
+	// Refused connections show that nothing listens there.
+	Refused
 	// Neutral ends say nothing of the target.
 	Neutral
 )
@@ -121,7 +123,9 @@
 		t.answered(now)
 		t.slowDown(now)
 	case Broken:
-		t.broken(now)
+		t.broken(now, 1)
+	case Refused:
+		t.broken(now, failuresToEject)
 	case Neutral:
 	}
 }
@@ -188,8 +192,8 @@
 	t.sheds++
 }
 
-func (t *Tracker) broken(now clock.Time) {
-	t.failures++
+func (t *Tracker) broken(now clock.Time, failures int) {
+	t.failures += failures
 	if t.ejected && now.Before(t.ejectedUntil) {
 		return
 	}
--- a/pkg/queue/class.go
+++ b/pkg/queue/class.go
@@ -33,6 +33,11 @@
 	c.length++
 }
 
+// front returns the entry that pop takes out. The class must not be empty.
+func (c *class[V]) front() *Entry[V] {
+	return c.turns.Front().Value.(*account[V]).entries.Front().Value.(*Entry[V])
+}
+
 // pop serves the account in front: it keeps its turn for as many entries as
 // its weight. The class must not be empty.
 func (c *class[V]) pop() *Entry[V] {
@@ -84,23 +89,6 @@
 	return victim
 }
 
-// ahead counts the entries that round robin serves before the next one of
-// the named account.
-func (c *class[V]) ahead(name string, weight int) int {
-	own := 0
-	if a := c.accounts[name]; a != nil {
-		own = a.entries.Len()
-	}
-	rounds := own/weight + 1
-	n := own
-	for t := c.turns.Front(); t != nil; t = t.Next() {
-		if a := t.Value.(*account[V]); a.name != name {
-			n += min(a.entries.Len(), rounds*a.weight)
-		}
-	}
-	return n
-}
-
 // appendEntries appends the entries to dst, one of each account in turn.
 func (c *class[V]) appendEntries(dst []*Entry[V]) []*Entry[V] {
 	cursors := make([]*list.Element, 0, c.turns.Len())
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -84,17 +84,6 @@
 // LenClass returns the number of entries in one class.
 func (q *Queue[V]) LenClass(c Class) int { return q.classes[c].length }
 
-// Ahead returns how many entries could be served before a new one of class c
-// and the given account: those of higher classes and, in its own class, as
-// many of each account as its own queue will be long, by weight.
-func (q *Queue[V]) Ahead(c Class, name string, weight int) int {
-	n := 0
-	for above := range c {
-		n += q.classes[above].length
-	}
-	return n + q.classes[c].ahead(name, max(weight, 1))
-}
-
 // Push adds an entry. Where its class is full, the account with the most
 // entries for its weight loses its newest one, which is returned; that may be
 // the pushed entry itself.
@@ -146,28 +135,47 @@
 	return all
 }
 
-// nextClass returns the class to serve. Each service credits the waiting
-// classes with their floor; a class with a whole credit goes first, the others
-// strictly by rank.
+// Peek returns the entry that Pop would take out next, expired or not, or nil.
+func (q *Queue[V]) Peek() *Entry[V] {
+	if q.length == 0 {
+		return nil
+	}
+	c, _ := q.choose()
+	return q.classes[c].front()
+}
+
+// nextClass returns the class to serve and settles the credits. Each service
+// credits the waiting classes with their floor; a class with a whole credit
+// goes first, the others strictly by rank.
 func (q *Queue[V]) nextClass() Class {
-	best, owed := classes, classes
+	next, owed := q.choose()
 	for c := range classes {
 		cl := &q.classes[c]
 		if cl.length == 0 {
 			cl.credit = 0
 			continue
 		}
-		if best == classes {
-			best = c
-		}
 		cl.credit += q.config.Floors[c]
-		if cl.credit >= 1 {
-			owed = c
-		}
 	}
-	if owed == classes {
-		return best
+	if owed {
+		q.classes[next].credit--
+	}
+	return next
+}
+
+// choose returns the class to serve, and whether its credit is used for it.
+func (q *Queue[V]) choose() (next Class, owed bool) {
+	next = classes
+	for c := range classes {
+		cl := &q.classes[c]
+		if cl.length == 0 {
+			continue
+		}
+		if cl.credit+q.config.Floors[c] >= 1 {
+			next, owed = c, true
+		} else if next == classes {
+			next = c
+		}
 	}
-	q.classes[owed].credit--
-	return owed
+	return next, owed
 }
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -102,7 +102,11 @@
 			},
 			"pop": func(t *rapid.T) {
 				now += clock.Time(rapid.IntRange(0, 5).Draw(t, "pause"))
+				first := q.Peek()
 				e, expired := q.Pop(now)
+				if len(expired) > 0 && first != expired[0] || len(expired) == 0 && first != e {
+					t.Fatalf("peeked %+v", first)
+				}
 				for _, x := range expired {
 					if !waiting[x] || now.Before(x.Expires) {
 						t.Fatalf("expired %+v at %d", x, now)
