--- a/api/peer/v1/member.twirp.go
+++ b/api/peer/v1/member.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *memberServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *memberServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "crocusramp.peer.v1", "Member")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 435 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x93, 0xc1, 0x6b, 0xdb, 0x30,
 	0x14, 0xc6, 0xb1, 0x13, 0xbb, 0xc9, 0x73, 0xd3, 0x83, 0x18, 0xc3, 0x94, 0x0d, 0xdc, 0xc0, 0xc0,
