feed: relays, age of the configuration, agreement in an outage, pushes

Cause: with every VM polling the table, store reads follow VMs, and a VM that is cut off cannot tell whether a key has been withdrawn.

Change: one VM of each failure domain holds the relay's lease and reads the log; the others hold a long poll to it, fall back to any peer and then to the store. Each answer carries how old the knowledge is and how long the call was held, so a VM knows an instant at which it lacked nothing (start + held - age). Past the bound a VM asks all others; where all answer, none is newer and none reaches the store, nothing can have been accepted. An accepted change is pushed to the peers and acknowledged by one of them, as a rule, before the operator has the answer.

Excluded: an age in pushes. A push may be late by any time, so it says nothing about the present (TestAgeIsTrue models it).

--- a/pkg/feed/fake_test.go
+++ b/pkg/feed/fake_test.go
@@ -222,7 +222,7 @@
 	if cfg.Members == nil {
 		cfg.Members = &fakeMembers{}
 	}
-	cfg.Peers = peer.NewDialer()
+	cfg.Peers = peer.NewDialer(nil)
 	cfg.Log = zerolog.Nop()
 	ended := make(chan struct{})
 	go func() { cfg.Loop.Run(ctx); close(ended) }()
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -33,8 +34,16 @@
 
 	defaultFreshness   = 3 * time.Second
 	defaultPoll        = 500 * time.Millisecond
-	defaultReadTimeout = 2 * time.Second
+	defaultReadTimeout = time.Second
 	defaultSnapshots   = 256
+	defaultRelayLease  = 5 * time.Second
+	defaultPullWait    = 500 * time.Millisecond
+	defaultPeerTimeout = time.Second
+
+	// stepsPerPoll is how often in a poll period the duties are looked at.
+	stepsPerPoll = 2
+	// renewalsPerLease is how often in its term a lease is renewed.
+	renewalsPerLease = 3
 )
 
 // Config holds what a Feed needs.
@@ -56,9 +65,19 @@
 	Freshness time.Duration
 	// Poll is the period in which the store is read; default 500 ms.
 	Poll time.Duration
-	// ReadTimeout bounds a read of the store; default 2 s. A store slower
-	// than that counts as unreachable.
+	// ReadTimeout bounds a periodic read of the store; default 1 s. A store
+	// slower than that counts as unreachable.
 	ReadTimeout time.Duration
+	// RelayLease is how long a failure domain waits for a relay that is gone
+	// before another VM takes over; default 5 s. Until then its VMs read the
+	// store themselves.
+	RelayLease time.Duration
+	// PullWait is how long a relay holds a call while nothing changes;
+	// default 500 ms. A longer one ages the other VMs' configuration, a
+	// shorter one costs messages.
+	PullWait time.Duration
+	// PeerTimeout bounds a call to a peer, besides PullWait; default 1 s.
+	PeerTimeout time.Duration
 	// SnapshotEvery is the number of changes between two snapshots in the
 	// object store; default 256. A booting VM reads up to that many rows.
 	SnapshotEvery int64
@@ -69,6 +88,9 @@
 	setDefault(&c.Poll, defaultPoll)
 	setDefault(&c.ReadTimeout, defaultReadTimeout)
 	setDefault(&c.SnapshotEvery, defaultSnapshots)
+	setDefault(&c.RelayLease, defaultRelayLease)
+	setDefault(&c.PullWait, defaultPullWait)
+	setDefault(&c.PeerTimeout, defaultPeerTimeout)
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
@@ -94,8 +116,19 @@
 	contact   *contact
 	meters    meters
 
-	// reads is the number of reads in flight. The loop owns it.
-	reads int
+	// relay is the lease of this failure domain as last seen. It is written
+	// by the loop alone.
+	relay atomic.Pointer[observation]
+	// patience is how old a read of the store may be before this VM reads
+	// itself; it differs from VM to VM, so that not all do so at once.
+	patience time.Duration
+
+	// The loop owns the rest.
+	reads        int
+	nextRead     clock.Time
+	campaigning  bool
+	nextCampaign clock.Time
+	consulting   bool
 }
 
 // New returns a Feed that Start must start.
@@ -108,12 +141,74 @@
 	}
 	f.meters = newMeters(f.cfg.Metrics)
 	f.state.Store(newState())
+	f.relay.Store(&observation{})
+	f.patience = f.cfg.Freshness*2/5 + rand.N(f.cfg.Freshness/10+1)
 	return f
 }
 
 // Start begins to follow the configuration until ctx ends.
 func (f *Feed) Start(ctx context.Context) {
-	f.cfg.Loop.Every(ctx, f.cfg.Poll, func() { f.read(ctx) })
+	f.nextRead, f.nextCampaign = f.cfg.Clock.Now(), f.cfg.Clock.Now()
+	f.cfg.Loop.Every(ctx, f.cfg.Poll/stepsPerPoll, func() { f.step(ctx) })
+	f.cfg.Loop.Go(ctx, f.follow)
+}
+
+// isRelay reports whether this VM relays for its failure domain.
+func (f *Feed) isRelay() bool {
+	o := f.relay.Load()
+	return o.known && o.revision > 0 && o.row.Incarnation == f.cfg.Self.Incarnation
+}
+
+// step starts the work that is due, on the loop.
+func (f *Feed) step(ctx context.Context) {
+	now, s := f.cfg.Clock.Now(), f.state.Load()
+	o := f.relay.Load()
+	d := decide(situation{
+		now:          now,
+		relay:        f.isRelay(),
+		relayKnown:   o.known && o.revision > 0,
+		readAge:      now.Sub(s.read),
+		age:          s.age(now),
+		patience:     f.patience,
+		freshness:    f.cfg.Freshness,
+		nextRead:     f.nextRead,
+		nextCampaign: f.nextCampaign,
+	})
+	if d.read {
+		f.nextRead = now.Add(f.cfg.Poll)
+		f.read(ctx)
+	}
+	if d.campaign && !f.campaigning {
+		f.nextCampaign = now.Add(f.cfg.RelayLease / renewalsPerLease)
+		f.startCampaign(ctx, *o)
+	}
+	if d.consult && !f.consulting {
+		f.startConsult(ctx)
+	}
+}
+
+// startCampaign runs a campaign beside the loop.
+func (f *Feed) startCampaign(ctx context.Context, o observation) {
+	f.campaigning = true
+	f.cfg.Loop.Go(ctx, func(ctx context.Context) {
+		o, err := f.campaign(ctx, o)
+		f.cfg.Loop.Post(func() {
+			f.campaigning = false
+			if err != nil {
+				f.cfg.Log.Debug().Err(err).Msg("relay lease not renewed")
+			}
+			f.setRelay(o)
+		})
+	})
+}
+
+// setRelay publishes who relays, on the loop.
+func (f *Feed) setRelay(o observation) {
+	before := f.relay.Load()
+	f.relay.Store(&o)
+	if before.row.Incarnation != o.row.Incarnation {
+		f.cfg.Log.Info().Str("relay", o.row.ID).Str("failure_domain", f.cfg.Self.FailureDomain).Msg("configuration relay")
+	}
 }
 
 // Snapshot returns the configuration in force. It is the empty one until
@@ -138,6 +233,8 @@
 	}
 	f.reads++
 	f.cfg.Loop.Go(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
+		defer cancel()
 		u, err := f.fetch(ctx)
 		f.cfg.Loop.Post(func() {
 			f.reads--
@@ -158,8 +255,7 @@
 
 // fetch reads what is new in the store since the version at hand.
 func (f *Feed) fetch(ctx context.Context) (update, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
-	defer cancel()
+	f.meters.reads.Inc(1)
 	start := f.cfg.Clock.Now()
 	u := update{read: start, agreed: never, version: f.state.Load().version()}
 	if u.version == noVersion {
@@ -226,6 +322,7 @@
 		Version:        s.version(),
 		Age:            since(now, s.known()),
 		Fresh:          s.age(now) <= f.cfg.Freshness,
+		Relay:          f.relay.Load().row.ID,
 		StoreReachable: reachable,
 		SinceStore:     since(now, last),
 	}
--- /dev/null
+++ b/pkg/feed/fleet_test.go
@@ -0,0 +1,427 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/keys"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// vmTable is one VM's way to the table.
+type vmTable struct {
+	*fakeStore
+	cut   atomic.Bool
+	reads atomic.Int64
+}
+
+func (v *vmTable) Get(ctx context.Context, key platform.Key) (platform.Item, error) {
+	if v.cut.Load() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return v.fakeStore.Get(ctx, key)
+}
+
+func (v *vmTable) List(ctx context.Context, partition, after string, limit int) ([]platform.Item, error) {
+	if v.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	v.reads.Add(1)
+	return v.fakeStore.List(ctx, partition, after, limit)
+}
+
+func (v *vmTable) Transact(ctx context.Context, writes []platform.Write) error {
+	if v.cut.Load() {
+		return platform.ErrUnavailable
+	}
+	return v.fakeStore.Transact(ctx, writes)
+}
+
+// vm is a daemon's feed with its listener.
+type vm struct {
+	*Feed
+	table  *vmTable
+	server *httptest.Server
+	peer   member.Peer
+	// cut drops everything from and to the other VMs, without an answer.
+	cut    atomic.Bool
+	cancel context.CancelFunc
+}
+
+// fleet is some VMs on one store.
+type fleet struct {
+	t     testing.TB
+	store *fakeStore
+	mu    sync.Mutex
+	vms   []*vm
+	cfg   Config
+}
+
+// quick scales the timings down, so that failures are found out sooner.
+var quick = Config{
+	Freshness:   900 * time.Millisecond,
+	Poll:        100 * time.Millisecond,
+	ReadTimeout: 200 * time.Millisecond,
+	RelayLease:  500 * time.Millisecond,
+	PullWait:    100 * time.Millisecond,
+	PeerTimeout: 200 * time.Millisecond,
+}
+
+func newFleet(t testing.TB, cfg Config, domains ...string) *fleet {
+	f := &fleet{t: t, store: newFakeStore(), cfg: cfg}
+	for _, d := range domains {
+		f.add(d)
+	}
+	f.start()
+	return f
+}
+
+// add makes a VM that is not yet started.
+func (f *fleet) add(domain string) *vm {
+	v := &vm{table: &vmTable{fakeStore: f.store}}
+	id := fmt.Sprintf("vm%d", len(f.vms))
+	mux := http.NewServeMux()
+	v.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.cut.Load() {
+			_, _ = io.Copy(io.Discard, r.Body) // or the end of the connection goes unseen
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(v.server.Close)
+	v.peer = member.Peer{
+		ID: id, Incarnation: id + "-1", FailureDomain: domain,
+		PeerAddress: strings.TrimPrefix(v.server.URL, "http://"),
+	}
+	cfg := f.cfg
+	cfg.Table, cfg.Objects = v.table, objectStore{f.store}
+	cfg.Self = v.peer
+	cfg.Members = viewOf{f, v}
+	v.Feed = newFeed(f.t, cfg)
+	v.cfg.Peers.HTTP().Transport = cutTransport{v, v.cfg.Peers.HTTP().Transport}
+	prefix, h := v.Handler()
+	mux.Handle(prefix, h)
+	f.mu.Lock()
+	f.vms = append(f.vms, v)
+	f.mu.Unlock()
+	return v
+}
+
+// start starts the VMs that do not run yet.
+func (f *fleet) start() {
+	for _, v := range f.vms {
+		if v.cancel != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		v.cancel = cancel
+		f.t.Cleanup(cancel)
+		v.Start(ctx)
+	}
+}
+
+// viewOf is the fleet as one VM sees it.
+type viewOf struct {
+	fleet *fleet
+	self  *vm
+}
+
+func (v viewOf) View() *member.View {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	view := &member.View{Self: v.self.peer, Complete: true}
+	for _, o := range v.fleet.vms {
+		if o != v.self {
+			view.Peers = append(view.Peers, o.peer)
+		}
+	}
+	return view
+}
+
+type cutTransport struct {
+	vm   *vm
+	next http.RoundTripper
+}
+
+func (c cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if c.vm.cut.Load() {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return c.next.RoundTrip(r)
+}
+
+func (f *fleet) all(ok func(*vm) bool) func() bool {
+	return func() bool {
+		for _, v := range f.vms {
+			if !ok(v) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func fresh(v *vm) bool { return v.Snapshot().Fresh }
+
+func hasVersion(n int64) func(*vm) bool {
+	return func(v *vm) bool { return v.Snapshot().Version >= n }
+}
+
+// grant creates an account with a key and returns the key's ID and text.
+func (f *fleet) grant(v *vm) (string, string) {
+	f.t.Helper()
+	if v.Snapshot().Accounts["moara"] == nil {
+		mustPropose(f.t, v.Feed, create("moara"))
+	}
+	key, text := keys.New("moara")
+	n := mustPropose(f.t, v.Feed, func(*config.Config) (config.Change, error) {
+		return config.Change{Action: config.Action{Key: config.Create(key.ID, key)}}, nil
+	})
+	eventually(f.t, "key granted everywhere", f.all(hasVersion(n)))
+	return key.ID, text
+}
+
+func withdraw(id string) Build {
+	return func(*config.Config) (config.Change, error) {
+		return config.Change{Action: config.Action{Key: config.Delete[config.Key](id)}}, nil
+	}
+}
+
+func reason(v *vm, text string) outcome.Reason {
+	_, refusal := keys.Authenticate(v.Snapshot(), "Bearer "+text)
+	if refusal == nil {
+		return ""
+	}
+	return refusal.Reason
+}
+
+func TestFleetChangeInForceEverywhere(t *testing.T) {
+	f := newFleet(t, Config{}, "a", "a", "b", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	for i := range 20 {
+		start := time.Now()
+		n := mustPropose(t, f.vms[i%4].Feed, create(fmt.Sprint("account", i)))
+		eventually(t, "in force everywhere", f.all(hasVersion(n)))
+		if d := time.Since(start); d > 4*time.Second {
+			t.Errorf("change %d took %v", i, d)
+		}
+	}
+}
+
+// Without pushes, the relays alone bring a change everywhere.
+func TestFleetRelaysWithoutPush(t *testing.T) {
+	f := newFleet(t, quick, "a", "a", "b", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	outside := newStoreFeed(t, f.store)
+	n := mustPropose(t, outside, create("a"))
+	eventually(t, "in force everywhere", f.all(hasVersion(n)))
+}
+
+// Reads of the store follow failure domains, not VMs.
+func TestFleetOnlyRelaysRead(t *testing.T) {
+	cfg := quick
+	cfg.Freshness = time.Minute // the others stay patient however slow the machine
+	f := newFleet(t, cfg, "a", "a", "a", "b", "b", "b")
+	relays := func() (n int) {
+		for _, v := range f.vms {
+			if v.isRelay() {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "one relay for each failure domain", func() bool { return relays() == 2 })
+	eventually(t, "all know their relay", f.all(func(v *vm) bool { return v.Status().Relay != "" }))
+	eventually(t, "first reads are over", f.all(func(v *vm) bool { return v.Status().Version == 0 }))
+	before := make([]int64, len(f.vms))
+	for i, v := range f.vms {
+		before[i] = v.table.reads.Load()
+	}
+	eventually(t, "relays read on", f.all(func(v *vm) bool {
+		return !v.isRelay() || v.table.reads.Load() > before[indexOf(f, v)]+5
+	}))
+	for i, v := range f.vms {
+		// One read may have been in flight when the relay became known.
+		if n := v.table.reads.Load() - before[i]; !v.isRelay() && n > 1 {
+			t.Errorf("%s does not relay and read %d times", v.peer.ID, n)
+		}
+	}
+}
+
+func indexOf(f *fleet, v *vm) int {
+	for i := range f.vms {
+		if f.vms[i] == v {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestFleetRelayDies(t *testing.T) {
+	f := newFleet(t, quick, "a", "a", "a")
+	var relay *vm
+	eventually(t, "a relay", func() bool {
+		for _, v := range f.vms {
+			if v.isRelay() {
+				relay = v
+			}
+		}
+		return relay != nil
+	})
+	relay.cut.Store(true)
+	relay.table.cut.Store(true)
+	eventually(t, "another relay, known to all", func() bool {
+		for _, v := range f.vms {
+			if v != relay && (v.Status().Relay == relay.peer.ID || !fresh(v)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A key that is withdrawn while a VM is cut off stops working there when the
+// bound has passed, by refusal as stale, and everywhere else at once.
+func TestWithdrawnKey(t *testing.T) {
+	f := newFleet(t, quick, "a", "a", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	id, text := f.grant(f.vms[0])
+	eventually(t, "key works", f.all(func(v *vm) bool { return reason(v, text) == "" }))
+	cut := f.vms[1]
+	cut.cut.Store(true)
+	cut.table.cut.Store(true)
+	mustPropose(t, f.vms[0].Feed, withdraw(id))
+	eventually(t, "refused by the others", func() bool {
+		return reason(f.vms[0], text) == outcome.ReasonUnauthenticated &&
+			reason(f.vms[2], text) == outcome.ReasonUnauthenticated
+	})
+	eventually(t, "refused as stale", func() bool { return reason(cut, text) == outcome.ReasonStale })
+	cut.cut.Store(false)
+	cut.table.cut.Store(false)
+	eventually(t, "refused as withdrawn", func() bool { return reason(cut, text) == outcome.ReasonUnauthenticated })
+}
+
+func TestCutOffFromStoreStaysFresh(t *testing.T) {
+	f := newFleet(t, quick, "a", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	f.vms[1].table.cut.Store(true)
+	n := mustPropose(t, f.vms[0].Feed, create("a"))
+	eventually(t, "in force there", func() bool { return hasVersion(n)(f.vms[1]) })
+	eventually(t, "read by others only", func() bool {
+		st := f.vms[1].Status()
+		return !st.StoreReachable && st.SinceStore > 2*quick.Freshness && st.Fresh
+	})
+}
+
+func TestCutOffFromPeersStaysFresh(t *testing.T) {
+	f := newFleet(t, quick, "a", "a")
+	eventually(t, "all fresh", f.all(fresh))
+	f.vms[1].cut.Store(true)
+	n := mustPropose(t, f.vms[0].Feed, create("a"))
+	eventually(t, "in force there", func() bool { return hasVersion(n)(f.vms[1]) })
+	reads := f.vms[1].table.reads.Load()
+	eventually(t, "fresh by its own reads, past the bound", func() bool {
+		return f.vms[1].table.reads.Load() > reads+2*int64(quick.Freshness/quick.Poll) && fresh(f.vms[1])
+	})
+}
+
+// With the store down, VMs that all answer each other go on serving keys; as
+// soon as one does not answer, it may have accepted a change, and they stop.
+func TestOutage(t *testing.T) {
+	f := newFleet(t, quick, "a", "a", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	_, text := f.grant(f.vms[0])
+	f.store.set(func(s *fakeStore) { s.down = true })
+	eventually(t, "keys work by agreement", f.all(func(v *vm) bool {
+		st := v.Status()
+		return st.SinceStore > 2*quick.Freshness && reason(v, text) == ""
+	}))
+	f.vms[2].cut.Store(true)
+	eventually(t, "stale while one VM is silent", f.all(func(v *vm) bool {
+		return reason(v, text) == outcome.ReasonStale
+	}))
+	f.vms[2].cut.Store(false)
+	eventually(t, "agreement again", f.all(func(v *vm) bool { return reason(v, text) == "" }))
+	f.store.set(func(s *fakeStore) { s.down = false })
+	mustPropose(t, f.vms[2].Feed, create("after the outage"))
+}
+
+// A VM that alone still reaches the store may accept a change; the others
+// hear of it or go stale.
+func TestPartialOutage(t *testing.T) {
+	f := newFleet(t, quick, "a", "b", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	id, text := f.grant(f.vms[0])
+	f.vms[1].table.cut.Store(true)
+	f.vms[2].table.cut.Store(true)
+	mustPropose(t, f.vms[0].Feed, withdraw(id))
+	eventually(t, "withdrawn everywhere", f.all(func(v *vm) bool {
+		return reason(v, text) == outcome.ReasonUnauthenticated
+	}))
+}
+
+// A VM that boots in an outage takes the newest of its peers; one without
+// peers is not ready.
+func TestBootInOutage(t *testing.T) {
+	f := newFleet(t, quick, "a", "b")
+	eventually(t, "all fresh", f.all(fresh))
+	f.vms[1].cut.Store(true)
+	f.vms[1].table.cut.Store(true)
+	n := mustPropose(t, f.vms[0].Feed, create("a"))
+	f.store.set(func(s *fakeStore) { s.down = true })
+	f.vms[1].cut.Store(false)
+	booted := f.add("b")
+	f.start()
+	eventually(t, "newest version", func() bool { return booted.Ready() && hasVersion(n)(booted) })
+	eventually(t, "fresh by agreement", f.all(fresh))
+
+	alone := newFleet(t, quick, "a")
+	alone.store.set(func(s *fakeStore) { s.down = true })
+	lonely := alone.add("a")
+	lonely.table.cut.Store(true)
+	alone.vms[0].cut.Store(true)
+	alone.start()
+	eventually(t, "an attempt", func() bool {
+		return lonely.cfg.Metrics.Get("feed.reads") != nil && lonely.meters.readErrors.Count() > 0
+	})
+	if lonely.Ready() || lonely.Snapshot().Fresh || lonely.Snapshot().Config == nil {
+		t.Errorf("ready without any configuration: %+v", lonely.Status())
+	}
+}
+
+// A booting VM reads the newest snapshot and the rows after it; where the
+// object store fails it reads the whole log.
+func TestBootFromSnapshot(t *testing.T) {
+	s := newFakeStore()
+	f := newFeed(t, Config{Table: s, Objects: objectStore{s}, SnapshotEvery: 10})
+	for i := range 25 {
+		mustPropose(t, f, create(fmt.Sprint("a", i)))
+	}
+	eventually(t, "snapshot of version 20", func() bool {
+		p, _, err := f.store.pointer(context.Background())
+		return err == nil && p.Version == 20
+	})
+	booted := newStoreFeed(t, s)
+	u, err := booted.fetch(context.Background())
+	if err != nil || u.snapshot.Version != 20 || len(u.entries) != 5 {
+		t.Fatalf("update %+v, %v", u, err)
+	}
+	s.set(func(s *fakeStore) { clear(s.objects) })
+	u, err = booted.fetch(context.Background())
+	if err != nil || u.snapshot.Version != 0 || len(u.entries) != 25 {
+		t.Errorf("without objects: %d entries, %v", len(u.entries), err)
+	}
+}
--- /dev/null
+++ b/pkg/feed/model_test.go
@@ -0,0 +1,200 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+)
+
+// model runs VMs with clocks of their own against one log, in one time line.
+// Messages take any time and arrive in any order.
+type model struct {
+	now clock.Time
+	log []entry
+	// accepted holds when each version was accepted.
+	accepted []clock.Time
+	vms      []*modelVM
+	reads    []*modelRead
+	pulls    []*modelPull
+	pushes   []*modelPush
+}
+
+type modelVM struct {
+	offset time.Duration
+	state  *state
+}
+
+func (v *modelVM) clock(now clock.Time) clock.Time { return now.Add(v.offset) }
+
+type modelRead struct {
+	vm     int
+	from   int64
+	start  clock.Time
+	served bool
+	update update
+}
+
+type modelPull struct {
+	vm, source int
+	have       int64
+	start      clock.Time
+	arrived    clock.Time
+	held       bool
+	resp       *peerpb.PullResponse
+}
+
+type modelPush struct {
+	vm      int
+	entries []entry
+}
+
+// accept appends a change to the log through a VM that is up to date.
+func (m *model) accept(t *rapid.T, vm int) {
+	v := m.vms[vm]
+	version := int64(len(m.log))
+	if v.state.version() != version {
+		return
+	}
+	name := uuid.NewString()
+	e := entry{change: config.Change{ID: uuid.New(), Version: version + 1, Action: config.Action{
+		Account: config.Create(name, config.Account{Name: name, Rate: 1, Burst: 1, Weight: 1}),
+	}}}
+	data, err := config.EncodeChange(e.change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.data = data
+	start := v.clock(m.now)
+	m.log = append(m.log, e)
+	m.accepted = append(m.accepted, m.now)
+	m.take(t, vm, update{entries: []entry{e}, version: version + 1, read: start, agreed: never})
+	for i := range m.vms {
+		m.pushes = append(m.pushes, &modelPush{vm: i, entries: []entry{e}})
+	}
+}
+
+// take applies an update and checks what must hold of every step.
+func (m *model) take(t *rapid.T, vm int, u update) {
+	v := m.vms[vm]
+	next, _ := v.state.with(u)
+	if next.version() < v.state.version() {
+		t.Fatalf("vm %d went back from %d to %d", vm, v.state.version(), next.version())
+	}
+	v.state = next
+	known := next.known().Add(-v.offset)
+	for i, at := range m.accepted {
+		if at < known && next.version() < int64(i+1) {
+			t.Fatalf("vm %d at version %d claims to know all until %d, version %d was accepted at %d",
+				vm, next.version(), known, i+1, at)
+		}
+	}
+}
+
+func (m *model) step(t *rapid.T) {
+	m.now = m.now.Add(rapid.SampledFrom([]time.Duration{0, time.Microsecond, time.Millisecond, time.Second}).Draw(t, "pass"))
+	vm := rapid.IntRange(0, len(m.vms)-1).Draw(t, "vm")
+	v := m.vms[vm]
+	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	case 0:
+		m.accept(t, vm)
+	case 1:
+		m.reads = append(m.reads, &modelRead{vm: vm, from: v.state.version(), start: v.clock(m.now)})
+	case 2:
+		if r, ok := pick(t, m.reads); ok && !r.served {
+			m.serveRead(r)
+		}
+	case 3:
+		if r, ok := pick(t, m.reads); ok && r.served {
+			m.take(t, r.vm, r.update)
+		}
+	case 4:
+		source := rapid.IntRange(0, len(m.vms)-1).Draw(t, "source")
+		m.pulls = append(m.pulls, &modelPull{vm: vm, source: source, have: v.state.version(), start: v.clock(m.now)})
+	case 5:
+		if p, ok := pick(t, m.pulls); ok && !p.held {
+			p.held, p.arrived = true, m.vms[p.source].clock(m.now)
+		}
+	case 6:
+		if p, ok := pick(t, m.pulls); ok && p.held && p.resp == nil {
+			s := m.vms[p.source]
+			resp, err := encodeAnswer(s.state, p.have, p.arrived, s.clock(m.now))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.resp = resp
+		}
+	case 7:
+		if p, ok := pick(t, m.pulls); ok && p.resp != nil {
+			a, err := decodeAnswer(p.resp, p.start)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if a.ready {
+				m.take(t, p.vm, a.update)
+			}
+		}
+	case 8:
+		if p, ok := pick(t, m.pushes); ok {
+			m.take(t, p.vm, update{entries: p.entries, read: never, agreed: never})
+		}
+	}
+}
+
+func (m *model) serveRead(r *modelRead) {
+	r.served = true
+	r.update = update{read: r.start, agreed: never, version: int64(len(m.log))}
+	from := r.from
+	if from == noVersion {
+		r.update.snapshot, from = config.Empty(), 0
+	}
+	r.update.entries = m.log[from:]
+}
+
+func pick[T any](t *rapid.T, items []T) (T, bool) {
+	var zero T
+	if len(items) == 0 {
+		return zero, false
+	}
+	return items[rapid.IntRange(0, len(items)-1).Draw(t, "item")], true
+}
+
+// No interleaving of reads, pulls, pushes and changes, with any delays and
+// clock offsets, lowers a version, or makes a VM claim an age at which a
+// change that it lacks had been accepted.
+func TestAgeIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{}
+		for range 3 {
+			offset := rapid.Int64Range(0, int64(time.Hour)).Draw(t, "offset")
+			m.vms = append(m.vms, &modelVM{offset: time.Duration(offset), state: newState()})
+		}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			m.step(t)
+		}
+	})
+}
+
+func FuzzDecodeAnswer(f *testing.F) {
+	f.Add(true, int64(1), []byte(`{"format":1}`), []byte(`{}`), int64(5), int64(-1), int64(1<<62))
+	f.Fuzz(func(t *testing.T, ready bool, version int64, snapshot, change []byte, held, read, agreed int64) {
+		resp := &peerpb.PullResponse{
+			Ready: ready, Version: version, Snapshot: snapshot, Changes: [][]byte{change},
+			HeldUs: held, ReadAgeUs: read, AgreedAgeUs: agreed,
+		}
+		a, err := decodeAnswer(resp, 0)
+		if err != nil {
+			return
+		}
+		s := newState()
+		next, _ := s.with(a.update)
+		if next.version() < s.version() {
+			t.Fatal("the version fell")
+		}
+	})
+}
--- a/pkg/feed/propose.go
+++ b/pkg/feed/propose.go
@@ -18,7 +18,8 @@
 	// maxProposeTries bounds how often a change that lost a race is made anew.
 	maxProposeTries = 10
 	// proposeTimeout bounds a proposal whose caller sets no earlier deadline.
-	proposeTimeout = 10 * time.Second
+	proposeTimeout  = 10 * time.Second
+	snapshotTimeout = 10 * time.Second
 	// retryInitial and retryMax bound the pause after a lost race or answer.
 	retryInitial = 5 * time.Millisecond
 	retryMax     = 200 * time.Millisecond
@@ -145,14 +146,15 @@
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			return true, p.feed.accepted(ctx, e, start)
+			p.feed.accepted(ctx, e, start)
+			return true, nil
 		case errors.As(err, &conflict):
 			mine, readErr := p.mine(ctx, e)
 			if readErr == nil {
 				if mine {
-					return true, p.feed.accepted(ctx, e, start)
+					p.feed.accepted(ctx, e, start)
 				}
-				return false, nil
+				return mine, nil
 			}
 			// Without a row, another transaction was in the way. With one
 			// that cannot be read, it is unknown whose it is.
@@ -223,14 +225,30 @@
 }
 
 // accepted puts a change that is in the log in force here.
-func (f *Feed) accepted(ctx context.Context, e entry, start clock.Time) error {
+func (f *Feed) accepted(ctx context.Context, e entry, start clock.Time) {
 	f.contact.answered(start, f.cfg.Clock.Now())
 	u := update{entries: []entry{e}, version: e.change.Version, read: start, agreed: never}
 	// The change stands, so the caller's deadline no longer matters.
-	if _, err := f.takeNow(context.WithoutCancel(ctx), u); err != nil {
+	ctx = context.WithoutCancel(ctx)
+	c, err := f.takeNow(ctx, u)
+	if err != nil {
 		f.cfg.Log.Error().Err(err).Int64("version", e.change.Version).Msg("accepted change not applied here")
+		return
+	}
+	f.announce(ctx, e.data)
+	if c.Version%f.cfg.SnapshotEvery == 0 {
+		go f.storeSnapshot(ctx, c)
+	}
+}
+
+// storeSnapshot stores a snapshot for booting VMs. Where it fails, they read
+// more of the log.
+func (f *Feed) storeSnapshot(ctx context.Context, c *config.Config) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	if err := f.store.snapshot(ctx, c); err != nil {
+		f.cfg.Log.Warn().Err(err).Int64("version", c.Version).Msg("configuration snapshot not stored")
 	}
-	return nil
 }
 
 func newPause() *backoff.ExponentialBackOff {
