daemon: relays served, status counts decisions by client account

A client account's share in status is what the VM may use now; before, what it lent was taken off twice (-25 of 100 on a VM that had lent its 25).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -63,6 +63,7 @@
 	leases    *lease.Manager
 	feed      *feed.Feed
 	limiter   *limit.Service
+	admitted  *countingLimiter
 	scheduler *dispatch.Scheduler
 	entry     *entry.Server
 	operators *operator.Server
@@ -151,6 +152,7 @@
 		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
 		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
 		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
+		RelayLease: s.Feed.RelayLease.Duration,
 	})
 }
 
@@ -161,6 +163,7 @@
 		Config: d.feed, Slots: d.leases, Members: d.members, Peers: d.dialer,
 		Clock: clock.System{}, Loop: d.loop, Log: d.log, Metrics: d.registry,
 	})
+	d.admitted = &countingLimiter{Limiter: d.limiter}
 	costs := map[string]time.Duration{}
 	for region, cost := range s.RegionCost {
 		costs[region] = cost.Duration
@@ -174,7 +177,7 @@
 		echoed[p.Name] = p.RequireEcho
 	}
 	d.entry = entry.NewServer(entry.Config{
-		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.limiter, Dispatcher: d.scheduler,
+		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.admitted, Dispatcher: d.scheduler,
 		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, Peers: d.dialer, Table: d.table,
 		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
 		Limits: entry.Limits{
@@ -222,7 +225,7 @@
 	p.ConfigVersion = d.feed.Snapshot().Version
 	p.FreePermits = d.scheduler.FreePermits()
 	p.SlotsHeld = len(d.leases.Holding().Slots)
-	p.Pools = d.poolLoads()
+	p.Pools = d.scheduler.PoolLoads()
 }
 
 func (d *Daemon) callersHandler() http.Handler {
@@ -256,7 +259,7 @@
 func (d *Daemon) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	for _, service := range []func() (string, http.Handler){
-		d.members.Handler, d.limiter.Handler, d.entry.Peers,
+		d.members.Handler, d.feed.Handler, d.limiter.Handler, d.entry.Peers,
 	} {
 		prefix, handler := service()
 		mux.Handle(prefix, handler)
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -89,7 +89,11 @@
 	accounts := d.feed.Snapshot().Accounts
 	var out []*operatorpb.AccountStatus
 	for _, s := range d.limiter.Shares() {
-		status := &operatorpb.AccountStatus{Name: s.Account, Share: s.Rate - s.Lent + s.Borrowed}
+		counts := d.admitted.counts(s.Account)
+		status := &operatorpb.AccountStatus{
+			Name: s.Account, Share: s.Rate,
+			Admitted: counts.admitted.Load(), Refused: counts.refused.Load(),
+		}
 		if a := accounts[s.Account]; a != nil {
 			status.Rate = a.Rate
 		}
@@ -121,16 +125,3 @@
 		}
 	}
 }
-
-// poolLoads sums up this VM's part of each pool for heartbeats.
-func (d *Daemon) poolLoads() []member.PoolLoad {
-	var loads []member.PoolLoad
-	for _, p := range d.scheduler.Status().Pools {
-		l := member.PoolLoad{Pool: p.Name, Permits: p.Limit, Running: p.Running}
-		for _, n := range p.Queued {
-			l.Queued += n
-		}
-		loads = append(loads, l)
-	}
-	return loads
-}
