--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -87,6 +87,7 @@
 	if d.listeners, err = listen(s); err != nil {
 		return nil, err
 	}
+	d.listeners.peers = countPeerBytes(d.listeners.peers, d.registry)
 	s.Advertise.Callers = advertised(s.Advertise.Callers, d.listeners.callers)
 	s.Advertise.Peers = advertised(s.Advertise.Peers, d.listeners.peers)
 	if err := d.build(ctx); err != nil {
@@ -96,6 +97,9 @@
 	return d, nil
 }
 
+// Metrics returns the registry that /metrics shows.
+func (d *Daemon) Metrics() metrics.Registry { return d.registry }
+
 // PeerAddress returns the host:port that peers reach this VM at.
 func (d *Daemon) PeerAddress() string { return d.self.PeerAddress }
 
--- /dev/null
+++ b/test/capacity/fleet_test.go
@@ -0,0 +1,148 @@
+// Package capacity measures what a fleet of idle VMs spends on control, for
+// docs/CAPACITY.md.
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/daemon"
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/standin/directory"
+	"crocusramp.dev/crocusramp/pkg/standin/objects"
+	"crocusramp.dev/crocusramp/pkg/standin/table"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	// settle is how long a fleet runs before it is measured.
+	settle = 8 * time.Second
+	// measured is how long the measurement takes.
+	measured = 10 * time.Second
+	regions  = 3
+	domains  = 2
+)
+
+// fleet is n daemons and their platform in this process.
+type fleet struct {
+	table   *table.Server
+	daemons []*daemon.Daemon
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func startFleet(b *testing.B, n int) *fleet {
+	b.Helper()
+	f := &fleet{table: table.New(), ended: make(chan error, n)}
+	list := directory.New()
+	tables := httptest.NewServer(f.table.Handler())
+	store := httptest.NewServer(objects.New().Handler())
+	vms := httptest.NewServer(list.Handler())
+	b.Cleanup(func() { tables.Close(); store.Close(); vms.Close() })
+	service := func(url string) settings.Service {
+		return settings.Service{Endpoint: url, Region: "local", Name: "crocusramp", AccessKey: "k", SecretKey: "s"}
+	}
+	names := []string{}
+	for r := range regions {
+		names = append(names, fmt.Sprint("region-", r))
+	}
+	var entries []platform.VM
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	for i := range n {
+		region := names[i%regions]
+		text, err := json.Marshal(settings.Settings{
+			VM:      settings.VM{ID: fmt.Sprintf("vm-%03d", i), Region: region, FailureDomain: fmt.Sprint(region, "-", i/regions%domains)},
+			Listen:  settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
+			Regions: names,
+			Slots:   max(16, 2*n),
+			Platform: settings.Platform{
+				Table: service(tables.URL), Objects: service(store.URL), Directory: settings.Directory{URL: vms.URL + "/"},
+			},
+			Stop: settings.Stop{Notice: settings.Duration{Duration: time.Millisecond}},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := settings.Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d, err := daemon.New(ctx, s, zerolog.Nop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		f.daemons = append(f.daemons, d)
+		entries = append(entries, platform.VM{ID: s.VM.ID, PeerAddress: d.PeerAddress(), State: platform.VMLive})
+	}
+	list.Set(entries)
+	for _, d := range f.daemons {
+		go func() { f.ended <- d.Run(ctx) }()
+	}
+	b.Cleanup(func() {
+		cancel()
+		for range f.daemons {
+			if err := <-f.ended; err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	return f
+}
+
+// peerBytes adds up what the VMs received from each other and answered.
+func (f *fleet) peerBytes() int64 {
+	sum := int64(0)
+	for _, d := range f.daemons {
+		for _, name := range []string{"peer.bytes_received", "peer.bytes_sent"} {
+			sum += metrics.GetOrRegisterCounter(name, d.Metrics()).Count()
+		}
+	}
+	return sum
+}
+
+func cpu(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkIdleFleet reports what each VM of an idle fleet spends a second,
+// the stand-ins' own work included, at four sizes.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := startFleet(b, n)
+			time.Sleep(settle)
+			f.table.Counts(true)
+			bytes, used := f.peerBytes(), cpu(b)
+			time.Sleep(measured)
+			used = cpu(b) - used
+			bytes = f.peerBytes() - bytes
+			counts := f.table.Counts(false)
+			var memory runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&memory)
+			seconds := measured.Seconds()
+			vms := float64(n)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(100*used.Seconds()/seconds/vms, "%core/VM")
+			b.ReportMetric(float64(bytes)/seconds/vms, "peer-B/s/VM")
+			b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/vms/(1<<20), "MiB/VM")
+			b.ReportMetric(float64(counts.Reads)/seconds, "reads/s")
+			b.ReportMetric(float64(counts.Writes)/seconds, "writes/s")
+		})
+	}
+}
