--- a/pkg/config/change_test.go
+++ b/pkg/config/change_test.go
@@ -89,6 +89,7 @@
 		{"no-break space", newAccount("a\u00a0b"), ErrInvalid, "unprintable"},
 		{"decomposed", newAccount("e\u0301"), ErrInvalid, "normal form"},
 		{"long name", newAccount(strings.Repeat("ș", 65)), ErrInvalid, "longer than 128"},
+		{"key as name", newAccount("CRK_a_b"), ErrInvalid, "looks like a key"},
 		{"zero rate", putAccount(func(a *Account) { a.Rate = 0 }), ErrInvalid, `rate "0"`},
 		{"negative zero rate", putAccount(func(a *Account) { a.Rate = math.Copysign(0, -1) }), ErrInvalid, "rate"},
 		{"negative rate", putAccount(func(a *Account) { a.Rate = -1 }), ErrInvalid, `rate "-1" must be above 0`},
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -28,6 +28,8 @@
 	MinTimeout = time.Millisecond
 	MaxTimeout = 24 * time.Hour
 
+	// keyPrefix begins the text of every key, see package keys.
+	keyPrefix      = "crk_"
 	maxMethods     = 16
 	maxMethodBytes = 32
 	minBurst       = 1
@@ -62,6 +64,8 @@
 		return "has a control, format or other unprintable character"
 	case !norm.NFC.IsNormalString(s):
 		return "is not in Unicode normal form C"
+	case strings.Contains(strings.ToLower(s), keyPrefix):
+		return "looks like a key, which must not be stored"
 	}
 	return ""
 }
@@ -171,6 +175,8 @@
 		return refuse(fmt.Sprintf("is longer than %d bytes", MaxPathBytes))
 	case !utf8.ValidString(p) || strings.ContainsFunc(p, unprintable):
 		return refuse("has an unprintable character")
+	case strings.Contains(strings.ToLower(p), keyPrefix):
+		return refuse("looks like a key, which must not be stored")
 	case strings.ContainsAny(p, "?#%\\ "):
 		return refuse("has one of ? # % \\ or a space")
 	case p != "/" && path.Clean(p) != strings.TrimSuffix(p, "/"):
--- a/pkg/feed/fake_test.go
+++ b/pkg/feed/fake_test.go
@@ -192,24 +192,10 @@
 	return nil
 }
 
-// fakeMembers is a view that tests set.
-type fakeMembers struct {
-	mu   sync.Mutex
-	view member.View
-}
-
-func (m *fakeMembers) View() *member.View {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	v := m.view
-	return &v
-}
+// noPeers is the view of a VM that knows no other.
+type noPeers struct{}
 
-func (m *fakeMembers) set(v member.View) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.view = v
-}
+func (noPeers) View() *member.View { return &member.View{} }
 
 // newFeed returns a feed whose loop runs until the test ends. It is not
 // started: tests call its steps, or Start.
@@ -220,7 +206,7 @@
 		cfg.Clock = clock.System{}
 	}
 	if cfg.Members == nil {
-		cfg.Members = &fakeMembers{}
+		cfg.Members = noPeers{}
 	}
 	cfg.Peers = peer.NewDialer(nil)
 	cfg.Log = zerolog.Nop()
--- a/pkg/feed/model_test.go
+++ b/pkg/feed/model_test.go
@@ -198,3 +198,16 @@
 		}
 	})
 }
+
+// An age counts only where the changes that it speaks of could be applied.
+func TestAgeWithoutChanges(t *testing.T) {
+	s, err := newState().with(update{snapshot: config.Empty(), read: 1, agreed: never})
+	if err != nil || s.read != 1 {
+		t.Fatalf("read %d, %v", s.read, err)
+	}
+	gap := entry{change: config.Change{ID: uuid.New(), Version: 5}}
+	next, err := s.with(update{entries: []entry{gap}, version: 5, read: 2, agreed: 2})
+	if err == nil || next.version() != 0 || next.known() != 1 {
+		t.Errorf("gap: version %d, known %d, %v", next.version(), next.known(), err)
+	}
+}
