--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,9 +43,6 @@
 	// releaseTimeout bounds giving slots back while stopping; those that were
 	// not given back are freed by their refused peer port.
 	releaseTimeout = 3 * time.Second
-	// pullWait is how long a relay holds a call while nothing changes: with a
-	// relay that reads every 500 ms, the age stays below 2 s of the 3 s allowed.
-	pullWait = time.Second
 	// pollPeriod is how often a wait looks at its condition.
 	pollPeriod = 10 * time.Millisecond
 )
@@ -159,7 +156,7 @@
 		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
 		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
 		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
-		RelayLease: s.Feed.RelayLease.Duration, PullWait: pullWait,
+		RelayLease: s.Feed.RelayLease.Duration,
 	})
 }
 
