dispatch: shifts and drains measured; what is stranded waits for its peers

Region drained at 55 % load, studio: 0.22 % were refused at once, in the moments until the windows at the peers had grown. Excluded: the bound on the wait at the peer (50, 100, 200 and 400 ms gave 0.30, 0.22, 0.22, 0.22 %). Cause: a VM that can run nothing refused what no window had room for. It queues that now, and refuses only where no peer that is left could ever take the request. After: agency drained in 200 ms, p99 349 ms, refused 0; studio 210 ms, 413 ms, 0 (go test -v -run TestRegionDrains; nothing new in the region after the drain).

Shift of up to 50 % to a cold region (TestShiftToColdRegion, 40 s): the sums over the fleet stay below the cap after every second, none refused. A step of the ramp now needs 20 ends, since one refusal of ten held it back, and doubles.

--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -166,10 +166,19 @@
 	}
 }
 
+// permits is how many requests the peer may run at once, by its last heartbeat;
+// 1 where that does not say.
+func (p *peers) permits(peer *member.Peer) float64 {
+	if len(peer.Pools) == 0 {
+		return 1
+	}
+	return float64(loadOf(peer, p.pool).Permits)
+}
+
 // windowed is the room of a peer for what cannot run here at all: the free part
 // of this VM's window there. A peer that says it can run nothing has none.
 func (p *peers) windowed(peer *member.Peer) float64 {
-	if len(peer.Pools) > 0 && loadOf(peer, p.pool).Permits == 0 {
+	if p.permits(peer) == 0 {
 		return 0
 	}
 	s := p.of(peer)
--- a/pkg/dispatch/policy_test.go
+++ b/pkg/dispatch/policy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/health"
 )
 
@@ -228,3 +229,88 @@
 		})
 	}
 }
+
+// TestShiftToColdRegion shifts up to half of a region's requests to a region
+// whose targets are cold.
+func TestShiftToColdRegion(t *testing.T) {
+	for _, z := range sizes() {
+		s := newSim(z, policyFull, 7)
+		s.offerLoad(0.5, 1)
+		s.warmUp(3 * time.Second)
+		cfg := *s.config
+		cfg.Shifts = map[string]*config.Shift{"move": {Name: "move", Pool: z.pool, From: z.regions[0], To: z.regions[1], CapPercent: 50}}
+		s.config = &cfg
+		for _, target := range s.targets {
+			if target.Region == z.regions[1] {
+				target.coldFor = target.served + 100
+			}
+		}
+		var seen, shifted int64
+		for range 40 {
+			s.run(time.Second)
+			seen, shifted = 0, 0
+			for _, vm := range s.vms {
+				for _, shift := range vm.pool.shifts {
+					seen, shifted = seen+shift.seen, shifted+shift.shifted
+				}
+			}
+			if 2*shifted > seen {
+				t.Fatalf("%s: %d of %d requests shifted", z.name, shifted, seen)
+			}
+		}
+		sum := s.summarize("")
+		t.Logf("%-7s shifted %d of %d  %v", z.name, shifted, seen, sum)
+		if sum.refused > 0 || sum.most > z.slots {
+			t.Errorf("%s: %v", z.name, sum)
+		}
+	}
+}
+
+// TestRegionDrains has an operator drain a region: it gets nothing new within
+// the promised time, what runs there ends, and nothing is refused.
+func TestRegionDrains(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, z := range sizes() {
+		s := newSim(z, policyFull, 7)
+		s.offerLoad(0.55, 1)
+		s.warmUp(3 * time.Second)
+		cfg := *s.config
+		cfg.Drains = map[string]*config.Drain{"d": {Name: "d", Kind: config.DrainRegion, Subject: z.regions[0]}}
+		s.config = &cfg
+		started, served := s.now, s.servedIn(z.regions[0])
+		for s.runningIn(z.regions[0]) > 0 {
+			s.run(10 * time.Millisecond)
+		}
+		drained := s.now.Sub(started)
+		s.run(bound)
+		if n := s.servedIn(z.regions[0]) - served; n > 0 {
+			t.Errorf("%s: %d requests after the drain", z.name, n)
+		}
+		s.run(5 * time.Second)
+		sum := s.summarize("")
+		t.Logf("%-7s drained in %v  %v", z.name, drained, sum)
+		if sum.refused > 0 || sum.most > z.slots {
+			t.Errorf("%s: %v", z.name, sum)
+		}
+	}
+}
+
+func (s *sim) servedIn(region string) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.Region == region {
+			n += t.served
+		}
+	}
+	return n
+}
+
+func (s *sim) runningIn(region string) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.Region == region {
+			n += t.running
+		}
+	}
+	return n
+}
--- a/pkg/dispatch/shift.go
+++ b/pkg/dispatch/shift.go
@@ -19,6 +19,8 @@
 	rampFull  = 1000
 	// rampInterval is how long a step of the ramp is observed.
 	rampInterval = 2 * time.Second
+	// rampSamples is how many ends a step needs to be judged.
+	rampSamples = 20
 	// rampSlowFactor is how many times the local latency the destination may
 	// take before the ramp stops; at half as much again it goes back.
 	rampSlowFactor = 2
@@ -76,7 +78,7 @@
 	} else {
 		s.bad++
 	}
-	if now.Sub(s.windowStart) < rampInterval {
+	if now.Sub(s.windowStart) < rampInterval || s.good+s.bad < rampSamples {
 		return
 	}
 	s.ramp = nextRamp(s.ramp, s.good, s.bad, s.latency, usual)
@@ -98,7 +100,7 @@
 	case 20*bad > good+bad || slow:
 		return ramp
 	}
-	return min(rampFull, ramp+ramp/2)
+	return min(rampFull, 2*ramp)
 }
 
 // shiftsOf returns the state of the configured shifts of a pool out of a
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/health"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
@@ -15,10 +18,7 @@
 	if bound <= 0 {
 		return nil, nil, refuseLate()
 	}
-	if p.stranded(in.now) || r.HandedOver && p.unreachable(in.now) {
-		if l := p.overflow(in, r, bound); l != nil {
-			return l, nil, nil
-		}
+	if r.HandedOver && p.unreachable(in.now) || p.hopeless(in, r) {
 		return nil, nil, p.refuseStranded(in.now)
 	}
 	t := &ticket{request: r, decided: make(chan struct{})}
@@ -108,7 +108,7 @@
 			close(t.decided)
 			continue
 		}
-		if p.stranded(in.now) {
+		if p.hopeless(in, t.request) {
 			p.queue.Remove(e)
 			t.refusal = p.refuseStranded(in.now)
 			close(t.decided)
@@ -143,6 +143,18 @@
 	return true
 }
 
+// hopeless reports whether the request can run neither here nor at any peer
+// before something changes, so that it need not wait.
+func (p *pool) hopeless(in inputs, r *request) bool {
+	if !p.stranded(in.now) {
+		return false
+	}
+	peer := p.peers.choose(math.MaxInt64, p.peers.permits, func(peer *member.Peer) bool {
+		return p.openIn[peer.Region] && !slices.Contains(r.refusedBy, peer.Incarnation)
+	})
+	return peer == nil
+}
+
 // unreachable reports whether nothing can run here now for more than a moment.
 func (p *pool) unreachable(now clock.Time) bool {
 	for _, b := range p.local {
