--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -63,6 +63,7 @@
 	leases    *lease.Manager
 	feed      *feed.Feed
 	limiter   *limit.Service
+	admitted  *countingLimiter
 	scheduler *dispatch.Scheduler
 	entry     *entry.Server
 	operators *operator.Server
@@ -86,6 +87,7 @@
 	if d.listeners, err = listen(s); err != nil {
 		return nil, err
 	}
+	d.listeners.peers = countPeerBytes(d.listeners.peers, d.registry)
 	s.Advertise.Callers = advertised(s.Advertise.Callers, d.listeners.callers)
 	s.Advertise.Peers = advertised(s.Advertise.Peers, d.listeners.peers)
 	if err := d.build(ctx); err != nil {
@@ -95,6 +97,9 @@
 	return d, nil
 }
 
+// Metrics returns the registry that /metrics shows.
+func (d *Daemon) Metrics() metrics.Registry { return d.registry }
+
 // PeerAddress returns the host:port that peers reach this VM at.
 func (d *Daemon) PeerAddress() string { return d.self.PeerAddress }
 
@@ -151,6 +156,7 @@
 		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
 		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
 		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
+		RelayLease: s.Feed.RelayLease.Duration,
 	})
 }
 
@@ -161,6 +167,7 @@
 		Config: d.feed, Slots: d.leases, Members: d.members, Peers: d.dialer,
 		Clock: clock.System{}, Loop: d.loop, Log: d.log, Metrics: d.registry,
 	})
+	d.admitted = &countingLimiter{Limiter: d.limiter}
 	costs := map[string]time.Duration{}
 	for region, cost := range s.RegionCost {
 		costs[region] = cost.Duration
@@ -174,7 +181,7 @@
 		echoed[p.Name] = p.RequireEcho
 	}
 	d.entry = entry.NewServer(entry.Config{
-		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.limiter, Dispatcher: d.scheduler,
+		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.admitted, Dispatcher: d.scheduler,
 		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, Peers: d.dialer, Table: d.table,
 		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
 		Limits: entry.Limits{
@@ -222,7 +229,7 @@
 	p.ConfigVersion = d.feed.Snapshot().Version
 	p.FreePermits = d.scheduler.FreePermits()
 	p.SlotsHeld = len(d.leases.Holding().Slots)
-	p.Pools = d.poolLoads()
+	p.Pools = d.scheduler.PoolLoads()
 }
 
 func (d *Daemon) callersHandler() http.Handler {
@@ -256,7 +263,7 @@
 func (d *Daemon) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	for _, service := range []func() (string, http.Handler){
-		d.members.Handler, d.limiter.Handler, d.entry.Peers,
+		d.members.Handler, d.feed.Handler, d.limiter.Handler, d.entry.Peers,
 	} {
 		prefix, handler := service()
 		mux.Handle(prefix, handler)
