lease, dispatch: slots that were released idle are used at once

The permits of a taken-over slot rest for the longest timeout of a route, since requests of the former holder may still run.

A VM that gives up a slot now retires it in the dispatcher first (no grant from then on, also for requests that read the older holding) and writes into the row whether a request still runs under it. The next holder waits only where one does. A dead VM's row never says so.

Seen red: without the fence TestRetiredSlotGrantsNothing, "1 free permits"; the wait not left out, the same test; a slot taken for idle whatever its row says, TestIdleSlotsAreHandedOverAsSuch. Green with them, go test -race ./pkg/lease ./pkg/dispatch ./pkg/daemon.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -150,7 +150,8 @@
 		Table: d.table, Loop: d.loop, Clock: clock.System{}, Members: d.members, Self: d.self,
 		Slots: s.Slots, Regions: s.Regions,
 		Duration: s.Lease.Duration.Duration, Margin: s.Lease.Margin.Duration, Poll: s.Lease.Poll.Duration,
-		Log: d.log, Metrics: d.registry,
+		Retire: func(slot int) bool { return d.scheduler.Retire(slot) },
+		Log:    d.log, Metrics: d.registry,
 	})
 	d.feed = feed.New(feed.Config{
 		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
--- a/pkg/dispatch/capacity.go
+++ b/pkg/dispatch/capacity.go
@@ -98,14 +98,17 @@
 }
 
 // usableSlots appends to dst the lease slots of the holding whose permits may
-// be granted: valid, of this region by the agreed layout, and past the time in
-// which requests of a holder that died may still run.
-func usableSlots(dst []int, h *lease.Holding, layout []string, region string, now clock.Time, holdDown time.Duration) []int {
+// be granted: valid, of this region by the agreed layout, not retired, and past
+// the time in which requests of a former holder may still run.
+func usableSlots(dst []int, h *lease.Holding, layout []string, region string, now clock.Time, holdDown time.Duration, retired map[int]clock.Time) []int {
 	for _, s := range h.Slots {
 		if !s.Valid(now) || s.Region != region || s.Index >= len(layout) || layout[s.Index] != region {
 			continue
 		}
-		if !s.New && now.Sub(s.Since) < holdDown {
+		if !s.New && !s.Idle && now.Sub(s.Since) < holdDown {
+			continue
+		}
+		if at, ok := retired[s.Index]; ok && s.Since <= at {
 			continue
 		}
 		dst = append(dst, s.Index)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -86,12 +86,15 @@
 	// that refused it.
 	retried *simplelru.LRU[string, []string]
 
-	config    *config.Config
-	holdDown  time.Duration
-	openIn    map[string]bool
-	layout    []string
-	usable    []int
-	scratch   []int
+	config   *config.Config
+	holdDown time.Duration
+	openIn   map[string]bool
+	layout   []string
+	usable   []int
+	scratch  []int
+	// retired is when lease slots were given up; a slot that was taken again
+	// since may be used.
+	retired   map[int]clock.Time
 	believing bool
 	counts    counts
 }
@@ -107,7 +110,7 @@
 		panic(err) // only a size below 1 fails
 	}
 	s := &pool{
-		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, believing: true,
+		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, retired: map[int]clock.Time{}, believing: true,
 		peers: newPeers(c, p.Name, seed),
 		queue: queue.New[*ticket](queue.Config{Capacity: c.QueueCapacity, Floors: queue.DefaultFloors}),
 	}
@@ -128,7 +131,7 @@
 	if len(p.layout) != in.holding.Total {
 		p.layout = permit.SlotRegions(p.settings.Regions, in.holding.Total)
 	}
-	p.scratch = usableSlots(p.scratch[:0], in.holding, p.layout, p.settings.Self.Region, in.now, p.holdDown)
+	p.scratch = usableSlots(p.scratch[:0], in.holding, p.layout, p.settings.Self.Region, in.now, p.holdDown, p.retired)
 	if !slices.Equal(p.scratch, p.usable) {
 		p.usable = append(p.usable[:0], p.scratch...)
 		for _, b := range p.local {
@@ -314,6 +317,21 @@
 	return n
 }
 
+// retire ends the use of a lease slot that is being given up, and reports
+// whether no request runs under it.
+func (p *pool) retire(in inputs, slot int) bool {
+	p.retired[slot] = in.now
+	p.update(in)
+	for _, b := range p.local {
+		for _, s := range b.slots {
+			if s.slot == slot && s.running > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // freePermits returns how many more requests may run here now.
 func (p *pool) freePermits(now clock.Time) int {
 	n := 0
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -170,6 +170,20 @@
 	return n
 }
 
+// Retire ends the granting of permits of a lease slot that this VM gives up, at
+// once also for requests that read the holding before. It reports whether none
+// of the slot's permits is in use.
+func (s *Scheduler) Retire(slot int) bool {
+	in := s.inputs()
+	idle := true
+	for _, p := range s.pools {
+		p.mu.Lock()
+		idle = p.pool.retire(in, slot) && idle
+		p.mu.Unlock()
+	}
+	return idle
+}
+
 // PoolLoads returns this VM's part of each pool, for its heartbeats.
 func (s *Scheduler) PoolLoads() []member.PoolLoad {
 	in := s.inputs()
--- a/pkg/dispatch/scheduler_test.go
+++ b/pkg/dispatch/scheduler_test.go
@@ -141,6 +141,40 @@
 	})
 }
 
+// TestRetiredSlotGrantsNothing checks that a slot is out of use once its
+// retirement is known, also under the old holding, and that it is idle only
+// after its requests have ended.
+func TestRetiredSlotGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		s := NewScheduler(f.schedulerConfig())
+		g, refusal := s.Acquire(t.Context(), f.request("a"))
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		idle := map[bool]int{}
+		for _, slot := range f.holding.Slots {
+			idle[s.Retire(slot.Index)]++
+		}
+		if idle[true] != 1 || s.FreePermits() != 0 {
+			t.Errorf("%d of 2 slots idle with one request, %d free permits", idle[true], s.FreePermits())
+		}
+		g.Release(done)
+		for _, slot := range f.holding.Slots {
+			if !s.Retire(slot.Index) {
+				t.Errorf("slot %d is not idle", slot.Index)
+			}
+		}
+		time.Sleep(time.Second)
+		for i := range f.holding.Slots {
+			f.holding.Slots[i].Since, f.holding.Slots[i].New, f.holding.Slots[i].Idle = bubbleClock{}.Now(), false, true
+		}
+		if n := s.FreePermits(); n == 0 {
+			t.Error("idle slots that were taken again are not used at once")
+		}
+	})
+}
+
 // TestTakenOverSlotIsHeldDown checks that permits of a slot with a former
 // holder stay unused while requests of that holder may still run.
 func TestTakenOverSlotIsHeldDown(t *testing.T) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -20,6 +20,9 @@
 	// New reports that the slot had no holder before this VM. Else a former
 	// holder may have lent parts of it that are still in use.
 	New bool
+	// Idle reports that the last holder had no request running under the slot
+	// when it released it.
+	Idle bool
 }
 
 // Valid reports whether the slot may be used at now.
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -64,7 +64,11 @@
 	// default Duration/50.
 	Margin time.Duration
 	// Poll is how often the rows are read; default 1 s.
-	Poll    time.Duration
+	Poll time.Duration
+	// Retire ends the granting of permits of a slot that is given up and
+	// reports whether none of them is in use. The next holder waits for the
+	// requests of this one where it reports false, or is nil.
+	Retire  func(slot int) bool
 	Log     zerolog.Logger
 	Metrics metrics.Registry
 }
@@ -123,7 +127,7 @@
 		cfg: cfg,
 		state: newState(terms{
 			self: cfg.Self, slots: cfg.Slots, regions: cfg.Regions,
-			duration: cfg.Duration, margin: cfg.Margin, patience: patiencePolls * cfg.Poll,
+			duration: cfg.Duration, margin: cfg.Margin, patience: patiencePolls * cfg.Poll, retire: cfg.Retire,
 		}),
 		conflicts: metrics.GetOrRegisterCounter("lease.conflicts", cfg.Metrics),
 		failures:  metrics.GetOrRegisterCounter("lease.failures", cfg.Metrics),
--- a/pkg/lease/state.go
+++ b/pkg/lease/state.go
@@ -25,6 +25,8 @@
 	Region string `json:"region"`
 	// Released rows have no holder; VM and Incarnation name the last one.
 	Released bool `json:"released,omitempty"`
+	// Idle released rows had no request running under them.
+	Idle bool `json:"idle,omitempty"`
 }
 
 func key(index int) platform.Key {
@@ -41,6 +43,9 @@
 	// patience is how long a vacant slot is left to the VM that it is
 	// assigned to before any VM takes it.
 	patience time.Duration
+	// retire ends the granting of permits of a slot and reports whether none
+	// is in use; nil is never.
+	retire func(index int) bool
 }
 
 func (t *terms) region(index int) string {
@@ -56,6 +61,7 @@
 	until   clock.Time
 	renewed clock.Time
 	created bool
+	idle    bool
 }
 
 // seenRow is the last known item of a slot.
@@ -72,6 +78,7 @@
 	counter int64
 	sent    clock.Time
 	created bool
+	idle    bool
 }
 
 // state decides which slots to take, renew and give up. It has no clock and
@@ -160,7 +167,7 @@
 	}
 	h, ok := s.held[index]
 	if !ok {
-		h = heldSlot{since: now, created: a.created}
+		h = heldSlot{since: now, created: a.created, idle: a.idle}
 	}
 	h.renewed = a.sent
 	h.until = a.sent.Add(s.duration - s.margin)
@@ -269,7 +276,7 @@
 func (s *state) attemptWrite(index int, now clock.Time) platform.Write {
 	w := s.write(index, false)
 	s.attempts[index] = append(s.attempts[index], attempt{
-		counter: s.counter, sent: now, created: w.IfRevision == 0,
+		counter: s.counter, sent: now, created: w.IfRevision == 0, idle: s.rows[index].row.Released && s.rows[index].row.Idle,
 	})
 	return w
 }
@@ -280,6 +287,7 @@
 		VM: s.self.ID, Incarnation: s.self.Incarnation, Counter: s.counter,
 		Region: s.region(index), Released: released,
 	}
+	row.Idle = released && s.retire != nil && s.retire(index)
 	value, err := json.Marshal(row)
 	if err != nil {
 		panic(fmt.Sprintf("lease: row does not encode: %v", err))
@@ -312,7 +320,7 @@
 	for index := range s.slots {
 		if h, ok := s.held[index]; ok {
 			slots = append(slots, Slot{
-				Index: index, Region: s.region(index), Since: h.since, Until: h.until, New: h.created,
+				Index: index, Region: s.region(index), Since: h.since, Until: h.until, New: h.created, Idle: h.idle,
 			})
 		}
 	}
--- a/pkg/lease/state_test.go
+++ b/pkg/lease/state_test.go
@@ -184,6 +184,42 @@
 	}
 }
 
+// TestIdleSlotsAreHandedOverAsSuch checks that the next holder learns whether
+// requests could still run under a slot, and that a slot of a VM that died is
+// never taken for idle.
+func TestIdleSlotsAreHandedOverAsSuch(t *testing.T) {
+	c := newCluster(t, 4, 1, "a")
+	c.run(10)
+	leaving := c.vms[0]
+	leaving.retire = func(index int) bool { return index%2 == 0 }
+	next := c.add("vm-next", "a", 4, []string{"a"})
+	c.setState(leaving.peer.ID, member.Leaving)
+	leaving.stop()
+	c.run(10)
+	if len(next.holding()) != 4 {
+		t.Fatalf("holding %+v", next.holding())
+	}
+	for _, s := range next.holding() {
+		if s.New || s.Idle != (s.Index%2 == 0) {
+			t.Errorf("slot %d: new %v, idle %v", s.Index, s.New, s.Idle)
+		}
+	}
+	third := c.add("vm-third", "a", 4, []string{"a"})
+	c.setState(leaving.peer.ID, member.Leaving)
+	c.run(1, next)
+	c.setState(next.peer.ID, member.Gone) // proof that is newer than the rows
+	c.vms = []*vm{leaving, third}
+	c.run(10)
+	for _, s := range third.holding() {
+		if s.Idle {
+			t.Errorf("slot %d of a dead VM counts as idle", s.Index)
+		}
+	}
+	if len(third.holding()) == 0 {
+		t.Error("the slots of the dead VM were not taken over")
+	}
+}
+
 func TestSilenceIsNoEvidence(t *testing.T) {
 	c := newCluster(t, 4, 2, "a")
 	c.run(10)
