--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -149,7 +149,48 @@
 		return err
 	}
 	ts.Setenv("CROCUSRAMP_SERVER", ts.Getenv("OPS_1"))
-	return w.vm(ts, names)
+	if err := w.vm(ts, names); err != nil {
+		return err
+	}
+	return w.settled(ts, nil)
+}
+
+// settled waits until the live VMs that the first one knows hold all slots,
+// and each of them at least one: settled
+func (w *world) settled(ts *testscript.TestScript, _ []string) error {
+	url := ts.Getenv("CROCUSRAMP_SERVER") + "/twirp/crocusramp.operator.v1.Operations/ListVMs"
+	last := ""
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		body, err := send(http.MethodPost, url, "{}")
+		if err == nil && allSlotsHeld(body) {
+			return nil
+		}
+		last = fmt.Sprintf("%s (%v)", body, err)
+	}
+	return fmt.Errorf("slots are not divided: %s", last)
+}
+
+// slotsOfFleet is the default number of slots.
+const slotsOfFleet = 16
+
+func allSlotsHeld(body string) bool {
+	var list struct {
+		VMs []struct {
+			State string `json:"state"`
+			Slots int    `json:"slots_held"`
+		} `json:"vms"`
+	}
+	if json.Unmarshal([]byte(body), &list) != nil {
+		return false
+	}
+	sum := 0
+	for _, vm := range list.VMs {
+		if vm.State == "live" && vm.Slots == 0 {
+			return false
+		}
+		sum += vm.Slots
+	}
+	return sum == slotsOfFleet
 }
 
 // configureVMs writes the settings of VMs and adds them to the platform's list.
@@ -246,13 +287,29 @@
 		}
 	}
 	for _, n := range numbers {
-		if err := w.waitFor(ts, []string{ts.Getenv("OPS_"+n) + "/readyz"}); err != nil {
+		if err := w.waitReady("vm-"+n, ts.Getenv("OPS_"+n)+"/readyz"); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// waitReady waits until a VM is ready or has ended.
+func (w *world) waitReady(name, url string) error {
+	p, last := w.processes[name], ""
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		body, err := get(url)
+		if err == nil {
+			return nil
+		}
+		if p.ended() {
+			return fmt.Errorf("%s ended: %v", name, p.err)
+		}
+		last = fmt.Sprintf("%s (%v)", body, err)
+	}
+	return fmt.Errorf("%s is not ready: %s", name, last)
+}
+
 // newVM adds VMs to the fleet: newvm N...
 func (w *world) newVM(ts *testscript.TestScript, numbers []string) error {
 	if err := w.configureVMs(ts, numbers); err != nil {
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -22,9 +24,11 @@
 
 const (
 	// bound is how long a script waits for what must happen.
-	bound = 60 * time.Second
+	bound = 30 * time.Second
 	// pollPeriod is how often a script looks whether it has happened.
 	pollPeriod = 20 * time.Millisecond
+	// logTailBytes is how much of each log a failure shows.
+	logTailBytes = 3000
 )
 
 // newHost returns a loopback address that no other script uses, so that the
@@ -191,6 +195,16 @@
 	return nil
 }
 
+// logTails shows the end of each process's log.
+func (w *world) logTails(ts *testscript.TestScript) {
+	for _, name := range slices.Sorted(maps.Keys(w.processes)) {
+		data, err := os.ReadFile(ts.MkAbs(name + ".log"))
+		if err == nil && len(data) > 0 {
+			ts.Logf("%s.log:\n%s", name, data[max(0, len(data)-logTailBytes):])
+		}
+	}
+}
+
 // killAll ends the processes that the script started, by their ids.
 func (w *world) killAll() {
 	for _, p := range w.processes {
@@ -273,6 +287,7 @@
 	if err != nil {
 		return "", err
 	}
+	r.Header.Set("Content-Type", "application/json")
 	resp, err := admin.Do(r)
 	if err != nil {
 		return "", err
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -13,12 +13,17 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"crocusramp.dev/crocusramp/pkg/cli"
+	"crocusramp.dev/crocusramp/pkg/daemon"
+	"crocusramp.dev/crocusramp/pkg/dev"
 	"crocusramp.dev/crocusramp/pkg/standin/command"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"standin": func() { os.Exit(command.Main()) },
+		"crocusrampd": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, dev.Run)) },
+		"crocusramp":  func() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) },
+		"standin":     func() { os.Exit(command.Main()) },
 	})
 }
 
@@ -55,6 +60,7 @@
 	"ramp":    withWorld((*world).ramp),
 	"session": withWorld((*world).recordSession),
 	"waitkey": withWorld((*world).waitKeys),
+	"settled": withWorld((*world).settled),
 	"ports":   withWorld((*world).ports),
 	"start":   withWorld((*world).start),
 	"signal":  withWorld((*world).signal),
@@ -113,13 +119,15 @@
 
 func withWorld(f func(*world, *testscript.TestScript, []string) error) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, neg bool, args []string) {
-		err := f(ts.Value(worldKey{}).(*world), ts, args)
+		w := ts.Value(worldKey{}).(*world)
+		err := f(w, ts, args)
 		switch {
 		case neg && err == nil:
 			ts.Fatalf("unexpected success")
 		case neg:
 			ts.Logf("failed as expected: %v", err)
 		case err != nil:
+			w.logTails(ts)
 			ts.Fatalf("%v", err)
 		}
 	}
