--- a/test/scenario/call_test.go
+++ b/test/scenario/call_test.go
@@ -85,7 +85,9 @@
 		req.Header.Set("Authorization", "Bearer "+r.key)
 	}
 	if r.idempotencyKey != "" {
-		req.Header.Set("Idempotency-Key", r.idempotencyKey)
+		// The canonical name would let net/http send the request again by
+		// itself where its connection breaks.
+		req.Header["idempotency-key"] = []string{r.idempotencyKey}
 	}
 	for _, h := range r.header {
 		name, value, _ := strings.Cut(h, ":")
@@ -107,7 +109,10 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	call := rand.Text()
+	call := r.idempotencyKey // an answer may be that to an earlier sending
+	if call == "" {
+		call = rand.Text()
+	}
 	req, err := r.build(ctx, url, call)
 	if err != nil {
 		return result{kind: kindCut, err: err}
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -336,6 +336,10 @@
 	return w.publish()
 }
 
+// routeTimeout bounds requests. A slot that changed hands carries no permits
+// for as long, since its former holder's requests may run still.
+const routeTimeout = "2s"
+
 // account creates a client account with a key, and once the routes: account
 // NAME RATE BURST. It sets KEY_name and KEYID_name.
 func (w *world) account(ts *testscript.TestScript, args []string) error {
@@ -345,8 +349,8 @@
 	lines := [][]string{{"account", "create", args[0], "--rate", args[1], "--burst", args[2]}}
 	if len(w.keys) == 0 {
 		lines = append(lines,
-			[]string{"route", "create", "lookup", "--path", "/lookup", "--pool", "registru", "--mode", "idempotent"},
-			[]string{"route", "create", "filing", "--path", "/filing", "--pool", "registru", "--mode", "at-most-once", "--priority", "high"})
+			[]string{"route", "create", "lookup", "--path", "/lookup", "--pool", "registru", "--mode", "idempotent", "--timeout", routeTimeout},
+			[]string{"route", "create", "filing", "--path", "/filing", "--pool", "registru", "--mode", "at-most-once", "--priority", "high", "--timeout", routeTimeout})
 	}
 	lines = append(lines, []string{"key", "grant", args[0], "--json"})
 	for _, line := range lines {
@@ -362,7 +366,10 @@
 	ts.Setenv("KEY_"+args[0], granted.Key)
 	ts.Setenv("KEYID_"+args[0], granted.ID)
 	w.labels[granted.ID] = "$KEYID_" + args[0]
-	return w.waitKeys(ts, []string{granted.Key})
+	if err := w.waitKeys(ts, []string{granted.Key}); err != nil {
+		return err
+	}
+	return w.waitDone(granted.Key)
 }
 
 // waitKeys waits until every VM that runs accepts a key: waitkey KEY
@@ -382,6 +389,33 @@
 	return nil
 }
 
+// ready waits until every VM that runs does a look-up: ready KEY
+func (w *world) ready(_ *testscript.TestScript, args []string) error {
+	if err := usage(args, 1, "ready KEY"); err != nil {
+		return err
+	}
+	return w.waitDone(args[0])
+}
+
+// waitDone waits until a look-up is done by every VM that runs.
+func (w *world) waitDone(key string) error {
+	client := newCaller(1)
+	defer client.CloseIdleConnections()
+	r := request{method: http.MethodGet, key: key}
+	for _, vm := range w.current.names("") {
+		var last result
+		deadline := time.Now().Add(bound)
+		for last.kind != kindDone {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("look-up on %s: %s %d %s %v", vm, last.kind, last.status, last.body, last.err)
+			}
+			last = r.send(context.Background(), client, w.current.vms[vm]+"/lookup/ready")
+			time.Sleep(pollPeriod)
+		}
+	}
+	return nil
+}
+
 // waitKey waits until a VM accepts a key.
 func (w *world) waitKey(url, key string) error {
 	client := newCaller(1)
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -59,6 +59,7 @@
 	"mark":    withWorld((*world).mark),
 	"ramp":    withWorld((*world).ramp),
 	"session": withWorld((*world).recordSession),
+	"ready":   withWorld((*world).ready),
 	"waitkey": withWorld((*world).waitKeys),
 	"settled": withWorld((*world).settled),
 	"ports":   withWorld((*world).ports),
--- a/test/scenario/session_test.go
+++ b/test/scenario/session_test.go
@@ -48,6 +48,9 @@
 	pattern *regexp.Regexp
 	label   string
 }{
+	{regexp.MustCompile(`"id": "\w+"`), `"id": "<id>"`},
+	{regexp.MustCompile(`\bkey \w{16}\b`), "key <id>"},
+	{regexp.MustCompile(`withdraw \w{16}\b`), "withdraw <id>"},
 	{regexp.MustCompile(`crk_[A-Za-z0-9_-]+`), "<key>"},
 	{regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`), "<uuid>"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "<time>"},
