--- a/api/peer/v1/request.twirp.go
+++ b/api/peer/v1/request.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *requestServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *requestServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "crocusramp.peer.v1", "Request")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 372 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0x31, 0xaf, 0xd3, 0x30,
 	0x10, 0xc7, 0x15, 0xda, 0x34, 0xed, 0xb5, 0x93, 0xa1, 0x60, 0x90, 0x10, 0xa5, 0x03, 0x74, 0x40,
--- a/pkg/claim/store_test.go
+++ b/pkg/claim/store_test.go
@@ -26,8 +26,10 @@
 func TestClaimRunsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := newFakeTable()
-		table.next = func() fault { return fault(rapid.IntRange(0, int(numFaults)-1).Draw(t, "fault")) }
-		table.getDown = func() bool { return rapid.IntRange(0, 4).Draw(t, "get") == 0 }
+		// Drawn beforehand: the table is called on other goroutines.
+		table.faults = rapid.SliceOfN(rapid.Map(rapid.IntRange(0, int(numFaults)-1),
+			func(i int) fault { return fault(i) }), 0, 60).Draw(t, "faults")
+		table.getsDown = rapid.SliceOfN(rapid.Bool(), 0, 20).Draw(t, "gets down")
 		id := ID{"acme", "filing", "k"}
 		var ran int
 		var open []*Claim
@@ -90,15 +92,7 @@
 func TestLostAnswerIsSettled(t *testing.T) {
 	for _, f := range []fault{lostBefore, lostAfter, late} {
 		table := newFakeTable()
-		faults := []fault{f}
-		table.next = func() fault {
-			if len(faults) == 0 {
-				return none
-			}
-			f := faults[0]
-			faults = faults[1:]
-			return f
-		}
+		table.faults = []fault{f}
 		c, _, err := newTestStore(table, "vm-1").Claim(context.Background(), ID{"a", "r", "k"})
 		if err != nil || c == nil {
 			t.Errorf("fault %d: %v", f, err)
@@ -115,7 +109,7 @@
 
 func TestUnavailableTableClaimsNothing(t *testing.T) {
 	table := newFakeTable()
-	table.next = func() fault { return down }
+	table.faults = []fault{down, down, down, down}
 	if _, _, err := newTestStore(table, "vm-1").Claim(context.Background(), ID{"a", "r", "k"}); !errors.Is(err, ErrUnavailable) {
 		t.Errorf("got %v", err)
 	}
--- a/pkg/claim/table_test.go
+++ b/pkg/claim/table_test.go
@@ -29,12 +29,12 @@
 type fakeTable struct {
 	mu    sync.Mutex
 	items map[platform.Key]platform.Item
-	// next names the fault of a transaction; nil means none.
-	next func() fault
-	// getDown makes reads fail.
-	getDown func() bool
-	delayed [][]platform.Write
-	sizes   []int
+	// faults holds those of the next transactions, getsDown which of the next
+	// reads fail.
+	faults   []fault
+	getsDown []bool
+	delayed  [][]platform.Write
+	sizes    []int
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{items: map[platform.Key]platform.Item{}} }
@@ -42,7 +42,8 @@
 func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Item, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.getDown != nil && f.getDown() {
+	var down bool
+	if down, f.getsDown = shift(f.getsDown); down {
 		return platform.Item{}, platform.ErrUnavailable
 	}
 	item, ok := f.items[key]
@@ -61,10 +62,8 @@
 	defer f.mu.Unlock()
 	f.flushLocked()
 	f.sizes = append(f.sizes, len(writes))
-	next := none
-	if f.next != nil {
-		next = f.next()
-	}
+	var next fault
+	next, f.faults = shift(f.faults)
 	switch next {
 	case down:
 		return platform.ErrUnavailable
@@ -83,6 +82,14 @@
 	return err
 }
 
+// shift takes the first element of s, or the zero value.
+func shift[T any](s []T) (first T, rest []T) {
+	if len(s) == 0 {
+		return first, nil
+	}
+	return s[0], s[1:]
+}
+
 func (f *fakeTable) flushLocked() {
 	for _, writes := range f.delayed {
 		_ = f.applyLocked(writes) // its answer is lost in any case
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -27,8 +27,8 @@
 	refusal *outcome.Refusal
 	// transient refusals may succeed elsewhere.
 	transient bool
-	// died reports that the target died while it ran the request.
-	died bool
+	// death identifies the death of the target that ran the request.
+	death string
 	// unreached reports that a peer was sent nothing.
 	unreached bool
 	// shed reports that the target refused before running the request.
@@ -52,7 +52,7 @@
 // early is an error.
 func readAnswer(resp *forward.Response) (*answer, error) {
 	a := &answer{status: resp.StatusCode, header: resp.Header}
-	a.outcome, a.died = a.header.Get(headerOutcome), a.header.Get(headerDied) != ""
+	a.outcome, a.death = a.header.Get(headerOutcome), a.header.Get(headerDied)
 	removeHopByHop(a.header)
 	size := wholeBytes + 1
 	if n := resp.ContentLength; n >= 0 && n < int64(size) {
@@ -82,9 +82,12 @@
 
 // deliver sends the answer to the caller.
 func (s *Server) deliver(c *call, a *answer) {
+	if c.body.unfinished() {
+		c.w.Header().Set("Connection", "close")
+	}
 	if a.refusal != nil {
-		if a.died && c.handedOver {
-			c.w.Header().Set(headerDied, "true")
+		if a.death != "" && c.handedOver {
+			c.w.Header().Set(headerDied, a.death)
 		}
 		s.refuse(c.w, c.shownID, a.refusal)
 		return
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -22,6 +22,7 @@
 	control *http.ResponseController
 
 	mu       sync.Mutex
+	started  bool
 	kept     []byte
 	read     int64
 	complete bool
@@ -33,20 +34,27 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	control := http.NewResponseController(w)
-	// A target may answer before it has read the whole body. Where the server
-	// cannot do that, it reads the rest of the body first.
-	_ = control.EnableFullDuplex()
-	return &body{source: http.MaxBytesReader(nil, r.Body, limit), control: control}
+	return &body{source: http.MaxBytesReader(nil, r.Body, limit), control: http.NewResponseController(w)}
 }
 
 // sending returns a reader of the body from its start, for one exchange.
 func (b *body) sending() io.ReadCloser {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.startLocked()
 	return &sending{body: b, replay: b.kept}
 }
 
+func (b *body) startLocked() {
+	if b.started {
+		return
+	}
+	b.started = true
+	// A target may answer before it has read the whole body. Where the server
+	// cannot do that, it reads the rest of the body first.
+	_ = b.control.EnableFullDuplex()
+}
+
 // abort makes a blocked read return; the body cannot be read further.
 func (b *body) abort() {
 	b.mu.Lock()
@@ -58,6 +66,14 @@
 	_ = b.control.SetReadDeadline(time.Unix(1, 0))
 }
 
+// limit ends reads from a caller that is too slow.
+func (b *body) limit(deadline time.Time) {
+	if b != nil {
+		// Not supported only where there is no connection.
+		_ = b.control.SetReadDeadline(deadline)
+	}
+}
+
 // replayable reports whether the body can be sent again from its start.
 func (b *body) replayable() bool {
 	if b == nil {
@@ -68,6 +84,37 @@
 	return b.read == int64(len(b.kept)) && (b.complete || b.failed == nil)
 }
 
+// peek reads the caller's body until n bytes of it are kept or it ends, and
+// returns what is kept.
+func (b *body) peek(n int) []byte {
+	if b == nil {
+		return nil
+	}
+	for {
+		b.mu.Lock()
+		b.startLocked()
+		kept, stop := b.kept, b.complete || b.failed != nil || b.read > int64(len(b.kept))
+		b.mu.Unlock()
+		if stop || len(kept) >= n {
+			return kept
+		}
+		p := make([]byte, n-len(kept))
+		m, err := b.source.Read(p)
+		b.note(p[:m], err)
+	}
+}
+
+// unfinished reports whether the caller's connection is in the middle of the
+// body. The server cannot find the next request on it then.
+func (b *body) unfinished() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.started && !b.complete
+}
+
 // sending reads the kept part first and then the caller.
 type sending struct {
 	body   *body
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -25,8 +25,10 @@
 	// handedOver calls came from a peer.
 	handedOver bool
 	// key is the idempotency key of an at-most-once request; it may be empty.
-	key    string
-	tried  []string
+	key   string
+	tried []string
+	// prior is how many targets are known to have died with the request.
+	prior  int
 	header http.Header
 	body   *body
 	w      http.ResponseWriter
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -130,6 +131,24 @@
 
 func (f *fakeMembers) View() *member.View { return f.view.Load() }
 
+// safeBuilder collects what several goroutines write.
+type safeBuilder struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (s *safeBuilder) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuilder) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
 // vm is a Server on listeners of its own, with its fakes.
 type vm struct {
 	*Server
@@ -137,7 +156,8 @@
 	limiter    *fakeLimiter
 	dispatcher *fakeDispatcher
 	members    *fakeMembers
-	log        *strings.Builder
+	log        *safeBuilder
+	serverLog  *safeBuilder
 	callers    *httptest.Server
 	peers      *httptest.Server
 }
@@ -150,7 +170,8 @@
 		limiter:    &fakeLimiter{},
 		dispatcher: &fakeDispatcher{},
 		members:    &fakeMembers{},
-		log:        &strings.Builder{},
+		log:        &safeBuilder{},
+		serverLog:  &safeBuilder{},
 	}
 	v.members.view.Store(&member.View{Self: member.Peer{ID: id, Incarnation: id + "-1", Region: "r1", FailureDomain: "d1"}})
 	c := Config{
@@ -160,7 +181,7 @@
 		Dispatcher:   v.dispatcher,
 		Members:      v.members,
 		Match:        fakeMatch,
-		Peers:        peer.NewDialer(),
+		Peers:        peer.NewDialer(nil),
 		Log:          zerolog.New(v.log),
 	}
 	if change != nil {
@@ -168,8 +189,15 @@
 	}
 	v.Server = NewServer(c)
 	v.SetReady(true)
-	v.callers = httptest.NewServer(v.Callers())
-	t.Cleanup(v.callers.Close)
+	v.callers = httptest.NewUnstartedServer(v.Callers())
+	v.callers.Config.ErrorLog = log.New(v.serverLog, "", 0)
+	v.callers.Start()
+	t.Cleanup(func() {
+		v.callers.Close()
+		if text := v.serverLog.String(); strings.Contains(text, "panic") {
+			t.Errorf("the server panicked: %s", text)
+		}
+	})
 	prefix, handler := v.Peers()
 	mux := http.NewServeMux()
 	mux.Handle(prefix, handler)
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -24,6 +25,7 @@
 const (
 	peerPrefix = "/requests/"
 	runPrefix  = peerPrefix + "run"
+	rpcPrefix  = peerPrefix + "rpc"
 )
 
 // sendToPeer has the granted peer dispatch the call in this VM's place.
@@ -46,10 +48,9 @@
 	u.Path = runPrefix + u.Path
 	req := outgoing(ctx, c, address, &u)
 	req.Header.Set(headerHandOver, s.handOverHeader(c, ticket))
-	a, err := s.exchange(ctx, c, req, address, true)
+	a, err := exchange(ctx, s.peerClient, c, req, address, true)
 	if err != nil {
 		a = failed(ctx, c, err)
-		a.died = false // the peer died, not a target
 		a.unreached = !err.Wrote
 		return a
 	}
@@ -99,7 +100,7 @@
 	}
 	r.Reason, r.Detail = body.Reason, body.Detail
 	r.RetryAfter = time.Duration(body.RetryAfterMS) * time.Millisecond
-	return &answer{refusal: r, transient: transient(r.Reason), died: a.died}
+	return &answer{refusal: r, transient: transient(r.Reason), death: a.death}
 }
 
 // transient reports whether a request that a peer refused may succeed
@@ -117,6 +118,8 @@
 func (s *Server) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(runPrefix+"/", s.serveHandedOver)
+	rpc := peerpb.NewRequestServer(&deathReports{s.quarantine}, twirp.WithServerPathPrefix(rpcPrefix))
+	mux.Handle(rpc.PathPrefix(), rpc)
 	return mux
 }
 
--- a/pkg/entry/once_test.go
+++ b/pkg/entry/once_test.go
@@ -244,7 +244,11 @@
 				defer close(done)
 				first.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, "k1", headerTimeout, "15000")
 			}()
-			<-killed
+			select {
+			case <-killed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the request does not reach the step")
+			}
 			got := second.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, "k1")
 			if test.outcome == "" && got.status != http.StatusCreated {
 				t.Errorf("got %+v", got)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -57,6 +57,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.body.limit(c.deadline)
 	if c.key != "" {
 		s.deliver(c, s.runOnce(ctx, c))
 		return
@@ -67,11 +68,17 @@
 // run sends the call until it has an answer that may go to the caller.
 func (s *Server) run(ctx context.Context, c *call) *answer {
 	for attempt := 1; ; attempt++ {
+		if refusal := s.checkQuarantine(c); refusal != nil {
+			return &answer{refusal: refusal}
+		}
 		grant, refusal := s.config.Dispatcher.Acquire(ctx, s.dispatchRequest(c))
 		if refusal != nil {
 			return &answer{refusal: refusal}
 		}
 		a := s.attempt(ctx, c, grant)
+		if a.death != "" {
+			s.noteDeath(c, a)
+		}
 		if a.refusal == nil || attempt == maxAttempts || !s.mayRetry(ctx, c, a) {
 			return a
 		}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -25,6 +25,7 @@
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peer"
 	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
 )
 
@@ -79,19 +80,24 @@
 	Forward forward.Config
 	// Retry bounds the retries.
 	Retry retry.Config
+	// Quarantine keeps back requests that kill targets. Its clock is Clock.
+	Quarantine quarantine.Config
 }
 
 // Server is the request path of one VM.
 type Server struct {
-	config  Config
-	client  *forward.Client
-	running *gate
-	ready   atomic.Bool
-	callers http.Handler
-	peers   http.Handler
-	meters  *meters
-	budget  *retry.Budget
-	session *claim.Session
+	config Config
+	client *forward.Client
+	// peerClient keeps the connections to other VMs.
+	peerClient *forward.Client
+	running    *gate
+	ready      atomic.Bool
+	callers    http.Handler
+	peers      http.Handler
+	meters     *meters
+	budget     *retry.Budget
+	quarantine *quarantine.List
+	session    *claim.Session
 	// claims is nil without a table.
 	claims *claim.Store
 }
@@ -100,12 +106,15 @@
 func NewServer(c Config) *Server {
 	c = withDefaults(c)
 	s := &Server{
-		config:  c,
-		client:  forward.NewClient(c.Forward),
-		running: newGate(),
-		meters:  newMeters(c.Metrics),
-		budget:  retry.NewBudget(c.Retry),
+		config:     c,
+		client:     forward.NewClient(c.Forward),
+		peerClient: newPeerClient(c.Peers),
+		running:    newGate(),
+		meters:     newMeters(c.Metrics),
+		budget:     retry.NewBudget(c.Retry),
 	}
+	c.Quarantine.Clock = c.Clock
+	s.quarantine = quarantine.NewList(c.Quarantine)
 	self := c.Members.View().Self
 	s.session = claim.NewSession(claim.SessionConfig{VM: self.ID, Incarnation: self.Incarnation, Clock: c.Clock})
 	if c.Table != nil {
@@ -145,6 +154,14 @@
 	return c
 }
 
+// newPeerClient returns a client that connects as the dialer does.
+func newPeerClient(d *peer.Dialer) *forward.Client {
+	if d == nil {
+		d = peer.NewDialer(nil)
+	}
+	return forward.NewClient(forward.Config{Dial: d.DialContext})
+}
+
 // Callers returns the handler of the callers' listener.
 func (s *Server) Callers() http.Handler { return s.callers }
 
@@ -162,6 +179,7 @@
 // ctx's error where ctx ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.client.Close()
+	defer s.peerClient.Close()
 	if err := s.running.close(ctx); err != nil {
 		return err
 	}
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -29,14 +29,17 @@
 	defer span.End()
 	req := outgoing(ctx, c, g.Target.Address, c.r.URL)
 	c.describe(req.Header)
-	a, err := s.exchange(ctx, c, req, g.Target.Address, s.config.RequireEcho(c.route.Pool))
+	a, err := exchange(ctx, s.client, c, req, g.Target.Address, s.config.RequireEcho(c.route.Pool))
 	if err != nil {
 		c.tried = append(c.tried, g.Target.ID)
 		a = failed(ctx, c, err)
+		if err.Died {
+			a.death = newDeath(g.Target.ID)
+		}
 		s.settle(g, a, started, false)
 		return a
 	}
-	a.outcome, a.died = "", false // headers of peers mean nothing from targets
+	a.outcome, a.death = "", "" // headers of peers mean nothing from targets
 	if shed(a) {
 		c.tried = append(c.tried, g.Target.ID)
 		a.shut()
@@ -47,12 +50,12 @@
 }
 
 // exchange sends req and reads the answer, whole if it is small.
-func (s *Server) exchange(ctx context.Context, c *call, req *http.Request, address string, echo bool) (*answer, *forward.Error) {
+func exchange(ctx context.Context, client *forward.Client, c *call, req *http.Request, address string, echo bool) (*answer, *forward.Error) {
 	o := forward.Options{Address: address, RequireEcho: echo, Once: c.once()}
 	if c.body != nil {
 		o.Abort = c.body.abort
 	}
-	resp, ferr := s.client.Do(ctx, req, o)
+	resp, ferr := client.Do(ctx, req, o)
 	if ferr != nil {
 		return nil, ferr
 	}
@@ -137,7 +140,7 @@
 	if err.Wrote {
 		r.Outcome = outcome.Unknown
 	}
-	a := &answer{refusal: r, died: err.Died}
+	a := &answer{refusal: r}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -35,6 +36,10 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if _, ok := c.Conn.(*tls.Conn); ok && err != nil && n == 0 {
+		// A record may have left although its write failed.
+		c.written.Add(1)
+	}
 	return n, err
 }
 
@@ -61,7 +66,11 @@
 	if c.reader.Buffered() != 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	under := c.Conn
+	if t, ok := under.(*tls.Conn); ok {
+		under = t.NetConn()
+	}
+	s, ok := under.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -56,6 +56,7 @@
 type Dialer struct {
 	client *http.Client
 	scheme string
+	config *tls.Config
 }
 
 // NewDialer returns a Dialer; a nil config means plain TCP.
@@ -74,7 +75,7 @@
 	if config != nil {
 		scheme = "https"
 	}
-	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme}
+	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme, config: config}
 }
 
 // HTTP returns the client for all peers. Calls set deadlines by context.
@@ -83,5 +84,15 @@
 // URL returns the base URL of the peer at host:port addr.
 func (d *Dialer) URL(addr string) string { return d.scheme + "://" + addr }
 
+// DialContext connects to a peer outside of HTTP, for users that keep
+// connections of their own.
+func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	n := &net.Dialer{Timeout: dialTimeout}
+	if d.config == nil {
+		return n.DialContext(ctx, network, addr)
+	}
+	return (&tls.Dialer{NetDialer: n, Config: d.config}).DialContext(ctx, network, addr)
+}
+
 // Close closes idle connections.
 func (d *Dialer) Close() { d.client.CloseIdleConnections() }
--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+)
+
+func base(i int) Base { return Base{byte(i), byte(i >> 8)} }
+
+// fleet plays requests on targets that die when they run the poison.
+type fleet struct {
+	clock *clock.Fake
+	list  *List
+	next  int
+}
+
+func newFleet() *fleet {
+	c := clock.NewFake(1)
+	return &fleet{clock: c, list: NewList(Config{Clock: c})}
+}
+
+// dies notes the death of a target with the requests that it ran, each with
+// the deaths that were known when it was sent.
+func (f *fleet) dies(target string, prior map[int]int) {
+	f.next++
+	for i, n := range prior {
+		f.list.Note(NewFingerprint(base(i), nil), Death{ID: fmt.Sprintf("%s@%d", target, f.next), Target: target, Prior: n})
+	}
+	f.clock.Advance(100 * time.Millisecond)
+}
+
+func (f *fleet) quarantined(i int) bool { return f.list.Judge(base(i), nil).Quarantined }
+
+func TestSecondDeathQuarantines(t *testing.T) {
+	f := newFleet()
+	f.dies("t1", map[int]int{1: 0, 2: 0, 3: 0})
+	for i := 1; i <= 3; i++ {
+		if f.quarantined(i) {
+			t.Errorf("request %d quarantined by one death", i)
+		}
+	}
+	f.dies("t2", map[int]int{1: 1, 4: 0})
+	if !f.quarantined(1) || f.quarantined(2) || f.quarantined(4) {
+		t.Error("not just the request that both targets ran")
+	}
+	f.clock.Advance(defaultDuration)
+	if f.quarantined(1) {
+		t.Error("still quarantined after its time")
+	}
+	f.dies("t3", map[int]int{1: 2})
+	if !f.quarantined(1) {
+		t.Error("free after it killed again")
+	}
+	f.clock.Advance(defaultMemory + time.Second)
+	if j := f.list.Judge(base(1), nil); j.Deaths != 0 {
+		t.Errorf("remembered for ever: %+v", j)
+	}
+}
+
+func TestSuspectsOnOneTargetNeedMore(t *testing.T) {
+	f := newFleet()
+	f.dies("t1", map[int]int{1: 0, 2: 0})
+	f.dies("t2", map[int]int{1: 1, 2: 1})
+	if f.quarantined(1) || f.quarantined(2) {
+		t.Error("quarantined although either may have been the cause")
+	}
+	f.dies("t3", map[int]int{1: 2})
+	if !f.quarantined(1) || f.quarantined(2) {
+		t.Error("the third death does not tell them apart")
+	}
+}
+
+// TestRegionFailureQuarantinesNothing has all targets of a region die while
+// they run the same popular request and its retries.
+func TestRegionFailureQuarantinesNothing(t *testing.T) {
+	f := newFleet()
+	for i := range 10 {
+		f.dies(fmt.Sprintf("t%d", i), map[int]int{1: 0, 10 + i: 0})
+	}
+	if f.quarantined(1) {
+		t.Error("a request that ran on all targets before the first died")
+	}
+	f = newFleet()
+	for i := range 10 {
+		f.dies(fmt.Sprintf("t%d", i), map[int]int{10 + i: 0, 9 + i: min(i, 1)})
+	}
+	for i := range 20 {
+		if f.quarantined(i) {
+			t.Errorf("request %d, retried once within the region, is quarantined", i)
+		}
+	}
+}
+
+func TestReportHeardTwiceCountsOnce(t *testing.T) {
+	f := newFleet()
+	d := Death{ID: "t1@1", Target: "t1", Prior: 1}
+	print := NewFingerprint(base(1), []byte("body"))
+	if !f.list.Note(print, d) || f.list.Note(print, d) || f.list.Judge(base(1), []byte("body")).Quarantined {
+		t.Error("one death counted twice")
+	}
+}
+
+func TestBodiesTellRequestsApart(t *testing.T) {
+	f := newFleet()
+	for i := range 2 {
+		f.list.Note(NewFingerprint(base(1), []byte("poison")), Death{ID: fmt.Sprint(i), Target: fmt.Sprint(i), Prior: i})
+	}
+	if n, known := f.list.Prefix(base(1)); n != 6 || !known {
+		t.Errorf("prefix %d %v", n, known)
+	}
+	if !f.list.Judge(base(1), []byte("poison and more")).Quarantined {
+		t.Error("the same beginning is free")
+	}
+	for _, body := range []string{"", "pois", "harmless"} {
+		if j := f.list.Judge(base(1), []byte(body)); j.Deaths != 0 {
+			t.Errorf("%q: %+v", body, j)
+		}
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		f.list = NewList(Config{Clock: f.clock, Size: 4})
+		for i := range rapid.IntRange(0, 300).Draw(t, "deaths") {
+			b := base(rapid.IntRange(0, 9).Draw(t, "base"))
+			body := []byte{byte(rapid.IntRange(0, 20).Draw(t, "body"))}
+			f.list.Note(NewFingerprint(b, body), Death{ID: fmt.Sprint(i), Target: "t"})
+		}
+		s := f.list.state
+		if s.suspects.Len() > 4 || len(s.events) > maxEvents {
+			t.Fatalf("%d bases, %d events", s.suspects.Len(), len(s.events))
+		}
+		for _, variants := range s.suspects.Values() {
+			if len(variants) > maxVariants {
+				t.Fatalf("%d variants", len(variants))
+			}
+			for _, v := range variants {
+				if len(v.deaths) > maxDeaths {
+					t.Fatalf("%d deaths", len(v.deaths))
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkPrefixOfUnknown(b *testing.B) {
+	l := NewList(Config{})
+	b.ReportAllocs()
+	for i := range b.N {
+		l.Prefix(base(i))
+	}
+}
