--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -70,7 +70,8 @@
 		cfg.Local = func(*Peer) {}
 	}
 	p := &Prober{cfg: cfg, roster: newRoster(cfg.Self), busy: map[string]bool{}}
-	p.publish()
+	// Local may not be ready to be called before Start.
+	p.view.Store(p.roster.view())
 	return p
 }
 
@@ -112,6 +113,7 @@
 
 // probeAll runs on the loop.
 func (p *Prober) probeAll(ctx context.Context) {
+	p.publish()
 	for id, e := range p.roster.entries {
 		if p.busy[id] || e.peer.PeerAddress == "" {
 			continue
@@ -154,7 +156,10 @@
 	return self
 }
 
-func (p *Prober) publish() { p.view.Store(p.roster.view()) }
+func (p *Prober) publish() {
+	p.roster.self = p.self()
+	p.view.Store(p.roster.view())
+}
 
 // Handler returns the path prefix and handler of the Member service.
 func (p *Prober) Handler() (string, http.Handler) {
@@ -168,7 +173,7 @@
 }
 
 func toProto(p Peer) *peerpb.VMInfo {
-	return &peerpb.VMInfo{
+	info := &peerpb.VMInfo{
 		Id:            p.ID,
 		Incarnation:   p.Incarnation,
 		Region:        p.Region,
@@ -178,7 +183,14 @@
 		Leaving:       p.State == Leaving,
 		ConfigVersion: p.ConfigVersion,
 		FreePermits:   int32(p.FreePermits),
+		SlotsHeld:     int32(p.SlotsHeld),
 	}
+	for _, l := range p.Pools {
+		info.Pools = append(info.Pools, &peerpb.PoolLoad{
+			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued),
+		})
+	}
+	return info
 }
 
 func fromProto(i *peerpb.VMInfo) Peer {
@@ -191,9 +203,15 @@
 		CallerAddress: i.GetCallerAddress(),
 		ConfigVersion: i.GetConfigVersion(),
 		FreePermits:   int(i.GetFreePermits()),
+		SlotsHeld:     int(i.GetSlotsHeld()),
 	}
 	if i.GetLeaving() {
 		p.State = Leaving
 	}
+	for _, l := range i.GetPools() {
+		p.Pools = append(p.Pools, PoolLoad{
+			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
+		})
+	}
 	return p
 }
--- a/pkg/standin/fault/fault.go
+++ b/pkg/standin/fault/fault.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
 )
 
 // Path is where an HTTP stand-in accepts faults: GET shows them, POST replaces
@@ -59,6 +61,10 @@
 	// Throttle refuses every request before doing anything, as a service
 	// does that is over its provisioned rate.
 	Throttle bool `json:"throttle,omitempty"`
+	// ReadRate and WriteRate are the reads and the written items a second that
+	// are executed; more are throttled. 0 is unbounded.
+	ReadRate  float64 `json:"read_rate,omitempty"`
+	WriteRate float64 `json:"write_rate,omitempty"`
 	// LoseAnswers is how many of the next writes take effect without an answer.
 	LoseAnswers int `json:"lose_answers,omitempty"`
 	// LoseRate is the part of writes, 0 to 1, whose answer is lost.
@@ -77,6 +83,8 @@
 	mu     sync.Mutex
 	faults Faults
 	random *rand.Rand
+	reads  capacity
+	writes capacity
 }
 
 // NewInjector returns an Injector without faults.
@@ -91,6 +99,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.faults = f
+	now := time.Now()
+	i.reads, i.writes = newCapacity(f.ReadRate, now), newCapacity(f.WriteRate, now)
 	i.random = rand.New(rand.NewPCG(f.Seed, f.Seed))
 }
 
@@ -101,6 +111,20 @@
 	return i.faults
 }
 
+// ThrottleRead reports whether a read must be refused.
+func (i *Injector) ThrottleRead() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.faults.Throttle || !i.reads.take(1, time.Now())
+}
+
+// ThrottleWrite reports whether a write of n items must be refused.
+func (i *Injector) ThrottleWrite(n int) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.faults.Throttle || !i.writes.take(n, time.Now())
+}
+
 // LoseAnswer reports whether the answer to the write that was just executed
 // must be lost. It uses up one of LoseAnswers.
 func (i *Injector) LoseAnswer() bool {
@@ -128,9 +152,10 @@
 // Wrap returns a handler that serves Path, applies Down and Delay, and hands
 // everything else to next.
 func (i *Injector) Wrap(next http.Handler) http.Handler {
+	document := admin.Document(i.Faults, i.Set)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == Path {
-			i.serveAdmin(w, r)
+			document.ServeHTTP(w, r)
 			return
 		}
 		f := i.Faults()
@@ -139,53 +164,9 @@
 		case DownRefuse:
 			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
 		case DownClose:
-			Drop(w)
+			admin.Drop(w)
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
-
-// Drop closes the client's connection without an answer.
-func Drop(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler) // closes the connection as well
-	}
-	conn.Close()
-}
-
-func (i *Injector) serveAdmin(w http.ResponseWriter, r *http.Request) {
-	switch r.Method {
-	case http.MethodGet:
-	case http.MethodDelete:
-		i.Set(Faults{})
-	case http.MethodPost:
-		var f Faults
-		if err := DecodeStrict(r, &f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		i.Set(f)
-	default:
-		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-		return
-	}
-	WriteJSON(w, i.Faults())
-}
-
-// DecodeStrict reads a JSON body into v and refuses unknown fields.
-func DecodeStrict(r *http.Request, v any) error {
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return fmt.Errorf("request body: %w", err)
-	}
-	return nil
-}
-
-// WriteJSON answers with v as JSON.
-func WriteJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the client may have left
-}
