--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -84,12 +84,14 @@
 func (s *Server) deliver(c *call, a *answer) {
 	if c.body.unfinished() {
 		c.w.Header().Set("Connection", "close")
+	} else if c.body.finished() {
+		c.r.Body = http.NoBody
 	}
 	if a.refusal != nil {
 		if a.death != "" && c.handedOver {
 			c.w.Header().Set(headerDied, a.death)
 		}
-		s.refuse(c.w, c.shownID, a.refusal)
+		s.refuse(c.w, c.r, c.shownID, a.refusal)
 		return
 	}
 	h := c.w.Header()
@@ -112,9 +114,7 @@
 	if bodyAllowed(c.r.Method, a.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.head)))
 	}
-	c.w.WriteHeader(a.status)
-	// A failed write means that the caller is gone.
-	_, _ = c.w.Write(a.head)
+	respond(c.w, c.r, a.status, a.head)
 }
 
 // bodyAllowed reports whether a response has a body whose length is known
@@ -130,7 +130,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	c.w.WriteHeader(a.status)
-	err := copyAnswer(c.w, a)
+	err := copyAnswer(c, a)
 	result := dispatch.Result{Outcome: outcome.Done, Status: a.status, Latency: time.Since(a.started)}
 	state := claim.Done
 	if err != nil {
@@ -148,13 +148,19 @@
 }
 
 // copyAnswer flushes after each read, for callers that wait for a part.
-func copyAnswer(w http.ResponseWriter, a *answer) error {
+func copyAnswer(c *call, a *answer) error {
+	w := c.w
 	if _, err := w.Write(a.head); err != nil {
 		return err
 	}
 	control := http.NewResponseController(w)
 	buffer := make([]byte, copyBytes)
 	for {
+		if c.watch != nil {
+			if err := c.watch.check(); err != nil {
+				return err
+			}
+		}
 		n, err := a.stream.Read(buffer)
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -21,7 +21,9 @@
 	// control stops a read that waits for the caller.
 	control *http.ResponseController
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// check, where set, is asked before each read from the caller.
+	check    func() error
 	started  bool
 	kept     []byte
 	read     int64
@@ -115,6 +117,16 @@
 	return b.started && !b.complete
 }
 
+// finished reports whether the whole body was read.
+func (b *body) finished() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete
+}
+
 // sending reads the kept part first and then the caller.
 type sending struct {
 	body   *body
@@ -137,6 +149,12 @@
 	if failed != nil {
 		return 0, failed
 	}
+	if b.check != nil {
+		if err := b.check(); err != nil {
+			b.note(nil, err)
+			return 0, err
+		}
+	}
 	n, err := b.source.Read(p)
 	b.note(p[:n], err)
 	return n, err
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -27,6 +27,8 @@
 	// key is the idempotency key of an at-most-once request; it may be empty.
 	key   string
 	tried []string
+	// watch is nil for open routes and calls from peers, whose first VM watches.
+	watch *keyWatch
 	// prior is how many targets are known to have died with the request.
 	prior  int
 	header http.Header
@@ -100,6 +102,7 @@
 		return refusal
 	}
 	c.account = account
+	c.watch = s.newKeyWatch(c, snapshot.Version)
 	return nil
 }
 
--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -151,11 +152,8 @@
 		if matchesKey(s, secrets) {
 			return true
 		}
-		if !strings.Contains(s, "%") {
-			return false
-		}
-		next, err := url.PathUnescape(s)
-		if err != nil || next == s {
+		next := unescape(s)
+		if next == s {
 			return false
 		}
 		s = next
@@ -163,6 +161,26 @@
 	return matchesKey(s, secrets)
 }
 
+// unescape decodes the escapes in s and leaves the malformed ones, as lenient
+// targets do.
+func unescape(s string) string {
+	if !strings.Contains(s, "%") {
+		return s
+	}
+	var b strings.Builder
+	for i := 0; i < len(s); i++ {
+		if s[i] == '%' && i+2 < len(s) {
+			if code, err := strconv.ParseUint(s[i+1:i+3], 16, 8); err == nil {
+				b.WriteByte(byte(code))
+				i += 2
+				continue
+			}
+		}
+		b.WriteByte(s[i])
+	}
+	return b.String()
+}
+
 func matchesKey(s string, secrets []string) bool {
 	for _, secret := range secrets {
 		if len(s) >= len(secret) && containsFold(s, secret) {
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -62,6 +63,17 @@
 	f.snapshot.Fresh = fresh
 }
 
+// withdraw makes a next version without the key.
+func (f *fakeSource) withdraw(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.snapshot.Config
+	next.Version++
+	next.Keys = maps.Clone(next.Keys)
+	delete(next.Keys, id)
+	f.snapshot.Config = &next
+}
+
 // fakeAuthenticate accepts crk_ID_SECRET for every known ID.
 func fakeAuthenticate(s config.Snapshot, header string) (*config.Account, *outcome.Refusal) {
 	parts := strings.Split(strings.TrimPrefix(header, "Bearer "), "_")
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -128,21 +128,21 @@
 	arrived := time.Now()
 	h, err := handOverOf(r)
 	if err != nil {
-		s.refuse(w, newRequestID(), badRequest("The hand-over header is missing or malformed."))
+		s.refuse(w, r, newRequestID(), badRequest("The hand-over header is missing or malformed."))
 		return
 	}
 	if !s.running.enter() {
-		s.refuse(w, h.GetRequestId(), stopping())
+		s.refuse(w, r, h.GetRequestId(), stopping())
 		return
 	}
 	defer s.running.leave()
 	if !s.ready.Load() {
-		s.refuse(w, h.GetRequestId(), notReady())
+		s.refuse(w, r, h.GetRequestId(), notReady())
 		return
 	}
 	c, refusal := s.handedOverCall(w, r, h, arrived)
 	if refusal != nil {
-		s.refuse(w, h.GetRequestId(), refusal)
+		s.refuse(w, r, h.GetRequestId(), refusal)
 		return
 	}
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
--- a/pkg/entry/locate.go
+++ b/pkg/entry/locate.go
@@ -42,11 +42,11 @@
 	r, w := c.Request(), c.Response()
 	id := newRequestID()
 	if s.running.closed() {
-		s.refuse(w, id, stopping())
+		s.refuse(w, r, id, stopping())
 		return nil
 	}
 	if !s.ready.Load() {
-		s.refuse(w, id, notReady())
+		s.refuse(w, r, id, notReady())
 		return nil
 	}
 	answer := locateAnswer{TTLMS: s.config.Limits.LocateTTL.Milliseconds()}
@@ -55,7 +55,7 @@
 		snapshot := s.config.Config.Snapshot()
 		account, refusal := s.config.Authenticate(snapshot, header)
 		if refusal != nil && snapshot.Fresh {
-			s.refuse(w, id, refusal)
+			s.refuse(w, r, id, refusal)
 			return nil
 		}
 		if refusal == nil {
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -27,14 +27,14 @@
 func newRequestID() string { return uuid.NewString() }
 
 // refuse answers with a refusal.
-func (s *Server) refuse(w http.ResponseWriter, requestID string, r *outcome.Refusal) {
-	s.meters.refused(r.Reason)
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, requestID string, refusal *outcome.Refusal) {
+	s.meters.refused(refusal.Reason)
 	body, err := json.Marshal(refusalBody{
-		Outcome:      r.Outcome.String(),
-		Reason:       r.Reason,
-		Detail:       r.Detail,
+		Outcome:      refusal.Outcome.String(),
+		Reason:       refusal.Reason,
+		Detail:       refusal.Detail,
 		RequestID:    requestID,
-		RetryAfterMS: r.RetryAfter.Milliseconds(),
+		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
 	})
 	if err != nil {
 		panic(err) // strings and integers always have a JSON form
@@ -44,16 +44,14 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)+1))
 	h.Set("Cache-Control", "no-store")
 	h.Set(headerRequestID, requestID)
-	h.Set(headerOutcome, r.Outcome.String())
-	if r.RetryAfter > 0 {
-		h.Set("Retry-After", retrySeconds(r.RetryAfter))
+	h.Set(headerOutcome, refusal.Outcome.String())
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", retrySeconds(refusal.RetryAfter))
 	}
-	if r.Reason == outcome.ReasonStopping {
+	if refusal.Reason == outcome.ReasonStopping {
 		h.Set("Connection", "close")
 	}
-	w.WriteHeader(r.Status)
-	// The caller may be gone; there is nobody else to tell.
-	_, _ = w.Write(append(body, '\n'))
+	respond(w, r, refusal.Status, append(body, '\n'))
 }
 
 // retrySeconds rounds up, so that nobody comes back too early.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -25,12 +25,12 @@
 	arrived := time.Now()
 	c := s.newCall(w, r)
 	if !s.running.enter() {
-		s.refuse(w, c.shownID, stopping())
+		s.refuse(w, r, c.shownID, stopping())
 		return
 	}
 	defer s.running.leave()
 	if !s.ready.Load() {
-		s.refuse(w, c.shownID, notReady())
+		s.refuse(w, r, c.shownID, notReady())
 		return
 	}
 	s.meters.requests.Inc(1)
@@ -40,11 +40,14 @@
 	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	if refusal := s.prepare(ctx, c, arrived); refusal != nil {
-		s.refuse(w, c.shownID, refusal)
+		s.refuse(w, r, c.shownID, refusal)
 		return
 	}
 	span.SetAttributes(attribute.String("request.id", c.id), attribute.String("route", c.route.Name))
 	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes)
+	if c.body != nil && c.watch != nil {
+		c.body.check = c.watch.check
+	}
 	s.answer(ctx, c)
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -217,6 +217,6 @@
 
 // routeError answers what echo itself refuses.
 func (s *Server) routeError(c *echo.Context, _ error) {
-	s.refuse(c.Response(), newRequestID(), outcome.Refuse(http.StatusNotFound,
+	s.refuse(c.Response(), c.Request(), newRequestID(), outcome.Refuse(http.StatusNotFound,
 		outcome.ReasonNoRoute, 0, "No route matches the path."))
 }
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -137,3 +137,111 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// TestRefusalDoesNotWaitForTheBody refuses requests whose bodies are not sent.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	for _, framing := range []string{"Content-Length: 100", "Content-Length: 10000000", "Transfer-Encoding: chunked",
+		"Content-Length: 100\r\nExpect: 100-continue"} {
+		c, err := net.Dial("tcp", v.callers.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "POST /lookup/x HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n", framing)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("%q: %v", framing, err)
+		}
+		c.Close()
+	}
+}
+
+// TestRefusalKeepsTheConnection sends a request after one that was refused with
+// its body unread.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	v.addTarget(t, "t1", echoTarget("t1"))
+	c, err := net.Dial("tcp", v.callers.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, want := range []int{404, 200, 404, 200} {
+		path := map[int]string{404: "/none", 200: "/open/x"}[want]
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody", path)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%s: %+v, %v", path, resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestWithdrawnKeyEndsTransfers withdraws a key during an upload, a download
+// and on an idle connection.
+func TestWithdrawnKeyEndsTransfers(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	begin := func(method string, body io.Reader) *http.Response {
+		req, err := http.NewRequest(method, v.callers.URL+"/lookup/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	received, more, whole := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	v.addTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(received)
+			_, err := io.Copy(io.Discard, r.Body)
+			whole <- err
+			return
+		}
+		io.WriteString(w, strings.Repeat("a", 4*wholeBytes))
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		for range 1000 {
+			if _, err := io.WriteString(w, strings.Repeat("b", wholeBytes)); err != nil {
+				return
+			}
+		}
+	})
+	download := begin("GET", nil)
+	defer download.Body.Close()
+	if _, err := io.CopyN(io.Discard, download.Body, 4*wholeBytes); err != nil {
+		t.Fatal(err)
+	}
+	sent, send := io.Pipe()
+	uploads := make(chan *http.Response, 1)
+	go func() { uploads <- begin("POST", sent) }()
+	io.WriteString(send, "part")
+	<-received
+	v.source.withdraw("k1")
+	close(more)
+	io.WriteString(send, "more")
+	upload := <-uploads
+	defer upload.Body.Close()
+	send.Close()
+	if upload.StatusCode != http.StatusUnauthorized {
+		t.Errorf("the upload ended with status %d", upload.StatusCode)
+	}
+	if err := <-whole; err == nil {
+		t.Error("the target took the cut upload for a whole one")
+	}
+	if n, err := io.Copy(io.Discard, download.Body); err == nil {
+		t.Errorf("the download went on for %d bytes and looked whole", n)
+	}
+	if got := begin("GET", nil); got.StatusCode != http.StatusUnauthorized {
+		t.Errorf("a new request: status %d", got.StatusCode)
+	}
+}
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -146,6 +146,9 @@
 	case errors.As(err, &tooLarge):
 		r.Status, r.Reason, r.RetryAfter = http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0
 		r.Detail = "The request's body is too large."
+	case errors.Is(err, errWithdrawn):
+		r.Status, r.Reason, r.RetryAfter = http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0
+		r.Detail = "The key was withdrawn before the request was received whole."
 	case errors.Is(err, forward.ErrCallerBody):
 		r.Status, r.Reason, r.RetryAfter = http.StatusBadRequest, outcome.ReasonBadRequest, 0
 		r.Detail = "The request's body could not be read."
--- /dev/null
+++ b/pkg/entry/withdrawal.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"errors"
+	"sync"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+)
+
+// errWithdrawn reports that the caller's key was withdrawn during a transfer.
+var errWithdrawn = errors.New("client account key was withdrawn")
+
+// keyWatch ends the transfers of a caller whose key is withdrawn: uploads that
+// are not complete, and the rest of answers that are streamed. A request that
+// was received whole runs on, and a small answer to it is delivered.
+type keyWatch struct {
+	source       config.Source
+	authenticate func(config.Snapshot) bool
+
+	mu      sync.Mutex
+	version int64
+	valid   bool
+}
+
+func (s *Server) newKeyWatch(c *call, version int64) *keyWatch {
+	header := c.r.Header.Get("Authorization")
+	return &keyWatch{
+		source:  s.config.Config,
+		version: version,
+		valid:   true,
+		authenticate: func(snapshot config.Snapshot) bool {
+			account, refusal := s.config.Authenticate(snapshot, header)
+			return refusal == nil && account.Name == c.account.Name
+		},
+	}
+}
+
+// check authenticates again where the configuration has changed. A stale
+// configuration refuses new requests only.
+func (k *keyWatch) check() error {
+	snapshot := k.source.Snapshot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if snapshot.Version != k.version {
+		k.version = snapshot.Version
+		snapshot.Fresh = true
+		k.valid = k.valid && k.authenticate(snapshot)
+	}
+	if !k.valid {
+		return errWithdrawn
+	}
+	return nil
+}
