--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -27,8 +27,8 @@
 	refusal *outcome.Refusal
 	// transient refusals may succeed elsewhere.
 	transient bool
-	// died reports that the target died while it ran the request.
-	died bool
+	// death identifies the death of the target that ran the request.
+	death string
 	// unreached reports that a peer was sent nothing.
 	unreached bool
 	// shed reports that the target refused before running the request.
@@ -55,7 +55,7 @@
 // early is an error.
 func readAnswer(resp *forward.Response) (*answer, error) {
 	a := &answer{status: resp.StatusCode, header: resp.Header}
-	a.outcome, a.died = a.header.Get(headerOutcome), a.header.Get(headerDied) != ""
+	a.outcome, a.death = a.header.Get(headerOutcome), a.header.Get(headerDied)
 	removeHopByHop(a.header)
 	size := wholeBytes + 1
 	if n := resp.ContentLength; n >= 0 && n < int64(size) {
@@ -85,11 +85,16 @@
 
 // deliver sends the answer to the caller.
 func (s *Server) deliver(c *call, a *answer) {
+	if c.body.unfinished() {
+		c.w.Header().Set("Connection", "close")
+	} else if c.body.finished() {
+		c.r.Body = http.NoBody
+	}
 	if a.refusal != nil {
-		if a.died && c.handedOver {
-			c.w.Header().Set(headerDied, "true")
+		if a.death != "" && c.handedOver {
+			c.w.Header().Set(headerDied, a.death)
 		}
-		s.refuse(c.w, c.shownID, a.refusal)
+		s.refuse(c.w, c.r, c.shownID, a.refusal)
 		return
 	}
 	h := c.w.Header()
@@ -112,9 +117,7 @@
 	if bodyAllowed(c.r.Method, a.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.head)))
 	}
-	c.w.WriteHeader(a.status)
-	// A failed write means that the caller is gone.
-	_, _ = c.w.Write(a.head)
+	respond(c.w, c.r, a.status, a.head)
 }
 
 // bodyAllowed reports whether a response has a body whose length is known
@@ -130,7 +133,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	c.w.WriteHeader(a.status)
-	err := copyAnswer(c.w, a)
+	err := copyAnswer(c, a)
 	result := dispatch.Result{Outcome: outcome.Done, Status: a.status, Latency: time.Since(a.started)}
 	state := claim.Done
 	if err != nil {
@@ -148,13 +151,19 @@
 }
 
 // copyAnswer flushes after each read, for callers that wait for a part.
-func copyAnswer(w http.ResponseWriter, a *answer) error {
+func copyAnswer(c *call, a *answer) error {
+	w := c.w
 	if _, err := w.Write(a.head); err != nil {
 		return err
 	}
 	control := http.NewResponseController(w)
 	buffer := make([]byte, copyBytes)
 	for {
+		if c.watch != nil {
+			if err := c.watch.check(); err != nil {
+				return err
+			}
+		}
 		n, err := a.stream.Read(buffer)
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -25,8 +25,12 @@
 	// handedOver calls came from a peer.
 	handedOver bool
 	// key is the idempotency key of an at-most-once request; it may be empty.
-	key    string
-	tried  []string
+	key   string
+	tried []string
+	// watch is nil for open routes and calls from peers, whose first VM watches.
+	watch *keyWatch
+	// prior is how many targets are known to have died with the request.
+	prior  int
 	header http.Header
 	body   *body
 	w      http.ResponseWriter
@@ -98,6 +102,7 @@
 		return refusal
 	}
 	c.account = account
+	c.watch = s.newKeyWatch(c, snapshot.Version)
 	return nil
 }
 
