--- a/pkg/dispatch/capacity.go
+++ b/pkg/dispatch/capacity.go
@@ -148,3 +148,14 @@
 	}
 	return false
 }
+
+// drainedVMs returns the IDs of the VMs that operators keep new work from.
+func drainedVMs(cfg *config.Config) map[string]bool {
+	ids := map[string]bool{}
+	for _, d := range cfg.Drains {
+		if d.Kind == config.DrainVM {
+			ids[d.Subject] = true
+		}
+	}
+	return ids
+}
--- a/pkg/dispatch/config.go
+++ b/pkg/dispatch/config.go
@@ -63,7 +63,8 @@
 	// PollInterval is how often a target's load and health are asked for;
 	// default 1 s. Negative asks for neither.
 	PollInterval time.Duration
-	// HTTP asks for load and health; default a client of its own.
+	// HTTP asks for load and health; default a client of its own with one
+	// connection to a target at a time.
 	HTTP *http.Client
 	// Seed makes random choices reproducible; 0 takes one from Self.
 	Seed uint64
@@ -105,7 +106,7 @@
 	setDefault(&c.TickInterval, defaultTickInterval)
 	setDefault(&c.PollInterval, defaultPollInterval)
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Timeout: pollTimeout}
+		c.HTTP = newPollClient()
 	}
 	return c
 }
--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -35,9 +35,11 @@
 	cost func(region string) time.Duration
 	rand *rand.Rand
 
-	view  *member.View
-	tiers []tier
-	state map[string]*peerState
+	view *member.View
+	// zoneVMs is how many VMs of this region may run, with this one.
+	zoneVMs int
+	tiers   []tier
+	state   map[string]*peerState
 }
 
 func newPeers(c Config, pool string, seed uint64) peers {
@@ -84,12 +86,16 @@
 	p.view = view
 	byCost := map[time.Duration][]*member.Peer{}
 	known := map[string]*peerState{}
+	p.zoneVMs = 1
 	for i := range view.Peers {
 		peer := &view.Peers[i]
 		if old := p.state[peer.Incarnation]; old != nil {
 			old.shown = old.running
 			known[peer.Incarnation] = old
 		}
+		if peer.State != member.Gone && peer.Region == p.self.Region {
+			p.zoneVMs++
+		}
 		if peer.State == member.Live && peer.Incarnation != p.self.Incarnation {
 			c := p.cost(peer.Region)
 			byCost[c] = append(byCost[c], peer)
--- a/pkg/dispatch/permits_test.go
+++ b/pkg/dispatch/permits_test.go
@@ -46,7 +46,7 @@
 		for i := range pools {
 			c := f.schedulerConfig().withDefaults()
 			c.Regions = []string{"east"}
-			pools[i] = newPool(c, list[0], newLinks(c.Self, 1, c.Regions), uint64(i))
+			pools[i] = newPool(c, list[0], newLinks(1, c.Regions), uint64(i))
 			pools[i].warm()
 		}
 		for i := range slots {
--- a/pkg/dispatch/policy_test.go
+++ b/pkg/dispatch/policy_test.go
@@ -149,9 +149,15 @@
 			}
 			s.run(10 * time.Second)
 		})
-		if full := got[policyFull]; full.most > z.slots {
+		full := got[policyFull]
+		if full.most > z.slots {
 			t.Errorf("%s: %v", z.name, full)
 		}
+		for _, p := range []policy{policyRandom, policyLeast} {
+			if simple, ok := got[p]; ok && (full.refused > simple.refused || full.p99 > simple.p99) {
+				t.Errorf("%s: worse than %s: %v", z.name, p, full)
+			}
+		}
 	}
 }
 
--- a/pkg/dispatch/poll.go
+++ b/pkg/dispatch/poll.go
@@ -22,6 +22,12 @@
 	healthPath = "/healthz"
 )
 
+// newPollClient returns a client that keeps no connection open, since those
+// would take from what the target accepts, and that uses no proxy.
+func newPollClient() *http.Client {
+	return &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: 1}}
+}
+
 // errNoReport reports that a target has no load endpoint.
 var errNoReport = errors.New("target has no load endpoint")
 
@@ -51,9 +57,16 @@
 	}
 }
 
-// pollOnce takes in one report. A target that cannot be asked is left as it
-// was: only requests tell whether it can be reached.
+// pollOnce takes in one report of a target for which this VM holds permits. A
+// target that cannot be asked is left as it was: only requests tell whether it
+// can be reached.
 func (s *Scheduler) pollOnce(ctx context.Context, p *lockedPool, b *backend) {
+	p.mu.Lock()
+	held := b.held
+	p.mu.Unlock()
+	if held == 0 {
+		return
+	}
 	r, err := s.report(ctx, b.Address, b.Slots)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/http"
 	"slices"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
-	"crocusramp.dev/crocusramp/pkg/health"
 	"crocusramp.dev/crocusramp/pkg/lease"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -88,10 +86,12 @@
 
 	config   *config.Config
 	holdDown time.Duration
-	openIn   map[string]bool
-	layout   []string
-	usable   []int
-	scratch  []int
+	// openIn holds the regions with targets that are not drained.
+	openIn     map[string]bool
+	drainedVMs map[string]bool
+	layout     []string
+	usable     []int
+	scratch    []int
 	// retired is when lease slots were given up; a slot that was taken again
 	// since may be used.
 	retired   map[int]clock.Time
@@ -144,6 +144,7 @@
 	p.config = in.config
 	p.holdDown = min(p.settings.MaxHoldDown, longestTimeout(in.config, p.name))
 	p.shifts = shiftsOf(in.config, p.name, p.settings.Self.Region, p.shifts, in.now)
+	p.drainedVMs = drainedVMs(in.config)
 	p.openIn = map[string]bool{}
 	for _, t := range p.targets {
 		if !drained(in.config, t) {
@@ -241,13 +242,13 @@
 	return p.handOver(in.now, peer, r)
 }
 
-// reachable reports whether the request may go to the peer: its region has
-// targets that are not drained, and bandwidth to it is left.
+// reachable reports whether the request may go to the peer: neither it nor all
+// targets of its region are drained, and bandwidth to it is left.
 func (p *pool) reachable(in inputs, r *request, peer *member.Peer) bool {
-	if !p.openIn[peer.Region] || slices.Contains(r.refusedBy, peer.Incarnation) {
+	if !p.openIn[peer.Region] || p.drainedVMs[peer.ID] || slices.Contains(r.refusedBy, peer.Incarnation) {
 		return false
 	}
-	return peer.Region == p.settings.Self.Region || p.links.open(peer.Region, in.members)
+	return peer.Region == p.settings.Self.Region || p.links.open(peer.Region, p.peers.zoneVMs)
 }
 
 // capped reports whether a shift keeps more requests from the region. Requests
@@ -352,74 +353,3 @@
 	p.links.add(peer.Region, 1)
 	return &lent{peer: peer, request: r, started: now}
 }
-
-// release takes in the end of a granted request.
-func (p *pool) release(in inputs, l *lent, res Result) {
-	if res.Outcome != outcome.Done && l.request.ID != "" {
-		refusedBy := l.request.refusedBy
-		if l.peer != nil {
-			refusedBy = append(slices.Clone(refusedBy), l.peer.Incarnation)
-		}
-		p.retried.Add(l.request.ID, refusedBy)
-	}
-	if l.peer != nil {
-		p.releasePeer(in.now, l, res)
-		return
-	}
-	running := l.backend.running
-	l.backend.put(l.slot)
-	kind := classify(in.now, l.request, res)
-	l.backend.health.Done(in.now, health.Sample{
-		Kind: kind, Latency: res.Latency, Running: running, PoolLatency: p.latency,
-	})
-	if kind == health.Good {
-		p.observe(res.Latency)
-	}
-}
-
-func (p *pool) releasePeer(now clock.Time, l *lent, res Result) {
-	p.links.add(l.peer.Region, -1)
-	s := p.peers.of(l.peer)
-	running := s.running
-	s.running = max(0, s.running-1)
-	refused := res.Outcome == outcome.NotRun && !res.Canceled
-	if refused {
-		s.refused(now)
-	} else if res.Outcome == outcome.Done {
-		s.ran(running)
-	}
-	if l.shift != nil && !res.Canceled {
-		l.shift.observe(now, res.Outcome == outcome.Done && res.Status < http.StatusInternalServerError,
-			res.Latency-2*p.peers.cost(l.peer.Region), p.latency)
-	}
-}
-
-func (p *pool) observe(latency time.Duration) {
-	if p.latency == 0 {
-		p.latency = latency
-		return
-	}
-	p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
-}
-
-// classify tells what the end of a request says of its target.
-func classify(now clock.Time, r *request, res Result) health.Kind {
-	switch {
-	case res.Canceled:
-		return health.Neutral
-	case res.Shed:
-		return health.Shed
-	case res.Status == http.StatusServiceUnavailable, res.Status == http.StatusGatewayTimeout,
-		res.Status == http.StatusTooManyRequests:
-		return health.Overloaded
-	case res.Status != 0 && res.Outcome == outcome.Done:
-		return health.Good
-	case res.Status != 0:
-		return health.Neutral // cut on the way, by the target or the caller
-	case !now.Before(r.deadline):
-		return health.Overloaded
-	case res.Outcome == outcome.NotRun:
-		return health.Refused
-	}
-	return health.Broken
-}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -62,7 +62,7 @@
 		c.Seed = xxhash.Sum64String(c.Self.ID + "/" + c.Self.Incarnation)
 	}
 	s := &Scheduler{config: c, pools: map[string]*lockedPool{}, meters: newMeters(c.Metrics)}
-	shared := newLinks(c.Self, c.LinkRequests, c.Regions)
+	shared := newLinks(c.LinkRequests, c.Regions)
 	for i, p := range c.Pools {
 		s.pools[p.Name] = &lockedPool{pool: newPool(c, p, shared, c.Seed+uint64(i))}
 	}
--- a/pkg/dispatch/scheduler_test.go
+++ b/pkg/dispatch/scheduler_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// TestDrainedVMGetsNothing checks that no request is handed to a drained VM.
+func TestDrainedVMGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.change(map[string]*config.Drain{"d": {Name: "d", Kind: config.DrainVM, Subject: "vm-1"}},
+			peerVM(1, "east", 9), peerVM(2, "east", 9))
+		s := NewScheduler(f.schedulerConfig())
+		fill(t, s, f)
+		for range 5 {
+			g, refusal := s.Acquire(t.Context(), f.request(""))
+			if refusal != nil || g.Peer == nil || g.Peer.ID != "vm-2" {
+				t.Fatalf("%+v, %v", g, refusal)
+			}
+		}
+	})
+}
+
 // TestHandedOverRequestGoesNoFurther checks that a request from a peer is
 // never handed on and waits no longer than its own short bound, and not at all
 // where nothing can run.
--- a/pkg/dispatch/shift_test.go
+++ b/pkg/dispatch/shift_test.go
@@ -29,7 +29,7 @@
 		var vms []*pool
 		for i := range rapid.IntRange(1, 4).Draw(t, "vms") {
 			c := f.schedulerConfig().withDefaults()
-			vms = append(vms, newPool(c, c.Pools[0], newLinks(c.Self, 1<<20, c.Regions), uint64(i)))
+			vms = append(vms, newPool(c, c.Pools[0], newLinks(1<<20, c.Regions), uint64(i)))
 		}
 		now := clock.Time(0)
 		seen, moved := 0, 0
@@ -70,7 +70,7 @@
 func TestShiftReachesItsCap(t *testing.T) {
 	f := shiftFleet(25)
 	c := f.schedulerConfig().withDefaults()
-	p := newPool(c, c.Pools[0], newLinks(c.Self, 1<<20, c.Regions), 1)
+	p := newPool(c, c.Pools[0], newLinks(1<<20, c.Regions), 1)
 	var now clock.Time
 	moved := map[string]int{}
 	const requests, early = 10_000, 100
--- a/pkg/dispatch/sim_test.go
+++ b/pkg/dispatch/sim_test.go
@@ -168,7 +168,7 @@
 		c := Config{Pools: []target.Pool{p}, Self: self, Regions: s.size.regions, RegionCost: cost}.withDefaults()
 		vm := &simVM{peer: self, view: &member.View{Self: self}, holding: &lease.Holding{Total: slots},
 			waiting: map[*ticket]func(*lent, *outcome.Refusal){}}
-		vm.pool = newPool(c, p, newLinks(self, c.LinkRequests, c.Regions), uint64(i))
+		vm.pool = newPool(c, p, newLinks(c.LinkRequests, c.Regions), uint64(i))
 		s.vms = append(s.vms, vm)
 	}
 	taken := map[string]int{}
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	peer := p.peers.choose(math.MaxInt64, p.peers.permits, func(peer *member.Peer) bool {
-		return p.openIn[peer.Region] && !slices.Contains(r.refusedBy, peer.Incarnation)
+		return p.openIn[peer.Region] && !p.drainedVMs[peer.ID] && !slices.Contains(r.refusedBy, peer.Incarnation)
 	})
 	return peer == nil
 }
