--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -11,6 +11,11 @@
 )
 
 const (
+	// initialRoundTrip is assumed until the first answer.
+	initialRoundTrip = 25 * time.Millisecond
+	// askTimeout and minAskTimeout bound a request for tokens.
+	askTimeout    = 400 * time.Millisecond
+	minAskTimeout = 50 * time.Millisecond
 	// askAhead is how much of its demand a VM asks the home for at once.
 	askAhead = 100 * time.Millisecond
 	// maxAheadBurst is the largest part of the burst that is asked for ahead.
@@ -72,10 +77,12 @@
 	denyUntil clock.Time
 	roundTrip time.Duration
 	// want is the share that the VM would best have for its own demand.
-	want share
-	// recalled holds loans that their lender wants back.
-	recalled map[uint64]bool
-	nextID   func() uint64
+	want   share
+	nextID func() uint64
+}
+
+func newBook(name string, nextID func() uint64) *book {
+	return &book{name: name, nextID: nextID, roundTrip: initialRoundTrip}
 }
 
 // step says what follows a decision.
@@ -181,6 +188,12 @@
 	return r
 }
 
+// timeout is how long the VM waits for the answer to ask. A loan of tokens has
+// ended by then, but a late answer still tells the length of the round trip.
+func (b *book) timeout() time.Duration {
+	return min(askTimeout, max(minAskTimeout, 4*b.roundTrip))
+}
+
 // returnSpent stops using the token loans that the bucket has no use for.
 func (b *book) returnSpent(now clock.Time) []*peerpb.LoanReturn {
 	b.advance(now)
@@ -202,6 +215,7 @@
 	b.coming -= q.Tokens
 	if r == nil {
 		b.denyUntil = now.Add(failedAskPause)
+		b.roundTrip = min(askTimeout, max(2*b.roundTrip, now.Sub(sent)))
 		return
 	}
 	b.roundTrip = max(now.Sub(sent), b.roundTrip-b.roundTrip/16)
@@ -237,12 +251,11 @@
 		x := b.borrowed[i]
 		switch {
 		case x.peer != peer || x.kind != collected:
-		case b.home && !b.recalled[x.id]:
+		case b.home && !x.recalled:
 			r.Extend = append(r.Extend, x.id)
 		default:
 			if tokens, ok := b.giveBack(x.id, peer, now); ok {
 				r.Returns = append(r.Returns, &peerpb.LoanReturn{Id: x.id, Tokens: tokens})
-				delete(b.recalled, x.id)
 			}
 		}
 	}
@@ -256,13 +269,10 @@
 // extend goes back with the next request; again reports that there is one.
 func (b *book) collectedFrom(q *peerpb.AccountRequest, r *peerpb.AccountResponse, peer string, sent, now clock.Time) (again bool) {
 	b.accept(collected, r, peer, sent, now)
-	for _, id := range q.Extend {
-		if !slices.Contains(r.Extended, id) {
-			if b.recalled == nil {
-				b.recalled = map[uint64]bool{}
-			}
-			b.recalled[id] = true
-			again = true
+	for i := range b.borrowed {
+		x := &b.borrowed[i]
+		if x.peer == peer && slices.Contains(q.Extend, x.id) && !slices.Contains(r.Extended, x.id) {
+			x.recalled, again = true, true
 		}
 	}
 	return again
@@ -344,9 +354,13 @@
 	}
 	out.ExtendedUs = d.Microseconds()
 	b.advance(now)
-	recall := r.Collect && b.recalls(now)
+	// Only the home lends on, and it recalls by not extending.
+	keep := b.home
+	if r.Collect {
+		keep = !b.recalls(now)
+	}
 	for _, id := range r.Extend {
-		if !recall && b.extend(id, peer, d, now) {
+		if keep && b.extend(id, peer, d, now) {
 			out.Extended = append(out.Extended, id)
 		}
 	}
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -63,6 +63,8 @@
 	share share
 	end   clock.Time
 	kind  loanKind
+	// recalled loans are not extended by their lender.
+	recalled bool
 }
 
 // loanKind says what a loan is for.
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -122,7 +122,8 @@
 	f.Add(math.Inf(-1), math.NaN(), math.NaN(), math.NaN(), int64(math.MaxInt64), uint64(2), true)
 	f.Fuzz(func(t *testing.T, rate, capacity, tokens, returned float64, us int64, id uint64, home bool) {
 		n := uint64(0)
-		b := &book{name: "a", home: home, nextID: func() uint64 { n++; return n }}
+		b := newBook("a", func() uint64 { n++; return n })
+		b.home = home
 		b.setShares(&accountOf10, hold(1, 0, 1), 0)
 		for i := range 3 {
 			b.serve(&peerpb.AccountRequest{
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -24,11 +24,10 @@
 )
 
 const (
-	// askTimeout bounds a request for tokens; later answers would be of no use,
-	// since the loan runs from before the request.
-	askTimeout = 400 * time.Millisecond
 	// collectTimeout bounds a collection.
 	collectTimeout = collectDuration / 2
+	// releasePause is the time between attempts to return what was borrowed.
+	releasePause = 100 * time.Millisecond
 )
 
 // Config says what a Service works on.
@@ -58,7 +57,7 @@
 // account is a book with what its concurrent users need.
 type account struct {
 	mu   sync.Mutex
-	book book
+	book *book
 	// config and holding are what the book's shares were made from.
 	config  *config.Account
 	holding *lease.Holding
@@ -178,7 +177,7 @@
 	if a := old[name]; a != nil {
 		return a
 	}
-	a := &account{book: book{name: name, nextID: func() uint64 { return s.ids.Add(1) }}}
+	a := &account{book: newBook(name, func() uint64 { return s.ids.Add(1) })}
 	next := make(map[string]*account, len(old)+1)
 	for k, v := range old {
 		next[k] = v
@@ -211,13 +210,13 @@
 		a.asked = closed
 		return
 	}
-	r := a.book.ask(now)
+	r, timeout := a.book.ask(now), a.book.timeout()
 	done := make(chan struct{})
 	a.asked = done
 	s.asks.Inc(1)
 	go func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		defer cancel()
 		answer := s.exchange(ctx, home, []*peerpb.AccountRequest{r})
 		a.mu.Lock()
@@ -347,6 +346,7 @@
 		if h, ok := s.home(a.book.name); !ok || h.ID != home.ID {
 			return nil
 		}
+		a.book.home = home.ID == s.cfg.Members.View().Self.ID
 		return a.book.relend(home.Incarnation, now)
 	})
 	if len(requests) == 0 {
@@ -434,14 +434,35 @@
 	return shares
 }
 
-// Release hands borrowed shares back and asks for no more. Loans that were
-// given end by themselves.
+// Release hands borrowed shares back and asks for no more. What was lent on
+// keeps a share for up to relendDuration; Release waits for it until ctx ends.
+// Loans of this VM's own share end by themselves.
 func (s *Service) Release(ctx context.Context) {
 	s.stopping.Store(true)
+	for {
+		s.collectAll(ctx)
+		if !s.borrows() {
+			return
+		}
+		select {
+		case <-time.After(releasePause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// borrows reports whether a collected loan has not been returned yet.
+func (s *Service) borrows() bool {
+	now := s.cfg.Clock.Now()
 	for _, a := range *s.accounts.Load() {
 		a.mu.Lock()
-		a.book.home = false
+		a.book.advance(now)
+		kept := slices.ContainsFunc(a.book.borrowed, func(x loan) bool { return x.kind == collected })
 		a.mu.Unlock()
+		if kept {
+			return true
+		}
 	}
-	s.collectAll(ctx)
+	return false
 }
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -52,12 +53,35 @@
 	return h
 }
 
+// faulty stands between a VM and its peers.
+type faulty struct {
+	handler http.Handler
+	// frozen requests are neither handled nor answered.
+	frozen atomic.Bool
+	// lossy requests are handled, and their answer is lost.
+	lossy atomic.Bool
+}
+
+func (f *faulty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.frozen.Load() {
+		// The server sees that the client has gone once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
+	if f.lossy.Load() {
+		f.handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	f.handler.ServeHTTP(w, r)
+}
+
 // startFleet runs n services on loopback listeners and the system's clock.
-func startFleet(t *testing.T, n int, c *config.Config) ([]*Service, []*sources) {
+func startFleet(t *testing.T, n int, c *config.Config) ([]*Service, []*sources, []*faulty) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
 	t.Cleanup(func() { cancel(); ended.Wait() })
-	services, all := make([]*Service, n), make([]*sources, n)
+	services, all, faults := make([]*Service, n), make([]*sources, n), make([]*faulty, n)
 	peers := make([]member.Peer, n)
 	for i := range n {
 		loop := control.NewLoop()
@@ -70,9 +94,9 @@
 			Config: all[i], Slots: all[i], Members: all[i], Peers: dialer,
 			Clock: clock.System{}, Loop: loop, Log: zerolog.Nop(),
 		})
-		mux := http.NewServeMux()
-		mux.Handle(services[i].Handler())
-		server := httptest.NewServer(mux)
+		_, handler := services[i].Handler()
+		faults[i] = &faulty{handler: handler}
+		server := httptest.NewServer(faults[i])
 		t.Cleanup(func() { dialer.Close(); server.Close() })
 		id := fmt.Sprintf("vm-%d", i)
 		peers[i] = member.Peer{ID: id, Incarnation: id + "/1", PeerAddress: server.Listener.Addr().String()}
@@ -87,13 +111,13 @@
 		all[i].view.Store(view)
 		services[i].Start(ctx)
 	}
-	return services, all
+	return services, all, faults
 }
 
 // TestSmallRateOverTheFleet admits at a VM whose own share never reaches a
 // whole token: it needs the home's.
 func TestSmallRateOverTheFleet(t *testing.T) {
-	services, _ := startFleet(t, 3, accounts(config.Account{Name: "a", Rate: 5, Burst: 3}))
+	services, _, _ := startFleet(t, 3, accounts(config.Account{Name: "a", Rate: 5, Burst: 3}))
 	start := time.Now()
 	admitted := 0
 	for deadline := start.Add(time.Minute); admitted < 10; {
@@ -116,7 +140,7 @@
 }
 
 func TestUnknownAccountIsRefused(t *testing.T) {
-	services, all := startFleet(t, 1, accounts(config.Account{Name: "a", Rate: 1e6, Burst: 10}))
+	services, all, _ := startFleet(t, 1, accounts(config.Account{Name: "a", Rate: 1e6, Burst: 10}))
 	if d := services[0].Admit(t.Context(), "b"); d.Admitted {
 		t.Error("an account that does not exist was admitted")
 	}
--- a/pkg/limit/sim_test.go
+++ b/pkg/limit/sim_test.go
@@ -110,7 +110,8 @@
 	s.audit = s.ideal
 	id := uint64(0)
 	for i := range simVMs {
-		b := &book{name: "a", home: i == simHome && !c.static, nextID: func() uint64 { id++; return id }}
+		b := newBook("a", func() uint64 { id++; return id })
+		b.home = i == simHome && !c.static
 		b.setShares(&config.Account{Rate: c.rate, Burst: c.burst}, hold(16, i, simVMs), s.now)
 		s.books = append(s.books, b)
 	}
--- a/pkg/limit/world_test.go
+++ b/pkg/limit/world_test.go
@@ -115,7 +115,7 @@
 		slots:  map[int]lease.Slot{},
 		offset: clock.Time(w.born) * clock.Time(time.Hour),
 		speed:  1 + drift*rapid.SampledFrom([]float64{-1, 0, 1}).Draw(w.T, "speed"),
-		book:   &book{name: "a", nextID: func() uint64 { w.ids++; return w.ids }},
+		book:   newBook("a", func() uint64 { w.ids++; return w.ids }),
 	}
 }
 
