--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/health"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
@@ -15,7 +18,7 @@
 	if bound <= 0 {
 		return nil, nil, refuseLate()
 	}
-	if p.stranded(in.now) {
+	if r.HandedOver && p.unreachable(in.now) || p.hopeless(in, r) {
 		return nil, nil, p.refuseStranded(in.now)
 	}
 	t := &ticket{request: r, decided: make(chan struct{})}
@@ -38,22 +41,25 @@
 func (p *pool) queueBound(now clock.Time, r *request) time.Duration {
 	remaining := r.deadline.Sub(now)
 	fraction := p.settings.QueueFraction[r.class]
-	return min(time.Duration(float64(remaining)*fraction), p.settings.QueueBound[r.class])
-}
-
-// expectedWait estimates how long the request would wait here.
-func (p *pool) expectedWait(now clock.Time, r *request) time.Duration {
-	ahead := p.queue.Ahead(r.class, r.Account, r.Weight) + 1
-	return p.usualLatency() * time.Duration(ahead) / time.Duration(max(1, p.capacity(now)))
+	bound := min(time.Duration(float64(remaining)*fraction), p.settings.QueueBound[r.class])
+	if r.HandedOver {
+		bound = min(bound, p.settings.HandedOverBound)
+	}
+	return bound
 }
 
 // serve grants what can be granted to the waiting requests. It must be called
-// after every event that can free a permit.
+// after every event that can free a permit, here or in a peer.
 func (p *pool) serve(in inputs) {
 	p.update(in)
 	for p.queue.Len() > 0 {
-		b := p.pick(in.now, nil)
+		b := p.pick(in.now, p.queue.Peek().Value.request.Tried)
 		if b == nil {
+			// Only targets that failed the request may be left.
+			b = p.pick(in.now, nil)
+		}
+		if b == nil {
+			p.spill(in)
 			return
 		}
 		e, expired := p.queue.Pop(in.now)
@@ -66,6 +72,24 @@
 	}
 }
 
+// spill hands waiting requests to peers, in the order of the queue, while the
+// peers have room and are nearer than the end of the wait here.
+func (p *pool) spill(in inputs) {
+	for e := p.queue.Peek(); e != nil; e = p.queue.Peek() {
+		if in.now.Before(e.Expires) {
+			l := p.overflow(in, e.Value.request, p.drainTime(in.now))
+			if l == nil {
+				return
+			}
+			e.Value.lent = l
+			close(e.Value.decided)
+		}
+		// Nothing has changed the queue since Peek, so this is e.
+		_, expired := p.queue.Pop(in.now)
+		p.expire(in.now, expired)
+	}
+}
+
 // tick serves the queue and moves waiting requests elsewhere: where nothing
 // can run here any more all of them, else as many as peers have room for.
 func (p *pool) tick(in inputs) {
@@ -84,7 +108,7 @@
 			close(t.decided)
 			continue
 		}
-		if p.stranded(in.now) {
+		if p.hopeless(in, t.request) {
 			p.queue.Remove(e)
 			t.refusal = p.refuseStranded(in.now)
 			close(t.decided)
@@ -119,6 +143,18 @@
 	return true
 }
 
+// hopeless reports whether the request can run neither here nor at any peer
+// before something changes, so that it need not wait.
+func (p *pool) hopeless(in inputs, r *request) bool {
+	if !p.stranded(in.now) {
+		return false
+	}
+	peer := p.peers.choose(math.MaxInt64, p.peers.permits, func(peer *member.Peer) bool {
+		return p.openIn[peer.Region] && !slices.Contains(r.refusedBy, peer.Incarnation)
+	})
+	return peer == nil
+}
+
 // unreachable reports whether nothing can run here now for more than a moment.
 func (p *pool) unreachable(now clock.Time) bool {
 	for _, b := range p.local {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -25,12 +25,12 @@
 	arrived := time.Now()
 	c := s.newCall(w, r)
 	if !s.running.enter() {
-		s.refuse(w, c.shownID, stopping())
+		s.refuse(w, r, c.shownID, stopping())
 		return
 	}
 	defer s.running.leave()
 	if !s.ready.Load() {
-		s.refuse(w, c.shownID, notReady())
+		s.refuse(w, r, c.shownID, notReady())
 		return
 	}
 	s.meters.requests.Inc(1)
@@ -40,11 +40,14 @@
 	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	if refusal := s.prepare(ctx, c, arrived); refusal != nil {
-		s.refuse(w, c.shownID, refusal)
+		s.refuse(w, r, c.shownID, refusal)
 		return
 	}
 	span.SetAttributes(attribute.String("request.id", c.id), attribute.String("route", c.route.Name))
 	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes)
+	if c.body != nil && c.watch != nil {
+		c.body.check = c.watch.check
+	}
 	s.answer(ctx, c)
 }
 
@@ -57,6 +60,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.body.limit(c.deadline)
 	if c.key != "" {
 		s.deliver(c, s.runOnce(ctx, c))
 		return
@@ -67,11 +71,17 @@
 // run sends the call until it has an answer that may go to the caller.
 func (s *Server) run(ctx context.Context, c *call) *answer {
 	for attempt := 1; ; attempt++ {
+		if refusal := s.checkQuarantine(c); refusal != nil {
+			return &answer{refusal: refusal}
+		}
 		grant, refusal := s.config.Dispatcher.Acquire(ctx, s.dispatchRequest(c))
 		if refusal != nil {
 			return &answer{refusal: refusal}
 		}
 		a := s.attempt(ctx, c, grant)
+		if a.death != "" {
+			s.noteDeath(c, a)
+		}
 		if a.refusal == nil || attempt == maxAttempts || !s.mayRetry(ctx, c, a) {
 			return a
 		}
--- a/pkg/health/tracker.go
+++ b/pkg/health/tracker.go
@@ -4,6 +4,7 @@
 package health
 
 import (
+	"math"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -30,12 +31,10 @@
 	// answers to requests that were granted together count once.
 	decreaseInterval = 200 * time.Millisecond
 	// slowFactor is how many times slower than its pool a target may be.
-	slowFactor = 2
+	slowFactor = 4
 	// slowMargin is the difference in latency below which it does not matter.
 	slowMargin = 5 * time.Millisecond
 
-	// growthSamples is how many answers at the limit raise it by one.
-	growthSamples = 4
 	// latencyWeight is the part of a new sample in the moving average.
 	latencyWeight = 0.2
 )
@@ -53,6 +52,8 @@
 	Overloaded
 	// Broken connections gave no answer.
 	Broken
+	// Refused connections show that nothing listens there.
+	Refused
 	// Neutral ends say nothing of the target.
 	Neutral
 )
@@ -120,21 +121,28 @@
 		t.answered(now)
 		t.slowDown(now)
 	case Broken:
-		t.broken(now)
+		t.broken(now, 1)
+	case Refused:
+		t.broken(now, failuresToEject)
 	case Neutral:
 	}
 }
 
 func (t *Tracker) good(now clock.Time, s Sample) {
+	trial := t.ejected
 	t.answered(now)
 	t.sheds = 0
 	t.observe(s.Latency)
+	if trial {
+		return
+	}
 	if t.slow(s.PoolLatency) {
 		t.slowDown(now)
 		return
 	}
 	if float64(s.Running) >= t.limit-1 {
-		t.limit = max(1, t.limit) + 1.0/growthSamples/max(1, t.limit)
+		t.limit = max(1, t.limit)
+		t.limit += 1 / math.Floor(t.limit) // as many answers raise it by one
 	}
 }
 
@@ -186,8 +194,8 @@
 	t.sheds++
 }
 
-func (t *Tracker) broken(now clock.Time) {
-	t.failures++
+func (t *Tracker) broken(now clock.Time, failures int) {
+	t.failures += failures
 	if t.ejected && now.Before(t.ejectedUntil) {
 		return
 	}
