entry: /v1/locate in tiers by nearness, spread by permits, small accounts to their home

Cause: homes came first whatever their region, so every caller of an account went to one VM, across regions where that VM was (12 to 55 ms one way), and a large account's load met one VM's permits while its neighbours' were idle. Change: tier 0 is the nearest region, by the caller's block where settings have one, else the asked VM's; inside a tier an account below 10 requests a second a VM goes to its home VMs first, a larger one is drawn by weight = permits. Block tables below 4,096 ranges have no first-level index (512 KiB a VM saved).

--- a/pkg/block/block.go
+++ b/pkg/block/block.go
@@ -26,6 +26,10 @@
 // value of an address's upper 16 bits.
 const buckets = 1 << 16
 
+// indexFrom is the number of ranges from which the first-level index, 256 KiB,
+// is worth its memory.
+const indexFrom = 4096
+
 // Block assigns the addresses of a prefix to a site.
 type Block struct {
 	Prefix netip.Prefix
@@ -46,7 +50,7 @@
 	starts []T
 	sites  []uint16
 	// first[h] is the last range that begins at or before the smallest
-	// address whose upper 16 bits are h.
+	// address whose upper 16 bits are h. It is nil in small tables.
 	first []uint32
 }
 
@@ -177,6 +181,13 @@
 
 func (r *ranges[T]) index(bucket func(T) uint32) {
 	r.starts, r.sites = slices.Clip(r.starts), slices.Clip(r.sites)
+	if len(r.starts) < indexFrom {
+		return
+	}
+	r.buildIndex(bucket)
+}
+
+func (r *ranges[T]) buildIndex(bucket func(T) uint32) {
 	r.first = make([]uint32, buckets+1)
 	i := 0
 	for h := range uint32(buckets) {
@@ -190,8 +201,10 @@
 
 // find returns the site of the range that holds k, whose bucket is h.
 func (r *ranges[T]) find(k T, h uint32) uint16 {
-	low, high := int(r.first[h]), int(r.first[h+1])+1
-	high = min(high, len(r.starts)-1)
+	low, high := 0, len(r.starts)-1
+	if r.first != nil {
+		low, high = int(r.first[h]), min(int(r.first[h+1])+1, high)
+	}
 	for low < high {
 		middle := int(uint(low+high+1) >> 1)
 		if r.starts[middle] <= k {
--- a/pkg/block/block_test.go
+++ b/pkg/block/block_test.go
@@ -66,6 +66,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if rapid.Bool().Draw(t, "indexed") {
+			table.v4.buildIndex(func(k uint32) uint32 { return k >> 16 })
+		}
 		a := v4(rapid.Uint32().Draw(t, "asked") & 0xff0300ff)
 		want, bits := "", -1
 		for _, b := range blocks {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -181,9 +181,13 @@
 	for _, p := range s.Pools {
 		echoed[p.Name] = p.RequireEcho
 	}
+	blocks, err := s.BlockTable()
+	if err != nil {
+		panic(fmt.Sprintf("daemon: settings were not checked: %v", err))
+	}
 	d.entry = entry.NewServer(entry.Config{
 		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.admitted, Dispatcher: d.scheduler,
-		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, Peers: d.dialer, Table: d.table,
+		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, RegionOf: blocks.Lookup, Peers: d.dialer, Table: d.table,
 		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
 		Limits: entry.Limits{
 			MaxHeaderBytes: s.Callers.MaxHeaderBytes, MaxBodyBytes: s.Callers.MaxBodyBytes,
--- a/pkg/entry/locate.go
+++ b/pkg/entry/locate.go
@@ -1,30 +1,37 @@
 package entry
 
 import (
+	"cmp"
+	"math"
+	"math/rand/v2"
 	"net/http"
-	"sort"
+	"net/netip"
+	"slices"
 
 	"github.com/labstack/echo/v5"
 
 	"crocusramp.dev/crocusramp/pkg/claim"
+	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/member"
 )
 
 const locatePath = "/v1/locate"
 
-// Weights of a locate answer: callers spread over the VMs of the highest
-// weight and use the others when those fail.
-const (
-	weightHome   = 100
-	weightNear   = 10
-	weightRemote = 1
-)
+// concentrateBelow is the rate, in requests a second for each VM of the fleet,
+// below which a client account's callers are sent to its home VMs. Smaller
+// shares than that hold too few tokens to serve a burst where it arrives; a
+// larger account is spread over the VMs by their permits instead.
+const concentrateBelow = 10
 
 // located is one VM in a locate answer.
 type located struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
-	Weight  int    `json:"weight"`
+	// Tier is 0 for the VMs of the nearest region. Callers use a higher tier
+	// only where no VM of a lower one can be reached.
+	Tier int `json:"tier"`
+	// Weight is the VM's part of the requests that go to its tier.
+	Weight int `json:"weight"`
 }
 
 // locateAnswer names the VMs to use, in order.
@@ -50,6 +57,7 @@
 		return nil
 	}
 	answer := locateAnswer{TTLMS: s.config.Limits.LocateTTL.Milliseconds()}
+	near := s.nearest(r)
 	var homes []string
 	if header := r.Header.Get("Authorization"); header != "" {
 		snapshot := s.config.Config.Snapshot()
@@ -59,67 +67,102 @@
 			return nil
 		}
 		if refusal == nil {
-			homes = s.config.Homes(account.Name)
+			homes = s.homes(account)
 			answer.Ticket = s.session.Issue(account.Name)
 			answer.TicketTTLMS = claim.TicketTTL.Milliseconds()
 		}
 	}
 	w.Header().Set("Cache-Control", "private, max-age="+retrySeconds(s.config.Limits.LocateTTL))
-	answer.VMs = order(s.config.Members.View(), homes)
+	answer.VMs = order(s.config.Members.View(), near, homes, rand.Float64)
 	return c.JSON(http.StatusOK, answer)
 }
 
-// order returns the live VMs: homes first, in the order given, then those of
-// this VM's failure domain, then of its region, then the rest.
-func order(view *member.View, homes []string) []located {
-	home := make(map[string]int, len(homes))
-	for i, id := range homes {
-		home[id] = i
+// nearest returns the region of the caller's block, or else this VM's own: a
+// caller asks a VM near it first.
+func (s *Server) nearest(r *http.Request) string {
+	self := s.config.Members.View().Self.Region
+	if s.config.RegionOf == nil {
+		return self
+	}
+	address, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return self
 	}
-	type candidate struct {
-		peer member.Peer
-		rank int
+	if region, ok := s.config.RegionOf(address.Addr()); ok {
+		return region
 	}
-	candidates := make([]candidate, 0, len(view.Peers)+1)
+	return self
+}
+
+// homes returns the home VMs of an account that is too small to be spread.
+func (s *Server) homes(a *config.Account) []string {
+	if a.Rate >= concentrateBelow*float64(len(s.config.Members.View().Peers)+1) {
+		return nil
+	}
+	return s.config.Homes(a.Name)
+}
+
+// candidate is a VM with what it is ordered by.
+type candidate struct {
+	located
+	home int
+	// draw is smaller for a VM of more weight, by chance.
+	draw float64
+}
+
+// order returns the live VMs by tier: those of the region near, then the rest.
+// Inside a tier homes come first, in the order given. Without homes the order
+// is drawn by weight, so that callers who take the first VM spread over all.
+func order(view *member.View, near string, homes []string, random func() float64) []located {
+	var candidates []candidate
 	for _, p := range append([]member.Peer{view.Self}, view.Peers...) {
 		if p.State != member.Live || p.CallerAddress == "" {
 			continue
 		}
-		rank, ok := home[p.ID]
-		if !ok {
-			rank = len(homes) + distance(&view.Self, &p)
+		c := candidate{located: located{ID: p.ID, Address: p.CallerAddress, Weight: 1}}
+		if p.Region != near {
+			c.Tier = 1
+		}
+		if i := slices.Index(homes, p.ID); i >= 0 {
+			c.home = i
+		} else {
+			c.home = len(homes)
+			c.Weight = permits(&p)
 		}
-		candidates = append(candidates, candidate{p, rank})
+		// The smallest of exponential variables with rates w falls on each
+		// with a probability in proportion to w.
+		c.draw = rand64(random) / float64(c.Weight)
+		candidates = append(candidates, c)
 	}
-	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].rank < candidates[j].rank })
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.home, b.home), cmp.Compare(a.draw, b.draw))
+	})
+	return weighted(candidates, len(homes) > 0)
+}
+
+// weighted returns the VMs and, for an account with homes, gives nearly all
+// weight of a tier to its first VM.
+func weighted(candidates []candidate, concentrate bool) []located {
 	vms := make([]located, 0, len(candidates))
-	for _, c := range candidates {
-		vms = append(vms, located{c.peer.ID, c.peer.CallerAddress, weight(c.rank, len(homes), &view.Self, &c.peer)})
+	for i, c := range candidates {
+		if concentrate && (i == 0 || candidates[i-1].Tier != c.Tier) {
+			c.Weight = homeWeight
+		}
+		vms = append(vms, c.located)
 	}
 	return vms
 }
 
-func weight(rank, homes int, self, p *member.Peer) int {
-	switch {
-	case rank < homes:
-		return weightHome
-	case p.Region == self.Region:
-		return weightNear
-	default:
-		return weightRemote
-	}
-}
+// homeWeight is the weight of an account's home against 1 for the others.
+const homeWeight = 100
+
+func rand64(random func() float64) float64 { return -math.Log(1 - random()) }
 
-// distance orders VMs by how far they are: 0 is this VM itself.
-func distance(self, p *member.Peer) int {
-	switch {
-	case p.ID == self.ID:
-		return 0
-	case p.Region != self.Region:
-		return 3
-	case p.FailureDomain != self.FailureDomain:
-		return 2
-	default:
-		return 1
+// permits returns how many requests a VM may run at once, at least 1.
+func permits(p *member.Peer) int {
+	n := 0
+	for _, l := range p.Pools {
+		n += l.Permits
 	}
+	return max(n, 1)
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,10 @@
 	Match func(c *config.Config, method, path string) *config.Route
 	// Homes names the VMs that hold most of an account's share. Nil means none.
 	Homes func(account string) []string
-	Peers *peer.Dialer
+	// RegionOf finds the region nearest to a caller's address. Nil means that
+	// callers are near the VM that they ask.
+	RegionOf func(netip.Addr) (region string, ok bool)
+	Peers    *peer.Dialer
 	// Table keeps the claims of at-most-once requests.
 	Table   platform.Table
 	Clock   clock.Clock
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"net/url"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/block"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -128,7 +131,7 @@
 // Check reports the first value that the daemon cannot run with.
 func (s *Settings) Check() error {
 	checks := []func() error{
-		s.checkVM, s.checkAddresses, s.checkPlatform, s.checkPools, s.checkLease,
+		s.checkVM, s.checkBlocks, s.checkAddresses, s.checkPlatform, s.checkPools, s.checkLease,
 		s.checkCallers, s.checkOperators, s.checkTLS, s.checkLog, s.checkTraces,
 	}
 	for _, check := range checks {
@@ -170,6 +173,35 @@
 	return nil
 }
 
+func (s *Settings) checkBlocks() error {
+	for i, b := range s.ClientBlocks {
+		field := fmt.Sprintf("client_blocks[%d]", i)
+		if _, err := netip.ParsePrefix(b.Prefix); err != nil {
+			return invalid(field+".prefix", "%q is not a prefix such as 192.0.2.0/24", b.Prefix)
+		}
+		if !slices.Contains(s.Regions, b.Region) {
+			return invalid(field+".region", "%q is not one of regions", b.Region)
+		}
+	}
+	if _, err := s.BlockTable(); err != nil {
+		return invalid("client_blocks", "%v", err)
+	}
+	return nil
+}
+
+// BlockTable returns the table from callers' addresses to regions.
+func (s *Settings) BlockTable() (*block.Table, error) {
+	blocks := make([]block.Block, 0, len(s.ClientBlocks))
+	for _, b := range s.ClientBlocks {
+		prefix, err := netip.ParsePrefix(b.Prefix)
+		if err != nil {
+			return nil, err
+		}
+		blocks = append(blocks, block.Block{Prefix: prefix, Site: b.Region})
+	}
+	return block.New(blocks)
+}
+
 func (s *Settings) checkAddresses() error {
 	fields := []struct{ name, value string }{
 		{"listen.callers", s.Listen.Callers},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -55,17 +55,20 @@
 	RegionCost map[string]Duration `json:"region_cost"`
 	// Slots is the number of slots that limits are cut into, 16 by default. It
 	// must be the same on all VMs and at least the number of VMs.
-	Slots    int       `json:"slots"`
-	Platform Platform  `json:"platform"`
-	Pools    []Pool    `json:"pools"`
-	Lease    Lease     `json:"lease"`
-	Feed     Feed      `json:"feed"`
-	Callers  Callers   `json:"callers"`
-	Operator Operators `json:"operators"`
-	TLS      TLS       `json:"tls"`
-	Log      Log       `json:"log"`
-	Traces   Traces    `json:"traces"`
-	Stop     Stop      `json:"stop"`
+	Slots int `json:"slots"`
+	// ClientBlocks says which region is nearest to which callers, for
+	// /v1/locate. Callers outside all blocks are near the VM that they ask.
+	ClientBlocks []ClientBlock `json:"client_blocks"`
+	Platform     Platform      `json:"platform"`
+	Pools        []Pool        `json:"pools"`
+	Lease        Lease         `json:"lease"`
+	Feed         Feed          `json:"feed"`
+	Callers      Callers       `json:"callers"`
+	Operator     Operators     `json:"operators"`
+	TLS          TLS           `json:"tls"`
+	Log          Log           `json:"log"`
+	Traces       Traces        `json:"traces"`
+	Stop         Stop          `json:"stop"`
 }
 
 // VM says where this daemon runs.
@@ -75,6 +78,12 @@
 	FailureDomain string `json:"failure_domain"`
 }
 
+// ClientBlock is a prefix of callers' addresses in CIDR notation.
+type ClientBlock struct {
+	Prefix string `json:"prefix"`
+	Region string `json:"region"`
+}
+
 // Listen holds the addresses that the daemon listens on, as host:port.
 type Listen struct {
 	Callers   string `json:"callers"`
