dispatch: the drain test runs five seeds

Cause: it counted from the instant of the change, and requests that had been granted before it were still on their way to a target.

--- a/pkg/dispatch/policy_test.go
+++ b/pkg/dispatch/policy_test.go
@@ -272,31 +272,33 @@
 	}
 }
 
-// TestRegionDrains has an operator drain a region: it gets nothing new within
-// the promised time, what runs there ends, and nothing is refused.
+// TestRegionDrains has an operator drain a region: it gets nothing new
+// once the configuration is there, what runs ends, and nothing is refused.
 func TestRegionDrains(t *testing.T) {
-	const bound = 2 * time.Second
 	for _, z := range sizes() {
-		s := newSim(z, policyFull, 7)
-		s.offerLoad(0.55, 1)
-		s.warmUp(3 * time.Second)
-		cfg := *s.config
-		cfg.Drains = map[string]*config.Drain{"d": {Name: "d", Kind: config.DrainRegion, Subject: z.regions[0]}}
-		s.config = &cfg
-		started, served := s.now, s.servedIn(z.regions[0])
-		for s.runningIn(z.regions[0]) > 0 {
-			s.run(10 * time.Millisecond)
-		}
-		drained := s.now.Sub(started)
-		s.run(bound)
-		if n := s.servedIn(z.regions[0]) - served; n > 0 {
-			t.Errorf("%s: %d requests after the drain", z.name, n)
-		}
-		s.run(5 * time.Second)
-		sum := s.summarize("")
-		t.Logf("%-7s drained in %v  %v", z.name, drained, sum)
-		if sum.refused > 0 || sum.most > z.slots {
-			t.Errorf("%s: %v", z.name, sum)
+		for seed := range uint64(5) {
+			s := newSim(z, policyFull, seed)
+			s.offerLoad(0.55, 1)
+			s.warmUp(3 * time.Second)
+			cfg := *s.config
+			cfg.Drains = map[string]*config.Drain{"d": {Name: "d", Kind: config.DrainRegion, Subject: z.regions[0]}}
+			s.config = &cfg
+			started := s.now
+			s.run(z.zone) // for requests that are on their way
+			served := s.servedIn(z.regions[0])
+			for s.runningIn(z.regions[0]) > 0 {
+				s.run(10 * time.Millisecond)
+			}
+			drained := s.now.Sub(started)
+			s.run(7 * time.Second)
+			if n := s.servedIn(z.regions[0]) - served; n > 0 {
+				t.Errorf("%s, seed %d: %d requests after the drain", z.name, seed, n)
+			}
+			sum := s.summarize("")
+			t.Logf("%-7s drained in %v  %v", z.name, drained, sum)
+			if sum.refused > 0 || sum.most > z.slots {
+				t.Errorf("%s, seed %d: %v", z.name, seed, sum)
+			}
 		}
 	}
 }
