limit: loans of a deleted account are kept in the books; files by concern

Cause: a VM dropped the book of a deleted account at once. Where the account was made again within a loan's length, the VM used its full share while the borrower still used the loan.

Red without: TestRecreatedAccountKeepsItsLoans, "admitted from a share that is still lent".

--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -12,7 +11,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"github.com/twitchtv/twirp"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -118,33 +116,10 @@
 		return Decision{RetryAfter: noShareRetry}
 	}
 	for waits := 0; ; waits++ {
-		// The clock is read before the holding: what it holds then was still
-		// held at now.
-		now := s.cfg.Clock.Now()
-		a.mu.Lock()
-		s.sync(a, c, now)
-		next := a.book.admit(waits, now)
-		switch next {
-		case stepAdmit:
-			a.mu.Unlock()
-			s.admitted.Inc(1)
-			return Decision{Admitted: true}
-		case stepRefill:
-			s.ask(a, now)
-			a.mu.Unlock()
-			s.admitted.Inc(1)
-			return Decision{Admitted: true}
-		case stepAsk:
-			s.ask(a, now)
+		d, asked := s.decide(a, c, waits)
+		if asked == nil {
+			return d
 		}
-		if next == stepRefuse {
-			wait := a.book.retryAfter(now)
-			a.mu.Unlock()
-			s.refused.Inc(1)
-			return Decision{RetryAfter: wait}
-		}
-		asked := a.asked
-		a.mu.Unlock()
 		select {
 		case <-asked:
 		case <-ctx.Done():
@@ -157,6 +132,30 @@
 	}
 }
 
+// decide takes one step of an admission that has waited waits times. It is to
+// wait for asked, unless that is nil and the decision final.
+func (s *Service) decide(a *account, c *config.Account, waits int) (d Decision, asked <-chan struct{}) {
+	// The clock is read before the holding: what it holds then was still held
+	// at now.
+	now := s.cfg.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.sync(a, c, now)
+	next := a.book.admit(waits, now)
+	if next == stepAsk || next == stepRefill {
+		s.ask(a, now)
+	}
+	switch next {
+	case stepAdmit, stepRefill:
+		s.admitted.Inc(1)
+		return Decision{Admitted: true}, nil
+	case stepRefuse:
+		s.refused.Inc(1)
+		return Decision{RetryAfter: a.book.retryAfter(now)}, nil
+	}
+	return Decision{}, a.asked
+}
+
 // account finds the account's book and its limit. It makes the book of an
 // account that has none yet; nil means that there is no such account.
 func (s *Service) account(name string) (*account, *config.Account) {
@@ -232,192 +231,35 @@
 	return c
 }()
 
-// exchange calls a peer. It returns the answers by account, or nil.
-func (s *Service) exchange(ctx context.Context, p member.Peer, accounts []*peerpb.AccountRequest) map[string]*peerpb.AccountResponse {
-	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(p.PeerAddress), s.cfg.Peers.HTTP())
-	response, err := client.Exchange(ctx, &peerpb.ExchangeRequest{
-		Borrower:  s.cfg.Members.View().Self.Incarnation,
-		RequestId: s.ids.Add(1),
-		Accounts:  accounts,
-	})
-	if err != nil {
-		s.failures.Inc(1)
-		s.cfg.Log.Debug().Err(err).Str("vm", p.ID).Msg("loans could not be exchanged")
-		return nil
-	}
-	byAccount := make(map[string]*peerpb.AccountResponse, len(response.Accounts))
-	for _, r := range response.Accounts {
-		byAccount[r.Account] = r
-	}
-	return byAccount
-}
-
-// collectAll makes one exchange with each live peer, for all accounts.
-func (s *Service) collectAll(ctx context.Context) {
-	view := s.cfg.Members.View()
-	s.refresh(view)
-	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, p := range view.Peers {
-		if p.State == member.Live || p.State == member.Leaving {
-			calls.Go(func() { s.collectFrom(ctx, p) })
-		}
-	}
-	calls.Wait()
-}
-
 // refresh gives every account of the configuration a book, drops those of
 // deleted accounts and finds out which this VM is the home of.
 func (s *Service) refresh(view *member.View) {
 	snapshot := s.cfg.Config.Snapshot()
-	for name, c := range snapshot.Accounts {
-		a, _ := s.account(name)
-		if a == nil {
-			continue
-		}
-		home, ok := s.home(name)
-		now := s.cfg.Clock.Now()
-		a.mu.Lock()
-		s.sync(a, c, now)
-		a.book.home = ok && home.ID == view.Self.ID
-		a.mu.Unlock()
+	for name := range snapshot.Accounts {
+		s.account(name)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kept := map[string]*account{}
 	for name, a := range *s.accounts.Load() {
-		if snapshot.Accounts[name] != nil {
+		if s.refreshAccount(a, snapshot.Accounts[name], view) {
 			kept[name] = a
 		}
 	}
 	s.accounts.Store(&kept)
 }
 
-func (s *Service) collectFrom(ctx context.Context, p member.Peer) {
-	for again := true; again; {
-		again = s.collectOnce(ctx, p)
-	}
-}
-
-// collectOnce makes one exchange; again reports that loans are to be returned.
-func (s *Service) collectOnce(ctx context.Context, p member.Peer) (again bool) {
-	now := s.cfg.Clock.Now()
-	requests := s.gather(func(a *account) *peerpb.AccountRequest {
-		return a.book.collect(p.Incarnation, now)
-	})
-	if len(requests) == 0 {
-		return false
-	}
-	s.collections.Inc(1)
-	answers := s.exchange(ctx, p, requests)
-	s.settle(requests, answers, func(a *account, q *peerpb.AccountRequest, r *peerpb.AccountResponse) {
-		if a.book.collectedFrom(q, r, p.Incarnation, now, s.cfg.Clock.Now()) {
-			again = true
-		}
-	})
-	return again
-}
-
-// relendAll makes one exchange with each home of an account that this VM has
-// more demand for than its own share covers.
-func (s *Service) relendAll(ctx context.Context) {
-	if s.stopping.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, relendPeriod)
-	defer cancel()
-	homes := map[string]member.Peer{}
-	for name := range *s.accounts.Load() {
-		if home, ok := s.home(name); ok {
-			homes[home.ID] = home
-		}
-	}
-	var calls sync.WaitGroup
-	for _, home := range homes {
-		calls.Go(func() { s.relendFrom(ctx, home) })
-	}
-	calls.Wait()
-}
-
-func (s *Service) relendFrom(ctx context.Context, home member.Peer) {
-	now := s.cfg.Clock.Now()
-	requests := s.gather(func(a *account) *peerpb.AccountRequest {
-		if h, ok := s.home(a.book.name); !ok || h.ID != home.ID {
-			return nil
-		}
-		a.book.home = home.ID == s.cfg.Members.View().Self.ID
-		return a.book.relend(home.Incarnation, now)
-	})
-	if len(requests) == 0 {
-		return
-	}
-	answers := s.exchange(ctx, home, requests)
-	s.settle(requests, answers, func(a *account, _ *peerpb.AccountRequest, r *peerpb.AccountResponse) {
-		a.book.accept(relent, r, home.Incarnation, now, s.cfg.Clock.Now())
-	})
-}
-
-// gather makes a request for each account that has something to say.
-func (s *Service) gather(request func(*account) *peerpb.AccountRequest) []*peerpb.AccountRequest {
-	var requests []*peerpb.AccountRequest
-	for _, a := range *s.accounts.Load() {
-		a.mu.Lock()
-		if r := request(a); r != nil {
-			requests = append(requests, r)
-		}
-		a.mu.Unlock()
-	}
-	return requests
-}
-
-// settle hands each answer to its account.
-func (s *Service) settle(requests []*peerpb.AccountRequest, answers map[string]*peerpb.AccountResponse,
-	accept func(*account, *peerpb.AccountRequest, *peerpb.AccountResponse)) {
-	accounts := *s.accounts.Load()
-	for _, q := range requests {
-		a, r := accounts[q.Account], answers[q.Account]
-		if a != nil && r != nil {
-			a.mu.Lock()
-			accept(a, q, r)
-			a.mu.Unlock()
-		}
-	}
-}
-
-// Handler returns the path prefix and the handler of the service that peers
-// call.
-func (s *Service) Handler() (string, http.Handler) {
-	h := peerpb.NewLimitServer(server{s})
-	return h.PathPrefix(), h
-}
-
-// server answers peers; it keeps the RPC method out of Service's interface.
-type server struct{ s *Service }
-
-// Exchange lends to a peer.
-func (v server) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	if r.Borrower == "" {
-		return nil, twirp.RequiredArgumentError("borrower")
-	}
-	if !v.s.seen.add(r.Borrower, r.RequestId) {
-		return nil, twirp.NewError(twirp.AlreadyExists, "the request was answered before")
-	}
-	out := &peerpb.ExchangeResponse{}
-	for _, q := range r.Accounts {
-		if a, c := v.s.account(q.Account); a != nil {
-			out.Accounts = append(out.Accounts, v.s.serve(a, c, q, r.Borrower))
-		}
-	}
-	return out, nil
-}
-
-func (s *Service) serve(a *account, c *config.Account, q *peerpb.AccountRequest, borrower string) *peerpb.AccountResponse {
+// refreshAccount reports whether the book is still needed: that of a deleted
+// account is until its loans have ended, as the account may be made again.
+func (s *Service) refreshAccount(a *account, c *config.Account, view *member.View) bool {
+	home, ok := s.home(a.book.name)
 	now := s.cfg.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.sync(a, c, now)
-	return a.book.serve(q, borrower, now)
+	a.book.home = ok && home.ID == view.Self.ID
+	a.book.advance(now)
+	return c != nil || len(a.book.lent)+len(a.book.borrowed) > 0
 }
 
 // Shares returns this VM's shares in order of account.
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/control"
@@ -153,6 +154,61 @@
 	}
 }
 
+// TestRecreatedAccountKeepsItsLoans: what was lent before an account was
+// deleted may still be in use when it is made again.
+func TestRecreatedAccountKeepsItsLoans(t *testing.T) {
+	s, src, now := newService(accountOf10)
+	now.Advance(time.Second)
+	answer, err := server{s}.Exchange(t.Context(), &peerpb.ExchangeRequest{
+		Borrower: "b", RequestId: 1, Accounts: []*peerpb.AccountRequest{{Account: "a", Collect: true}},
+	})
+	if err != nil || len(answer.Accounts) != 1 || len(answer.Accounts[0].Grants) != 1 {
+		t.Fatalf("Exchange: %v, %v", answer, err)
+	}
+	src.config.Store(config.Empty())
+	s.refresh(src.View())
+	src.config.Store(accounts(accountOf10))
+	s.refresh(src.View())
+	now.Advance(time.Second)
+	if s.Admit(t.Context(), "a").Admitted {
+		t.Error("admitted from a share that is still lent")
+	}
+	src.config.Store(config.Empty())
+	now.Advance(settleTime)
+	s.refresh(src.View())
+	if len(s.Shares()) != 0 {
+		t.Errorf("shares of a deleted account: %v", s.Shares())
+	}
+}
+
+// newService returns a service with all slots and a fake clock, that is not
+// the home of any account.
+func newService(a config.Account) (*Service, *sources, *clock.Fake) {
+	src := &sources{}
+	src.config.Store(accounts(a))
+	src.holding.Store(hold(16, 0, 1))
+	src.view.Store(&member.View{Self: member.Peer{State: member.Leaving}})
+	now := clock.NewFake(clock.Time(time.Hour))
+	s := NewService(Config{
+		Config: src, Slots: src, Members: src, Peers: peer.NewDialer(nil),
+		Clock: now, Loop: control.NewLoop(), Log: zerolog.Nop(),
+	})
+	s.refresh(src.View())
+	return s, src, now
+}
+
+// BenchmarkAdmitDecision leaves out the system call that reads the clock.
+func BenchmarkAdmitDecision(b *testing.B) {
+	s, _, now := newService(config.Account{Name: "a", Rate: 1e12, Burst: 1e12})
+	now.Advance(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.Admit(b.Context(), "a").Admitted {
+			b.Fatal("refused")
+		}
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	src := &sources{}
 	src.config.Store(accounts(config.Account{Name: "a", Rate: 1e12, Burst: 1e12}))
