--- a/pkg/claim/session.go
+++ b/pkg/claim/session.go
@@ -118,6 +118,15 @@
 	return Run, nil
 }
 
+// Known reports whether the request was begun and not released.
+func (s *Session) Known(id ID) bool {
+	h := hashID(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.used[h]
+	return ok
+}
+
 // forgetLocked drops requests whose tickets have expired. Later ones that were
 // issued earlier wait behind those before them, which does no harm.
 func (s *Session) forgetLocked(now clock.Time) {
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"crocusramp.dev/crocusramp/pkg/platform"
 )
@@ -19,6 +20,8 @@
 	// partitionPrefix is followed by the first byte of the hashed ID, which
 	// spreads the claims over 256 partitions.
 	partitionPrefix = "claim/"
+	// maxRecent bounds the records kept in memory, answers of a few KiB each.
+	maxRecent = 1024
 	// maxSteps bounds the writes of one claim.
 	maxSteps = 6
 	// The result of a request is recorded while its caller waits no longer.
@@ -39,6 +42,9 @@
 type Store struct {
 	config  StoreConfig
 	batcher *batcher
+	// recent holds what this process claimed last and has not released, so
+	// that a re-send needs no table.
+	recent *lru.Cache[platform.Key, Record]
 	// delay separates the attempts to record a result; it doubles.
 	delay time.Duration
 	// recording counts the results that are being written.
@@ -47,7 +53,11 @@
 
 // NewStore returns a Store.
 func NewStore(c StoreConfig) *Store {
-	return &Store{config: c, batcher: &batcher{table: c.Table}, delay: recordDelay}
+	recent, err := lru.New[platform.Key, Record](maxRecent)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	return &Store{config: c, batcher: &batcher{table: c.Table}, recent: recent, delay: recordDelay}
 }
 
 // Claim is a claimed request. Finish is called once.
@@ -67,12 +77,14 @@
 		Incarnation: s.config.Incarnation,
 		State:       Running,
 	}}
+	if r := s.Recent(id); r != nil {
+		return nil, r, nil
+	}
 	revision, maybe := int64(0), false
 	for range maxSteps {
 		err := s.batcher.write(ctx, platform.Write{Key: c.key, IfRevision: revision, Value: c.record.encode()})
 		if err == nil {
-			c.revision = revision + 1
-			return c, nil, nil
+			return s.own(c, revision+1), nil, nil
 		}
 		if errors.Is(err, platform.ErrUnavailable) {
 			break
@@ -88,8 +100,7 @@
 		}
 		switch v.kind {
 		case owned:
-			c.revision = v.revision
-			return c, nil, nil
+			return s.own(c, v.revision), nil, nil
 		case taken:
 			return nil, v.record, nil
 		case free:
@@ -103,6 +114,23 @@
 	return nil, nil, ErrUnavailable
 }
 
+// own notes that the claim is this process's.
+func (s *Store) own(c *Claim, revision int64) *Claim {
+	c.revision = revision
+	s.recent.Add(c.key, c.record)
+	return c
+}
+
+// Recent returns the record of a request that this process claimed lately and
+// did not release, or nil. It asks no table.
+func (s *Store) Recent(id ID) *Record {
+	r, ok := s.recent.Get(itemKey(id))
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
 // verdictKind says what a read of the claim means to a claimer.
 type verdictKind uint8
 
@@ -154,6 +182,11 @@
 // revision back, and a late release of the first claim could free the second.
 func (c *Claim) Finish(state State, a Answer) {
 	c.record.State, c.record.Answer = state, a
+	if state == Released {
+		c.store.recent.Remove(c.key)
+	} else {
+		c.store.recent.Add(c.key, c.record)
+	}
 	c.store.record(c.write)
 }
 
--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 
+	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
@@ -76,3 +77,65 @@
 		})
 	}
 }
+
+// TestFailedRetryIsNotCalledNotRun has a first target take an idempotent
+// request and fail, and then no second one to be had.
+func TestFailedRetryIsNotCalledNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	for _, second := range []string{"", l.Addr().String()} {
+		v := startVM(t, "vm-1", nil)
+		v.addRaw(t, "t1", func(c net.Conn) { readRequest(t, c) })
+		if second != "" {
+			v.addAddress("t2", second)
+		}
+		if r := v.send(t, "GET", "/lookup/x", "").refusal(t); r.Outcome != "unknown" || r.Reason != "target_failed" {
+			t.Errorf("second target %q: got %+v", second, r)
+		}
+	}
+}
+
+// TestShedRequestGoesElsewhere has targets refuse before they run a request.
+func TestShedRequestGoesElsewhere(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	shedding := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerShed, shedNotRun)
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	v.addTarget(t, "t1", shedding)
+	got := v.send(t, "POST", "/filing/x", "body")
+	if r := got.refusal(t); r.Outcome != "not_run" || r.Reason != "no_capacity" {
+		t.Errorf("got %+v", r)
+	}
+	v.addTarget(t, "t2", echoTarget("t2"))
+	if got = v.send(t, "POST", "/filing/x", "body"); !strings.Contains(got.body, `"body":"body"`) {
+		t.Errorf("got %+v", got)
+	}
+	if results := v.dispatcher.results(); !results[0].Shed || results[0].Outcome != outcome.NotRun {
+		t.Errorf("released as %+v", results[0])
+	}
+}
+
+// TestRetriesStayInBudget has every target fail every request.
+func TestRetriesStayInBudget(t *testing.T) {
+	v := startVM(t, "vm-1", func(c *Config) { c.Clock = clock.NewFake(1) })
+	var runs atomic.Int32
+	for _, id := range []string{"t1", "t2", "t3", "t4"} {
+		v.addTarget(t, id, func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set(headerRequestID, "other")
+		})
+	}
+	const requests = 100
+	for range requests {
+		v.send(t, "GET", "/lookup/x", "")
+	}
+	// A tenth of the requests and the floor of the budget.
+	if n := runs.Load(); n > requests+requests/10+5 {
+		t.Errorf("%d requests were sent %d times", requests, n)
+	}
+}
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// truthful changes "not run" to "unknown" where this VM remembers that an
+// earlier sending of the call may have run. What other VMs ran it cannot tell:
+// "not run" speaks of the present sending alone.
+func (s *Server) truthful(c *call, refusal *outcome.Refusal) *outcome.Refusal {
+	if refusal.Outcome != outcome.NotRun || c.key == "" || c.account == nil {
+		return refusal
+	}
+	id := c.onceID()
+	if !s.session.Known(id) && (s.claims == nil || s.claims.Recent(id) == nil) {
+		return refusal
+	}
+	changed := *refusal
+	changed.Outcome = outcome.Unknown
+	return &changed
+}
+
 // onceID identifies the call to the claims.
 func (c *call) onceID() claim.ID {
 	return claim.ID{Account: c.accountName(), Route: c.route.Name, Key: c.key}
--- a/pkg/entry/once_test.go
+++ b/pkg/entry/once_test.go
@@ -391,3 +391,34 @@
 		t.Errorf("2 requests ran %d times", n)
 	}
 }
+
+// TestRefusalOfResendIsTrue refuses sendings of a request that ran before.
+func TestRefusalOfResendIsTrue(t *testing.T) {
+	table := newMemoryTable()
+	var runs atomic.Int32
+	v := startVM(t, "vm-1", withTable(table))
+	v.addTarget(t, "t1", counting(&runs))
+	keys := []string{"k1", v.ticket(t) + "/1"}
+	for _, key := range keys {
+		v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, key)
+	}
+	v.claims.Wait()
+	table.set(true)
+	for _, key := range keys {
+		if got := v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, key); got.body != "stamped" {
+			t.Errorf("while the table is down: %+v", got)
+		}
+	}
+	v.limiter.refuseFor = time.Second
+	for _, key := range keys {
+		if r := v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, key).refusal(t); r.Outcome != "unknown" || r.Reason != "rate_limited" {
+			t.Errorf("over the rate: %+v", r)
+		}
+	}
+	if r := v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, "k2").refusal(t); r.Outcome != "not_run" {
+		t.Errorf("a first sending: %+v", r)
+	}
+	if n := runs.Load(); n != 2 {
+		t.Errorf("ran %d times", n)
+	}
+}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"crocusramp.dev/crocusramp/pkg/dispatch"
+	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/retry"
 )
 
@@ -40,6 +41,7 @@
 	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	if refusal := s.prepare(ctx, c, arrived); refusal != nil {
+		refusal = s.truthful(c, refusal)
 		s.refuse(w, r, c.shownID, refusal)
 		return
 	}
@@ -70,25 +72,48 @@
 
 // run sends the call until it has an answer that may go to the caller.
 func (s *Server) run(ctx context.Context, c *call) *answer {
+	// ran is the last attempt that a target may have run.
+	var ran *answer
 	for attempt := 1; ; attempt++ {
-		if refusal := s.checkQuarantine(c); refusal != nil {
-			return &answer{refusal: refusal}
-		}
-		grant, refusal := s.config.Dispatcher.Acquire(ctx, s.dispatchRequest(c))
-		if refusal != nil {
-			return &answer{refusal: refusal}
+		a := s.try(ctx, c)
+		if a.refusal == nil {
+			return a
 		}
-		a := s.attempt(ctx, c, grant)
-		if a.death != "" {
-			s.noteDeath(c, a)
+		if a.refusal.Outcome != outcome.NotRun {
+			ran = a
 		}
-		if a.refusal == nil || attempt == maxAttempts || !s.mayRetry(ctx, c, a) {
-			return a
+		if attempt == maxAttempts || !s.mayRetry(ctx, c, a) {
+			return certain(ran, a)
 		}
 		s.meters.retries.Inc(1)
 	}
 }
 
+// certain returns the last attempt's answer, unless that says "not run" of a
+// request that an earlier attempt may have run.
+func certain(ran, last *answer) *answer {
+	if ran != nil && last.refusal.Outcome == outcome.NotRun {
+		return ran
+	}
+	return last
+}
+
+// try makes one attempt.
+func (s *Server) try(ctx context.Context, c *call) *answer {
+	if refusal := s.checkQuarantine(c); refusal != nil {
+		return &answer{refusal: refusal}
+	}
+	grant, refusal := s.config.Dispatcher.Acquire(ctx, s.dispatchRequest(c))
+	if refusal != nil {
+		return &answer{refusal: refusal}
+	}
+	a := s.attempt(ctx, c, grant)
+	if a.death != "" {
+		s.noteDeath(c, a)
+	}
+	return a
+}
+
 // mayRetry reports whether the call may be sent again after a.
 func (s *Server) mayRetry(ctx context.Context, c *call, a *answer) bool {
 	if ctx.Err() != nil || !c.body.replayable() {
