daemon: a drained VM takes no new callers

Cause: 'crocusramp drain create vm' kept new grants from a VM, but /v1/locate still sent callers to it (seen under dev: vm-3 drained, state live). A VM that is drained itself, or whose failure domain or region is, now says in its heartbeats that it is leaving, and locate leaves it out within a heartbeat.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -228,10 +228,11 @@
 
 // describe completes what heartbeats say of this VM.
 func (d *Daemon) describe(p *member.Peer) {
-	if d.leaving.Load() {
+	c := d.feed.Snapshot()
+	if d.leaving.Load() || drained(c.Config, d.settings.VM) {
 		p.State = member.Leaving
 	}
-	p.ConfigVersion = d.feed.Snapshot().Version
+	p.ConfigVersion = c.Version
 	p.FreePermits = d.scheduler.FreePermits()
 	p.SlotsHeld = len(d.leases.Holding().Slots)
 	p.Pools = d.scheduler.PoolLoads()
