--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -41,6 +41,8 @@
 	// attempts is how often one request is sent, to one URL after the other,
 	// until it is done. All have the same idempotency key.
 	attempts int
+	// retryWait passes before a request is sent again.
+	retryWait time.Duration
 
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -68,6 +70,7 @@
 	f.BoolVar(&l.unique, "unique", false, "an idempotency key for each request")
 	f.StringVar(&l.idemPrefix, "idem-prefix", "", "begins the keys of -unique")
 	f.IntVar(&l.attempts, "attempts", 1, "sendings of each request")
+	f.DurationVar(&l.retryWait, "retry-wait", 0, "time before a request is sent again")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
 	}
@@ -134,6 +137,7 @@
 	for attempt := range l.attempts {
 		if attempt > 0 {
 			l.add("resent", 1)
+			time.Sleep(l.retryWait)
 		}
 		attemptCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		res = r.send(attemptCtx, client, l.urls[(i+attempt)%len(l.urls)])
