--- a/pkg/dispatch/peers.go
+++ b/pkg/dispatch/peers.go
@@ -35,9 +35,11 @@
 	cost func(region string) time.Duration
 	rand *rand.Rand
 
-	view  *member.View
-	tiers []tier
-	state map[string]*peerState
+	view *member.View
+	// zoneVMs is how many VMs of this region may run, with this one.
+	zoneVMs int
+	tiers   []tier
+	state   map[string]*peerState
 }
 
 func newPeers(c Config, pool string, seed uint64) peers {
@@ -84,12 +86,16 @@
 	p.view = view
 	byCost := map[time.Duration][]*member.Peer{}
 	known := map[string]*peerState{}
+	p.zoneVMs = 1
 	for i := range view.Peers {
 		peer := &view.Peers[i]
 		if old := p.state[peer.Incarnation]; old != nil {
 			old.shown = old.running
 			known[peer.Incarnation] = old
 		}
+		if peer.State != member.Gone && peer.Region == p.self.Region {
+			p.zoneVMs++
+		}
 		if peer.State == member.Live && peer.Incarnation != p.self.Incarnation {
 			c := p.cost(peer.Region)
 			byCost[c] = append(byCost[c], peer)
@@ -166,10 +172,19 @@
 	}
 }
 
+// permits is how many requests the peer may run at once, by its last heartbeat;
+// 1 where that does not say.
+func (p *peers) permits(peer *member.Peer) float64 {
+	if len(peer.Pools) == 0 {
+		return 1
+	}
+	return float64(loadOf(peer, p.pool).Permits)
+}
+
 // windowed is the room of a peer for what cannot run here at all: the free part
 // of this VM's window there. A peer that says it can run nothing has none.
 func (p *peers) windowed(peer *member.Peer) float64 {
-	if len(peer.Pools) > 0 && loadOf(peer, p.pool).Permits == 0 {
+	if p.permits(peer) == 0 {
 		return 0
 	}
 	s := p.of(peer)
--- /dev/null
+++ b/pkg/entry/stream_test.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestEarlyAnswerDoesNotMixRequests has a target answer without reading the
+// body, whose rest looks like further requests.
+func TestEarlyAnswerDoesNotMixRequests(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	var requests atomic.Int32
+	v.addRaw(t, "t1", func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		requests.Add(1)
+		io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge")
+	})
+	smuggled := "GET /open/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	body := strings.Repeat(smuggled, 400<<10/len(smuggled))
+	c, err := net.Dial("tcp", v.callers.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go fmt.Fprintf(c, "POST /lookup/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	r := bufio.NewReader(c)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(resp.Body); string(b) != "large" || err != nil {
+		t.Errorf("got %q, %v", b, err)
+	}
+	if _, err := http.ReadResponse(r, nil); err == nil {
+		t.Error("a part of the body was answered as a request")
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the target saw %d requests", n)
+	}
+}
+
+// TestStreamsBothWays has a target answer each line as it arrives.
+func TestStreamsBothWays(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	v.addTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		if err := control.EnableFullDuplex(); err != nil {
+			t.Error(err)
+		}
+		// Larger than what is read whole, so that the answer begins at once.
+		io.WriteString(w, strings.Repeat(" ", wholeBytes)+"\n")
+		lines := bufio.NewScanner(r.Body)
+		for lines.Scan() {
+			fmt.Fprintf(w, "saw %s\n", lines.Text())
+			if err := control.Flush(); err != nil {
+				return
+			}
+		}
+	})
+	sent, send := io.Pipe()
+	req, _ := http.NewRequest("POST", v.callers.URL+"/lookup/x", sent)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	go io.WriteString(send, "one\n")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	r := bufio.NewReader(resp.Body)
+	for _, want := range []string{strings.Repeat(" ", wholeBytes), "saw one", "saw two"} {
+		line, err := r.ReadString('\n')
+		if err != nil || strings.TrimSuffix(line, "\n") != want {
+			t.Fatalf("got %.20q, %v", line, err)
+		}
+		if want == "saw one" {
+			io.WriteString(send, "two\n")
+		}
+	}
+	send.Close()
+	if rest, err := io.ReadAll(r); err != nil || len(rest) != 0 {
+		t.Errorf("got %q, %v", rest, err)
+	}
+}
+
+// TestCallerGoesAway checks that the target's request is cancelled.
+func TestCallerGoesAway(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	arrived, cancelled := make(chan struct{}), make(chan struct{})
+	v.addTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "GET", v.callers.URL+"/lookup/x", nil)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		resp.Body.Close()
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(10 * time.Second):
+		t.Error("the target went on")
+	}
+}
+
+// TestSlowBodyEndsAtDeadline sends a part of a body and then nothing.
+func TestSlowBodyEndsAtDeadline(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	v.addTarget(t, "t1", echoTarget("t1"))
+	sent, send := io.Pipe()
+	defer send.Close()
+	go io.WriteString(send, "part")
+	req, _ := http.NewRequest("POST", v.callers.URL+"/lookup/x", sent)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(headerTimeout, "100")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusGatewayTimeout && resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// TestRefusalDoesNotWaitForTheBody refuses requests whose bodies are not sent.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	for _, framing := range []string{"Content-Length: 100", "Content-Length: 10000000", "Transfer-Encoding: chunked",
+		"Content-Length: 100\r\nExpect: 100-continue"} {
+		c, err := net.Dial("tcp", v.callers.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "POST /lookup/x HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n", framing)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("%q: %v", framing, err)
+		}
+		c.Close()
+	}
+}
+
+// TestRefusalKeepsTheConnection sends a request after one that was refused with
+// its body unread.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	v.addTarget(t, "t1", echoTarget("t1"))
+	c, err := net.Dial("tcp", v.callers.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, want := range []int{404, 200, 404, 200} {
+		path := map[int]string{404: "/none", 200: "/open/x"}[want]
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody", path)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%s: %+v, %v", path, resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestWithdrawnKeyEndsTransfers withdraws a key during an upload, a download
+// and on an idle connection.
+func TestWithdrawnKeyEndsTransfers(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	begin := func(method string, body io.Reader) *http.Response {
+		req, err := http.NewRequest(method, v.callers.URL+"/lookup/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	received, more, whole := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	v.addTarget(t, "t1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			close(received)
+			_, err := io.Copy(io.Discard, r.Body)
+			whole <- err
+			return
+		}
+		io.WriteString(w, strings.Repeat("a", 4*wholeBytes))
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		for range 1000 {
+			if _, err := io.WriteString(w, strings.Repeat("b", wholeBytes)); err != nil {
+				return
+			}
+		}
+	})
+	download := begin("GET", nil)
+	defer download.Body.Close()
+	if _, err := io.CopyN(io.Discard, download.Body, 4*wholeBytes); err != nil {
+		t.Fatal(err)
+	}
+	sent, send := io.Pipe()
+	uploads := make(chan *http.Response, 1)
+	go func() { uploads <- begin("POST", sent) }()
+	io.WriteString(send, "part")
+	<-received
+	v.source.withdraw("k1")
+	close(more)
+	io.WriteString(send, "more")
+	upload := <-uploads
+	defer upload.Body.Close()
+	send.Close()
+	if upload.StatusCode != http.StatusUnauthorized {
+		t.Errorf("the upload ended with status %d", upload.StatusCode)
+	}
+	if err := <-whole; err == nil {
+		t.Error("the target took the cut upload for a whole one")
+	}
+	if n, err := io.Copy(io.Discard, download.Body); err == nil {
+		t.Errorf("the download went on for %d bytes and looked whole", n)
+	}
+	if got := begin("GET", nil); got.StatusCode != http.StatusUnauthorized {
+		t.Errorf("a new request: status %d", got.StatusCode)
+	}
+}
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	writer *bufio.Writer
 	// written counts the bytes that the kernel took in the current exchange.
 	written atomic.Int64
 	// budget is how many more bytes may be read; it bounds response headers,
@@ -28,6 +30,7 @@
 func newConn(c net.Conn) *conn {
 	t := &conn{Conn: c}
 	t.reader = bufio.NewReaderSize(readLimiter{t}, bufferBytes)
+	t.writer = bufio.NewWriterSize(t, bufferBytes)
 	return t
 }
 
@@ -35,6 +38,10 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if _, ok := c.Conn.(*tls.Conn); ok && err != nil && n == 0 {
+		// A record may have left although its write failed.
+		c.written.Add(1)
+	}
 	return n, err
 }
 
@@ -61,7 +68,11 @@
 	if c.reader.Buffered() != 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	under := c.Conn
+	if t, ok := under.(*tls.Conn); ok {
+		under = t.NetConn()
+	}
+	s, ok := under.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -12,7 +11,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"github.com/twitchtv/twirp"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -24,11 +22,10 @@
 )
 
 const (
-	// askTimeout bounds a request for tokens; later answers would be of no use,
-	// since the loan runs from before the request.
-	askTimeout = 400 * time.Millisecond
 	// collectTimeout bounds a collection.
 	collectTimeout = collectDuration / 2
+	// releasePause is the time between attempts to return what was borrowed.
+	releasePause = 100 * time.Millisecond
 )
 
 // Config says what a Service works on.
@@ -58,7 +55,7 @@
 // account is a book with what its concurrent users need.
 type account struct {
 	mu   sync.Mutex
-	book book
+	book *book
 	// config and holding are what the book's shares were made from.
 	config  *config.Account
 	holding *lease.Holding
@@ -119,33 +116,10 @@
 		return Decision{RetryAfter: noShareRetry}
 	}
 	for waits := 0; ; waits++ {
-		// The clock is read before the holding: what it holds then was still
-		// held at now.
-		now := s.cfg.Clock.Now()
-		a.mu.Lock()
-		s.sync(a, c, now)
-		next := a.book.admit(waits, now)
-		switch next {
-		case stepAdmit:
-			a.mu.Unlock()
-			s.admitted.Inc(1)
-			return Decision{Admitted: true}
-		case stepRefill:
-			s.ask(a, now)
-			a.mu.Unlock()
-			s.admitted.Inc(1)
-			return Decision{Admitted: true}
-		case stepAsk:
-			s.ask(a, now)
-		}
-		if next == stepRefuse {
-			wait := a.book.retryAfter(now)
-			a.mu.Unlock()
-			s.refused.Inc(1)
-			return Decision{RetryAfter: wait}
+		d, asked := s.decide(a, c, waits)
+		if asked == nil {
+			return d
 		}
-		asked := a.asked
-		a.mu.Unlock()
 		select {
 		case <-asked:
 		case <-ctx.Done():
@@ -158,6 +132,30 @@
 	}
 }
 
+// decide takes one step of an admission that has waited waits times. It is to
+// wait for asked, unless that is nil and the decision final.
+func (s *Service) decide(a *account, c *config.Account, waits int) (d Decision, asked <-chan struct{}) {
+	// The clock is read before the holding: what it holds then was still held
+	// at now.
+	now := s.cfg.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.sync(a, c, now)
+	next := a.book.admit(waits, now)
+	if next == stepAsk || next == stepRefill {
+		s.ask(a, now)
+	}
+	switch next {
+	case stepAdmit, stepRefill:
+		s.admitted.Inc(1)
+		return Decision{Admitted: true}, nil
+	case stepRefuse:
+		s.refused.Inc(1)
+		return Decision{RetryAfter: a.book.retryAfter(now)}, nil
+	}
+	return Decision{}, a.asked
+}
+
 // account finds the account's book and its limit. It makes the book of an
 // account that has none yet; nil means that there is no such account.
 func (s *Service) account(name string) (*account, *config.Account) {
@@ -178,7 +176,7 @@
 	if a := old[name]; a != nil {
 		return a
 	}
-	a := &account{book: book{name: name, nextID: func() uint64 { return s.ids.Add(1) }}}
+	a := &account{book: newBook(name, func() uint64 { return s.ids.Add(1) })}
 	next := make(map[string]*account, len(old)+1)
 	for k, v := range old {
 		next[k] = v
@@ -211,13 +209,13 @@
 		a.asked = closed
 		return
 	}
-	r := a.book.ask(now)
+	r, timeout := a.book.ask(now), a.book.timeout()
 	done := make(chan struct{})
 	a.asked = done
 	s.asks.Inc(1)
 	go func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		defer cancel()
 		answer := s.exchange(ctx, home, []*peerpb.AccountRequest{r})
 		a.mu.Lock()
@@ -233,191 +231,35 @@
 	return c
 }()
 
-// exchange calls a peer. It returns the answers by account, or nil.
-func (s *Service) exchange(ctx context.Context, p member.Peer, accounts []*peerpb.AccountRequest) map[string]*peerpb.AccountResponse {
-	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(p.PeerAddress), s.cfg.Peers.HTTP())
-	response, err := client.Exchange(ctx, &peerpb.ExchangeRequest{
-		Borrower:  s.cfg.Members.View().Self.Incarnation,
-		RequestId: s.ids.Add(1),
-		Accounts:  accounts,
-	})
-	if err != nil {
-		s.failures.Inc(1)
-		s.cfg.Log.Debug().Err(err).Str("vm", p.ID).Msg("loans could not be exchanged")
-		return nil
-	}
-	byAccount := make(map[string]*peerpb.AccountResponse, len(response.Accounts))
-	for _, r := range response.Accounts {
-		byAccount[r.Account] = r
-	}
-	return byAccount
-}
-
-// collectAll makes one exchange with each live peer, for all accounts.
-func (s *Service) collectAll(ctx context.Context) {
-	view := s.cfg.Members.View()
-	s.refresh(view)
-	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, p := range view.Peers {
-		if p.State == member.Live || p.State == member.Leaving {
-			calls.Go(func() { s.collectFrom(ctx, p) })
-		}
-	}
-	calls.Wait()
-}
-
 // refresh gives every account of the configuration a book, drops those of
 // deleted accounts and finds out which this VM is the home of.
 func (s *Service) refresh(view *member.View) {
 	snapshot := s.cfg.Config.Snapshot()
-	for name, c := range snapshot.Accounts {
-		a, _ := s.account(name)
-		if a == nil {
-			continue
-		}
-		home, ok := s.home(name)
-		now := s.cfg.Clock.Now()
-		a.mu.Lock()
-		s.sync(a, c, now)
-		a.book.home = ok && home.ID == view.Self.ID
-		a.mu.Unlock()
+	for name := range snapshot.Accounts {
+		s.account(name)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kept := map[string]*account{}
 	for name, a := range *s.accounts.Load() {
-		if snapshot.Accounts[name] != nil {
+		if s.refreshAccount(a, snapshot.Accounts[name], view) {
 			kept[name] = a
 		}
 	}
 	s.accounts.Store(&kept)
 }
 
-func (s *Service) collectFrom(ctx context.Context, p member.Peer) {
-	for again := true; again; {
-		again = s.collectOnce(ctx, p)
-	}
-}
-
-// collectOnce makes one exchange; again reports that loans are to be returned.
-func (s *Service) collectOnce(ctx context.Context, p member.Peer) (again bool) {
-	now := s.cfg.Clock.Now()
-	requests := s.gather(func(a *account) *peerpb.AccountRequest {
-		return a.book.collect(p.Incarnation, now)
-	})
-	if len(requests) == 0 {
-		return false
-	}
-	s.collections.Inc(1)
-	answers := s.exchange(ctx, p, requests)
-	s.settle(requests, answers, func(a *account, q *peerpb.AccountRequest, r *peerpb.AccountResponse) {
-		if a.book.collectedFrom(q, r, p.Incarnation, now, s.cfg.Clock.Now()) {
-			again = true
-		}
-	})
-	return again
-}
-
-// relendAll makes one exchange with each home of an account that this VM has
-// more demand for than its own share covers.
-func (s *Service) relendAll(ctx context.Context) {
-	if s.stopping.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, relendPeriod)
-	defer cancel()
-	homes := map[string]member.Peer{}
-	for name := range *s.accounts.Load() {
-		if home, ok := s.home(name); ok {
-			homes[home.ID] = home
-		}
-	}
-	var calls sync.WaitGroup
-	for _, home := range homes {
-		calls.Go(func() { s.relendFrom(ctx, home) })
-	}
-	calls.Wait()
-}
-
-func (s *Service) relendFrom(ctx context.Context, home member.Peer) {
-	now := s.cfg.Clock.Now()
-	requests := s.gather(func(a *account) *peerpb.AccountRequest {
-		if h, ok := s.home(a.book.name); !ok || h.ID != home.ID {
-			return nil
-		}
-		return a.book.relend(home.Incarnation, now)
-	})
-	if len(requests) == 0 {
-		return
-	}
-	answers := s.exchange(ctx, home, requests)
-	s.settle(requests, answers, func(a *account, _ *peerpb.AccountRequest, r *peerpb.AccountResponse) {
-		a.book.accept(relent, r, home.Incarnation, now, s.cfg.Clock.Now())
-	})
-}
-
-// gather makes a request for each account that has something to say.
-func (s *Service) gather(request func(*account) *peerpb.AccountRequest) []*peerpb.AccountRequest {
-	var requests []*peerpb.AccountRequest
-	for _, a := range *s.accounts.Load() {
-		a.mu.Lock()
-		if r := request(a); r != nil {
-			requests = append(requests, r)
-		}
-		a.mu.Unlock()
-	}
-	return requests
-}
-
-// settle hands each answer to its account.
-func (s *Service) settle(requests []*peerpb.AccountRequest, answers map[string]*peerpb.AccountResponse,
-	accept func(*account, *peerpb.AccountRequest, *peerpb.AccountResponse)) {
-	accounts := *s.accounts.Load()
-	for _, q := range requests {
-		a, r := accounts[q.Account], answers[q.Account]
-		if a != nil && r != nil {
-			a.mu.Lock()
-			accept(a, q, r)
-			a.mu.Unlock()
-		}
-	}
-}
-
-// Handler returns the path prefix and the handler of the service that peers
-// call.
-func (s *Service) Handler() (string, http.Handler) {
-	h := peerpb.NewLimitServer(server{s})
-	return h.PathPrefix(), h
-}
-
-// server answers peers; it keeps the RPC method out of Service's interface.
-type server struct{ s *Service }
-
-// Exchange lends to a peer.
-func (v server) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	if r.Borrower == "" {
-		return nil, twirp.RequiredArgumentError("borrower")
-	}
-	if !v.s.seen.add(r.Borrower, r.RequestId) {
-		return nil, twirp.NewError(twirp.AlreadyExists, "the request was answered before")
-	}
-	out := &peerpb.ExchangeResponse{}
-	for _, q := range r.Accounts {
-		if a, c := v.s.account(q.Account); a != nil {
-			out.Accounts = append(out.Accounts, v.s.serve(a, c, q, r.Borrower))
-		}
-	}
-	return out, nil
-}
-
-func (s *Service) serve(a *account, c *config.Account, q *peerpb.AccountRequest, borrower string) *peerpb.AccountResponse {
+// refreshAccount reports whether the book is still needed: that of a deleted
+// account is until its loans have ended, as the account may be made again.
+func (s *Service) refreshAccount(a *account, c *config.Account, view *member.View) bool {
+	home, ok := s.home(a.book.name)
 	now := s.cfg.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.sync(a, c, now)
-	return a.book.serve(q, borrower, now)
+	a.book.home = ok && home.ID == view.Self.ID
+	a.book.advance(now)
+	return c != nil || len(a.book.lent)+len(a.book.borrowed) > 0
 }
 
 // Shares returns this VM's shares in order of account.
@@ -434,14 +276,35 @@
 	return shares
 }
 
-// Release hands borrowed shares back and asks for no more. Loans that were
-// given end by themselves.
+// Release hands borrowed shares back and asks for no more. What was lent on
+// keeps a share for up to relendDuration; Release waits for it until ctx ends.
+// Loans of this VM's own share end by themselves.
 func (s *Service) Release(ctx context.Context) {
 	s.stopping.Store(true)
+	for {
+		s.collectAll(ctx)
+		if !s.borrows() {
+			return
+		}
+		select {
+		case <-time.After(releasePause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// borrows reports whether a collected loan has not been returned yet.
+func (s *Service) borrows() bool {
+	now := s.cfg.Clock.Now()
 	for _, a := range *s.accounts.Load() {
 		a.mu.Lock()
-		a.book.home = false
+		a.book.advance(now)
+		kept := slices.ContainsFunc(a.book.borrowed, func(x loan) bool { return x.kind == collected })
 		a.mu.Unlock()
+		if kept {
+			return true
+		}
 	}
-	s.collectAll(ctx)
+	return false
 }
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -149,7 +149,48 @@
 		return err
 	}
 	ts.Setenv("CROCUSRAMP_SERVER", ts.Getenv("OPS_1"))
-	return w.vm(ts, names)
+	if err := w.vm(ts, names); err != nil {
+		return err
+	}
+	return w.settled(ts, nil)
+}
+
+// settled waits until the live VMs that the first one knows hold all slots,
+// and each of them at least one: settled
+func (w *world) settled(ts *testscript.TestScript, _ []string) error {
+	url := ts.Getenv("CROCUSRAMP_SERVER") + "/twirp/crocusramp.operator.v1.Operations/ListVMs"
+	last := ""
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		body, err := send(http.MethodPost, url, "{}")
+		if err == nil && allSlotsHeld(body) {
+			return nil
+		}
+		last = fmt.Sprintf("%s (%v)", body, err)
+	}
+	return fmt.Errorf("slots are not divided: %s", last)
+}
+
+// slotsOfFleet is the default number of slots.
+const slotsOfFleet = 16
+
+func allSlotsHeld(body string) bool {
+	var list struct {
+		VMs []struct {
+			State string `json:"state"`
+			Slots int    `json:"slots_held"`
+		} `json:"vms"`
+	}
+	if json.Unmarshal([]byte(body), &list) != nil {
+		return false
+	}
+	sum := 0
+	for _, vm := range list.VMs {
+		if vm.State == "live" && vm.Slots == 0 {
+			return false
+		}
+		sum += vm.Slots
+	}
+	return sum == slotsOfFleet
 }
 
 // configureVMs writes the settings of VMs and adds them to the platform's list.
@@ -246,13 +287,29 @@
 		}
 	}
 	for _, n := range numbers {
-		if err := w.waitFor(ts, []string{ts.Getenv("OPS_"+n) + "/readyz"}); err != nil {
+		if err := w.waitReady("vm-"+n, ts.Getenv("OPS_"+n)+"/readyz"); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// waitReady waits until a VM is ready or has ended.
+func (w *world) waitReady(name, url string) error {
+	p, last := w.processes[name], ""
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		body, err := get(url)
+		if err == nil {
+			return nil
+		}
+		if p.ended() {
+			return fmt.Errorf("%s ended: %v", name, p.err)
+		}
+		last = fmt.Sprintf("%s (%v)", body, err)
+	}
+	return fmt.Errorf("%s is not ready: %s", name, last)
+}
+
 // newVM adds VMs to the fleet: newvm N...
 func (w *world) newVM(ts *testscript.TestScript, numbers []string) error {
 	if err := w.configureVMs(ts, numbers); err != nil {
@@ -279,6 +336,10 @@
 	return w.publish()
 }
 
+// routeTimeout bounds requests. A slot that changed hands carries no permits
+// for as long, since its former holder's requests may run still.
+const routeTimeout = "2s"
+
 // account creates a client account with a key, and once the routes: account
 // NAME RATE BURST. It sets KEY_name and KEYID_name.
 func (w *world) account(ts *testscript.TestScript, args []string) error {
@@ -288,8 +349,8 @@
 	lines := [][]string{{"account", "create", args[0], "--rate", args[1], "--burst", args[2]}}
 	if len(w.keys) == 0 {
 		lines = append(lines,
-			[]string{"route", "create", "lookup", "--path", "/lookup", "--pool", "registru", "--mode", "idempotent"},
-			[]string{"route", "create", "filing", "--path", "/filing", "--pool", "registru", "--mode", "at-most-once", "--priority", "high"})
+			[]string{"route", "create", "lookup", "--path", "/lookup", "--pool", "registru", "--mode", "idempotent", "--timeout", routeTimeout},
+			[]string{"route", "create", "filing", "--path", "/filing", "--pool", "registru", "--mode", "at-most-once", "--priority", "high", "--timeout", routeTimeout})
 	}
 	lines = append(lines, []string{"key", "grant", args[0], "--json"})
 	for _, line := range lines {
@@ -305,7 +366,10 @@
 	ts.Setenv("KEY_"+args[0], granted.Key)
 	ts.Setenv("KEYID_"+args[0], granted.ID)
 	w.labels[granted.ID] = "$KEYID_" + args[0]
-	return w.waitKeys(ts, []string{granted.Key})
+	if err := w.waitKeys(ts, []string{granted.Key}); err != nil {
+		return err
+	}
+	return w.waitDone(granted.Key)
 }
 
 // waitKeys waits until every VM that runs accepts a key: waitkey KEY
@@ -325,6 +389,33 @@
 	return nil
 }
 
+// ready waits until every VM that runs does a look-up: ready KEY
+func (w *world) ready(_ *testscript.TestScript, args []string) error {
+	if err := usage(args, 1, "ready KEY"); err != nil {
+		return err
+	}
+	return w.waitDone(args[0])
+}
+
+// waitDone waits until a look-up is done by every VM that runs.
+func (w *world) waitDone(key string) error {
+	client := newCaller(1)
+	defer client.CloseIdleConnections()
+	r := request{method: http.MethodGet, key: key}
+	for _, vm := range w.current.names("") {
+		var last result
+		deadline := time.Now().Add(bound)
+		for last.kind != kindDone {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("look-up on %s: %s %d %s %v", vm, last.kind, last.status, last.body, last.err)
+			}
+			last = r.send(context.Background(), client, w.current.vms[vm]+"/lookup/ready")
+			time.Sleep(pollPeriod)
+		}
+	}
+	return nil
+}
+
 // waitKey waits until a VM accepts a key.
 func (w *world) waitKey(url, key string) error {
 	client := newCaller(1)
