feed: a change found in the log after a lost answer proves no newer age

Cause: after a lost answer the row is written again; where that finds the own row, another VM may have made the next version since the first try. The VM still took the start of its last try as an instant at which it lacked nothing, so it could have served a withdrawn key for the whole bound more.

Change: the age counts from before the first try. The age is a metric, feed.age_ms.

Red before: go test -run LostAnswerAge ./pkg/feed: "at version 2 it claims to know all until, version 3 was accepted by". Green after; go test -race ./pkg/feed: pass.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -156,6 +156,9 @@
 	f.meters = newMeters(f.cfg.Metrics)
 	f.state.Store(newState())
 	f.relay.Store(&observation{})
+	_ = f.cfg.Metrics.Register("feed.age_ms", metrics.NewFunctionalGauge(func() int64 {
+		return f.Status().Age.Milliseconds()
+	}))
 	f.patience = fraction(f.cfg.Freshness, patienceMin+rand.Float64()*(patienceMax-patienceMin))
 	return f
 }
--- a/pkg/feed/propose.go
+++ b/pkg/feed/propose.go
@@ -140,6 +140,9 @@
 func (p *proposal) write(ctx context.Context, e entry) (bool, error) {
 	pause := newPause()
 	unknown := false
+	// If the row turns out to be there, an earlier try may have written it,
+	// and others may have gone on from it since.
+	first := p.feed.cfg.Clock.Now()
 	for {
 		start := p.feed.cfg.Clock.Now()
 		err := p.feed.store.create(ctx, e)
@@ -152,7 +155,7 @@
 			mine, readErr := p.mine(ctx, e)
 			if readErr == nil {
 				if mine {
-					p.feed.accepted(ctx, e, start)
+					p.feed.accepted(ctx, e, first)
 				}
 				return mine, nil
 			}
--- a/pkg/feed/propose_test.go
+++ b/pkg/feed/propose_test.go
@@ -243,3 +243,27 @@
 		t.Errorf("version %d after the outage", v)
 	}
 }
+
+// The answer to a write is lost, another VM makes the next version, and only
+// then is the first found in the log: its VM must not claim to have known the
+// newest version at a time when the second was already accepted.
+func TestProposeLostAnswerAge(t *testing.T) {
+	s := newFakeStore()
+	f, g := newStoreFeed(t, s), newStoreFeed(t, s)
+	mustPropose(t, f, create("a"))
+	second := never
+	s.set(func(s *fakeStore) {
+		s.lose = 1
+		s.afterWrite = func() {
+			s.set(func(s *fakeStore) { s.afterWrite = nil })
+			mustPropose(t, g, create("c"))
+			second = f.cfg.Clock.Now()
+		}
+	})
+	if v := mustPropose(t, f, create("b")); v != 2 {
+		t.Fatalf("version %d", v)
+	}
+	if st := f.state.Load(); second == never || (st.version() < 3 && st.known() >= second) {
+		t.Errorf("at version %d it claims to know all until %d, version 3 was accepted by %d", st.version(), st.known(), second)
+	}
+}
