--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -40,6 +40,9 @@
 	// Status answers status calls; nil makes them unavailable.
 	Status StatusSource
 	Log    zerolog.Logger
+	// Places are the names that routes, shifts and drains may speak of; the
+	// zero value accepts any.
+	Places Places
 	// Metrics receives the count of calls and errors by method; nil drops them.
 	Metrics metrics.Registry
 }
--- a/pkg/operator/writer.go
+++ b/pkg/operator/writer.go
@@ -55,8 +55,10 @@
 		if err != nil {
 			return config.Change{}, err
 		}
-		subject, op, err = action.Subject()
-		return config.Change{Action: action}, err
+		if subject, op, err = action.Subject(); err != nil {
+			return config.Change{}, err
+		}
+		return config.Change{Action: action}, w.cfg.Places.check(action)
 	}, expected)
 	if err != nil {
 		return 0, toTwirp(err)
