operator: one place for changes that need no look at the configuration

The five delete methods and three writers stood out as the same eight lines; put and remove hold them. go test ./pkg/operator ./pkg/cli: pass.

--- a/pkg/operator/accounts.go
+++ b/pkg/operator/accounts.go
@@ -21,9 +21,7 @@
 	if a.Weight == 0 {
 		a.Weight = defaultWeight
 	}
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Account: config.Create(a.Name, a)}, nil
-	})
+	version, err := s.put(ctx, r.ExpectedVersion, config.Action{Account: config.Create(a.Name, a)})
 	if err != nil {
 		return nil, err
 	}
@@ -69,13 +67,7 @@
 
 // Delete implements operatorpb.Accounts.
 func (s *accounts) Delete(ctx context.Context, r *operatorpb.DeleteRequest) (*operatorpb.DeleteResponse, error) {
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Account: config.Delete[config.Account](r.Name)}, nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &operatorpb.DeleteResponse{Version: version}, nil
+	return s.remove(ctx, r.ExpectedVersion, config.Action{Account: config.Delete[config.Account](r.Name)})
 }
 
 // Get implements operatorpb.Accounts.
@@ -86,7 +78,7 @@
 	}
 	a, err := find(c.Accounts, config.KindAccount, r.Name)
 	if err != nil {
-		return nil, toTwirp(err)
+		return nil, err
 	}
 	return &operatorpb.AccountResponse{Account: accountMessage(a), Version: c.Version}, nil
 }
--- a/pkg/operator/drains.go
+++ b/pkg/operator/drains.go
@@ -24,9 +24,7 @@
 		return nil, err
 	}
 	drain := drainFrom(r.Drain)
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Drain: config.Create(drain.Name, drain)}, nil
-	})
+	version, err := s.put(ctx, r.ExpectedVersion, config.Action{Drain: config.Create(drain.Name, drain)})
 	if err != nil {
 		return nil, err
 	}
@@ -35,13 +33,7 @@
 
 // Delete implements operatorpb.Drains.
 func (s *drains) Delete(ctx context.Context, r *operatorpb.DeleteRequest) (*operatorpb.DeleteResponse, error) {
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Drain: config.Delete[config.Drain](r.Name)}, nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &operatorpb.DeleteResponse{Version: version}, nil
+	return s.remove(ctx, r.ExpectedVersion, config.Action{Drain: config.Delete[config.Drain](r.Name)})
 }
 
 // Get implements operatorpb.Drains.
@@ -52,7 +44,7 @@
 	}
 	drain, err := find(c.Drains, config.KindDrain, r.Name)
 	if err != nil {
-		return nil, toTwirp(err)
+		return nil, err
 	}
 	return &operatorpb.DrainResponse{Drain: drainMessage(drain), Version: c.Version}, nil
 }
--- a/pkg/operator/keys.go
+++ b/pkg/operator/keys.go
@@ -14,9 +14,7 @@
 // Grant implements operatorpb.Keys. Its answer alone holds the key's text.
 func (s *keyring) Grant(ctx context.Context, r *operatorpb.GrantKeyRequest) (*operatorpb.GrantKeyResponse, error) {
 	key, text := keys.New(r.Account)
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Key: config.Create(key.ID, key)}, nil
-	})
+	version, err := s.put(ctx, r.ExpectedVersion, config.Action{Key: config.Create(key.ID, key)})
 	if err != nil {
 		return nil, err
 	}
@@ -25,13 +23,7 @@
 
 // Withdraw implements operatorpb.Keys.
 func (s *keyring) Withdraw(ctx context.Context, r *operatorpb.WithdrawKeyRequest) (*operatorpb.DeleteResponse, error) {
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Key: config.Delete[config.Key](r.Id)}, nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &operatorpb.DeleteResponse{Version: version}, nil
+	return s.remove(ctx, r.ExpectedVersion, config.Action{Key: config.Delete[config.Key](r.Id)})
 }
 
 // List implements operatorpb.Keys.
@@ -44,7 +36,7 @@
 		return &operatorpb.ListKeysResponse{Keys: sorted(c.Keys, keyMessage), Version: c.Version}, nil
 	}
 	if _, err := find(c.Accounts, config.KindAccount, r.Account); err != nil {
-		return nil, toTwirp(err)
+		return nil, err
 	}
 	own := map[string]*config.Key{}
 	for id, k := range c.Keys {
--- a/pkg/operator/routes.go
+++ b/pkg/operator/routes.go
@@ -27,14 +27,12 @@
 	return r
 }
 
-func (s *routes) put(ctx context.Context, r *operatorpb.RouteRequest, edit func(string, config.Route) *config.Edit[config.Route]) (*operatorpb.RouteResponse, error) {
+func (s *routes) write(ctx context.Context, r *operatorpb.RouteRequest, edit func(string, config.Route) *config.Edit[config.Route]) (*operatorpb.RouteResponse, error) {
 	if err := required("route", r.Route != nil); err != nil {
 		return nil, err
 	}
 	route := routeFrom(r.Route)
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Route: edit(route.Name, route)}, nil
-	})
+	version, err := s.put(ctx, r.ExpectedVersion, config.Action{Route: edit(route.Name, route)})
 	if err != nil {
 		return nil, err
 	}
@@ -43,23 +41,17 @@
 
 // Create implements operatorpb.Routes.
 func (s *routes) Create(ctx context.Context, r *operatorpb.RouteRequest) (*operatorpb.RouteResponse, error) {
-	return s.put(ctx, r, config.Create[config.Route])
+	return s.write(ctx, r, config.Create[config.Route])
 }
 
 // Update implements operatorpb.Routes.
 func (s *routes) Update(ctx context.Context, r *operatorpb.RouteRequest) (*operatorpb.RouteResponse, error) {
-	return s.put(ctx, r, config.Update[config.Route])
+	return s.write(ctx, r, config.Update[config.Route])
 }
 
 // Delete implements operatorpb.Routes.
 func (s *routes) Delete(ctx context.Context, r *operatorpb.DeleteRequest) (*operatorpb.DeleteResponse, error) {
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Route: config.Delete[config.Route](r.Name)}, nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &operatorpb.DeleteResponse{Version: version}, nil
+	return s.remove(ctx, r.ExpectedVersion, config.Action{Route: config.Delete[config.Route](r.Name)})
 }
 
 // Get implements operatorpb.Routes.
@@ -70,7 +62,7 @@
 	}
 	route, err := find(c.Routes, config.KindRoute, r.Name)
 	if err != nil {
-		return nil, toTwirp(err)
+		return nil, err
 	}
 	return &operatorpb.RouteResponse{Route: routeMessage(route), Version: c.Version}, nil
 }
--- a/pkg/operator/shifts.go
+++ b/pkg/operator/shifts.go
@@ -14,14 +14,12 @@
 	return config.Shift{Name: m.Name, Pool: m.Pool, From: m.From, To: m.To, CapPercent: m.CapPercent}
 }
 
-func (s *shifts) put(ctx context.Context, r *operatorpb.ShiftRequest, edit func(string, config.Shift) *config.Edit[config.Shift]) (*operatorpb.ShiftResponse, error) {
+func (s *shifts) write(ctx context.Context, r *operatorpb.ShiftRequest, edit func(string, config.Shift) *config.Edit[config.Shift]) (*operatorpb.ShiftResponse, error) {
 	if err := required("shift", r.Shift != nil); err != nil {
 		return nil, err
 	}
 	shift := shiftFrom(r.Shift)
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Shift: edit(shift.Name, shift)}, nil
-	})
+	version, err := s.put(ctx, r.ExpectedVersion, config.Action{Shift: edit(shift.Name, shift)})
 	if err != nil {
 		return nil, err
 	}
@@ -30,23 +28,17 @@
 
 // Create implements operatorpb.Shifts.
 func (s *shifts) Create(ctx context.Context, r *operatorpb.ShiftRequest) (*operatorpb.ShiftResponse, error) {
-	return s.put(ctx, r, config.Create[config.Shift])
+	return s.write(ctx, r, config.Create[config.Shift])
 }
 
 // Update implements operatorpb.Shifts.
 func (s *shifts) Update(ctx context.Context, r *operatorpb.ShiftRequest) (*operatorpb.ShiftResponse, error) {
-	return s.put(ctx, r, config.Update[config.Shift])
+	return s.write(ctx, r, config.Update[config.Shift])
 }
 
 // Delete implements operatorpb.Shifts.
 func (s *shifts) Delete(ctx context.Context, r *operatorpb.DeleteRequest) (*operatorpb.DeleteResponse, error) {
-	version, err := s.propose(ctx, r.ExpectedVersion, func(*config.Config) (config.Action, error) {
-		return config.Action{Shift: config.Delete[config.Shift](r.Name)}, nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return &operatorpb.DeleteResponse{Version: version}, nil
+	return s.remove(ctx, r.ExpectedVersion, config.Action{Shift: config.Delete[config.Shift](r.Name)})
 }
 
 // Get implements operatorpb.Shifts.
@@ -57,7 +49,7 @@
 	}
 	shift, err := find(c.Shifts, config.KindShift, r.Name)
 	if err != nil {
-		return nil, toTwirp(err)
+		return nil, err
 	}
 	return &operatorpb.ShiftResponse{Shift: shiftMessage(shift), Version: c.Version}, nil
 }
--- a/pkg/operator/writer.go
+++ b/pkg/operator/writer.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strconv"
 
 	"github.com/twitchtv/twirp"
 
+	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/feed"
 	"crocusramp.dev/crocusramp/pkg/keys"
@@ -68,6 +68,20 @@
 	return version, nil
 }
 
+// put makes a change that does not depend on the configuration.
+func (w *writer) put(ctx context.Context, expected int64, a config.Action) (int64, error) {
+	return w.propose(ctx, expected, func(*config.Config) (config.Action, error) { return a, nil })
+}
+
+// remove makes a change that deletes an entity.
+func (w *writer) remove(ctx context.Context, expected int64, a config.Action) (*operatorpb.DeleteResponse, error) {
+	version, err := w.put(ctx, expected, a)
+	if err != nil {
+		return nil, err
+	}
+	return &operatorpb.DeleteResponse{Version: version}, nil
+}
+
 // toTwirp gives an error the code of the operators' API.
 func toTwirp(err error) error {
 	var conflict *feed.ConflictError
@@ -113,11 +127,11 @@
 	return twirp.RequiredArgumentError(field)
 }
 
-// find returns the entity of that name.
+// find returns the entity of that name, or a not_found error.
 func find[T any](entities map[string]*T, kind config.Kind, name string) (*T, error) {
 	v := entities[name]
 	if v == nil {
-		return nil, fmt.Errorf("%v %w", config.Entity{Kind: kind, Name: name}, config.ErrNotFound)
+		return nil, toTwirp(&config.EntityError{Entity: config.Entity{Kind: kind, Name: name}, Err: config.ErrNotFound})
 	}
 	return v, nil
 }
