feed: property test of proposals under faults; age of the configuration under faults

Cause: lost answers, races and outages were tested one by one.

Change: TestProposeUnderFaults mixes lost answers, lost and late writes, failed reads, outages and a rival VM. What an operator was told must agree with the log: accepted once at its version, refused never, unknown at most once.

--- a/pkg/feed/fake_test.go
+++ b/pkg/feed/fake_test.go
@@ -27,6 +27,11 @@
 	writes  int
 	// down refuses everything.
 	down bool
+	// downAfter takes the store down once it has had that many writes; 0
+	// leaves it up.
+	downAfter int
+	// failGets refuses that many reads of single rows.
+	failGets int
 	// lose loses the answers to that many writes after they took effect.
 	lose int
 	// drop loses that many writes before they take effect, with an unknown
@@ -55,7 +60,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	if s.down {
+	if s.down || s.failGets > 0 {
+		s.failGets = max(0, s.failGets-1)
 		return platform.Item{}, platform.ErrUnavailable
 	}
 	item, ok := s.items[key]
@@ -105,6 +111,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
+	if s.downAfter > 0 && s.writes > s.downAfter {
+		s.down = true
+	}
 	if s.down {
 		return platform.ErrUnavailable
 	}
--- /dev/null
+++ b/pkg/feed/fault_test.go
@@ -0,0 +1,152 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/control"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// verdict is what an operator was told of a change.
+type verdict int
+
+const (
+	accepted verdict = iota
+	refused
+	unknown
+)
+
+// Under any mix of lost answers, lost writes, writes that take effect late,
+// outages and racing VMs, an accepted change is in the log once, at its
+// version; a refused one is not and never will be; every VM agrees on the log.
+func TestProposeUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newFakeStore()
+		var feeds []*Feed
+		var ended []chan struct{}
+		for range 3 {
+			f, end := startFeed(ctx, s)
+			feeds, ended = append(feeds, f), append(ended, end)
+		}
+		defer func() {
+			cancel()
+			for _, end := range ended {
+				<-end
+			}
+		}()
+		told := map[string]verdict{}
+		versions := map[string]int64{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "changes") {
+			s.set(func(s *fakeStore) {
+				s.lose = rapid.IntRange(0, 2).Draw(t, "lose")
+				s.drop = rapid.IntRange(0, 2).Draw(t, "drop")
+				s.late = rapid.IntRange(0, 2).Draw(t, "late")
+				s.failGets = rapid.IntRange(0, 2).Draw(t, "failed reads")
+				s.beforeWrite = nil
+			})
+			f := feeds[rapid.IntRange(0, 2).Draw(t, "vm")]
+			rival := feeds[rapid.IntRange(0, 2).Draw(t, "rival")]
+			name := fmt.Sprintf("a%d", i)
+			if rapid.Bool().Draw(t, "race") && rival != f {
+				rivalName := name + "-rival"
+				s.set(func(s *fakeStore) {
+					s.beforeWrite = func() {
+						s.set(func(s *fakeStore) { s.beforeWrite = nil })
+						told[rivalName], versions[rivalName] = tell(rival, rivalName)
+					}
+				})
+			}
+			if rapid.IntRange(0, 4).Draw(t, "outage") == 0 {
+				failAfter := rapid.IntRange(0, 3).Draw(t, "writes before")
+				s.set(func(s *fakeStore) { s.downAfter = s.writes + failAfter })
+			}
+			told[name], versions[name] = tell(f, name)
+			s.set(func(s *fakeStore) { s.downAfter, s.failGets, s.down = 0, 0, false })
+		}
+		// Whatever is still on its way takes effect now, if it can.
+		s.set(func(s *fakeStore) {
+			for _, w := range s.delayed {
+				_ = s.commit([]platform.Write{w})
+			}
+			s.delayed, s.lose, s.drop, s.late, s.beforeWrite = nil, 0, 0, 0, nil
+		})
+		checkLog(t, s, told, versions)
+		for i, f := range feeds {
+			if c, err := f.catchUp(ctx); err != nil || len(c.Accounts) != len(logged(t, s)) {
+				t.Fatalf("vm %d cannot replay the log: %v", i, err)
+			}
+		}
+	})
+}
+
+func startFeed(ctx context.Context, s *fakeStore) (*Feed, chan struct{}) {
+	loop := control.NewLoop()
+	end := make(chan struct{})
+	go func() { loop.Run(ctx); close(end) }()
+	return New(Config{
+		Table: s, Objects: objectStore{s}, Loop: loop, Clock: clock.System{},
+		Members: noPeers{}, Peers: peer.NewDialer(nil), Log: zerolog.Nop(),
+	}), end
+}
+
+// tell proposes the creation of an account and returns what the operator hears.
+func tell(f *Feed, name string) (verdict, int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+	defer cancel()
+	v, err := f.Propose(ctx, create(name), 0)
+	var u *UnknownError
+	switch {
+	case err == nil:
+		return accepted, v
+	case errors.As(err, &u):
+		return unknown, u.Version
+	default:
+		return refused, 0
+	}
+}
+
+// logged returns the version of each account in the log.
+func logged(t *rapid.T, s *fakeStore) map[string]int64 {
+	found := map[string]int64{}
+	for v := int64(1); ; v++ {
+		item, err := s.Get(context.Background(), rowKey(v))
+		if errors.Is(err, platform.ErrNotFound) {
+			return found
+		}
+		e, decodeErr := decodeRow(item)
+		if err != nil || decodeErr != nil {
+			t.Fatal(err, decodeErr)
+		}
+		a := e.change.Action.Account
+		if found[a.Name] != 0 || a.Op != config.OpCreate {
+			t.Fatalf("%s is in the log twice", a.Name)
+		}
+		found[a.Name] = v
+	}
+}
+
+func checkLog(t *rapid.T, s *fakeStore, told map[string]verdict, versions map[string]int64) {
+	found := logged(t, s)
+	for name, v := range told {
+		at, in := found[name]
+		switch {
+		case v == accepted && at != versions[name]:
+			t.Fatalf("%s was accepted as version %d, the log has it at %d", name, versions[name], at)
+		case v == refused && in:
+			t.Fatalf("%s was refused as not run, the log has it at %d", name, at)
+		case v == unknown && in && at != versions[name]:
+			t.Fatalf("%s may have made version %d, the log has it at %d", name, versions[name], at)
+		}
+	}
+}
--- a/pkg/feed/inforce_bench_test.go
+++ b/pkg/feed/inforce_bench_test.go
@@ -77,3 +77,57 @@
 		b.ReportMetric(float64(h.ValueAtQuantile(q))/1000, fmt.Sprintf("p%g-ms", q))
 	}
 }
+
+// BenchmarkAge reports the oldest configuration seen on the VMs that run, with
+// the default bound of 3 s, and the part of the samples that was stale. An
+// operation is 8 s of one fault.
+func BenchmarkAge(b *testing.B) {
+	for name, fault := range map[string]func(*fleet){
+		"none":         func(*fleet) {},
+		"relay frozen": freezeRelay,
+		"store down":   func(f *fleet) { f.store.set(func(s *fakeStore) { s.down = true }) },
+		"store hangs": func(f *fleet) {
+			for _, v := range f.vms {
+				v.table.delay.Store(int64(time.Minute))
+			}
+		},
+		"store down and VM frozen": func(f *fleet) {
+			freezeRelay(f)
+			f.store.set(func(s *fakeStore) { s.down = true })
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			f := sites[1].start(b, Config{})
+			var oldest time.Duration
+			stale, samples := 0, 0
+			for range b.N {
+				fault(f)
+				for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(5 * time.Millisecond) {
+					for _, v := range f.vms {
+						if v.cut.Load() {
+							continue
+						}
+						oldest = max(oldest, v.Status().Age)
+						samples++
+						if !fresh(v) {
+							stale++
+						}
+					}
+				}
+			}
+			b.ReportMetric(float64(oldest.Milliseconds()), "oldest-ms")
+			b.ReportMetric(100*float64(stale)/float64(samples), "%stale")
+		})
+	}
+}
+
+// freezeRelay cuts a relay off from everything.
+func freezeRelay(f *fleet) {
+	for _, v := range f.vms {
+		if v.isRelay() {
+			v.cut.Store(true)
+			v.table.cut.Store(true)
+			return
+		}
+	}
+}
