queue: shares count the capacity that requests take, not their number

Cause: with archive queries that take 25 times as long as look-ups, the floor of the low class (5 % of the services) took more than half of the permits, and look-ups at 30 % of the capacity lost 17 %. Excluded: the length of the queue bound; the deficit of accounts, which are alike here.

Change: an entry's cost is the moving average of its route's latency over the pool's. Floors and deficits count cost. Targets are compared after dividing by that cost too, or one that got more archive queries looks slow. The low class leaves a fifth of the permits free for 10 s after a more urgent request; a region that runs only archive queries at night uses all.

Seen red: cost ignored by the queue, TestShareCountsCost (0.700 for 0.475); cost always 1, TestPriorities (look-ups 11026 of 13355).

Answers of 500 and above say nothing of the target's speed now: one that fails at once would look fast.

--- a/pkg/dispatch/policy_test.go
+++ b/pkg/dispatch/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,7 +68,7 @@
 		if i == 1 {
 			rate *= times
 		}
-		s.offer(simAccount{fmt.Sprintf("account-%d", i), rate, i})
+		s.offer(simAccount{name: fmt.Sprintf("account-%d", i), rate: rate, home: i})
 	}
 }
 
@@ -322,3 +323,60 @@
 	}
 	return n
 }
+
+// TestPriorities has archive queries that take 25 times as long and ask for
+// more than the whole capacity, beside look-ups and a few stamps.
+func TestPriorities(t *testing.T) {
+	for _, z := range sizes() {
+		policies := []policy{policyFull, policyFIFO}
+		if testing.Short() {
+			policies = policies[:1]
+		}
+		for _, p := range policies {
+			s := newSim(z, p, 7)
+			capacity := float64(z.targets*z.slots) / simService.Seconds()
+			for i := range 3 {
+				s.offer(simAccount{name: fmt.Sprintf("stamps-%d", i), rate: 0.05 * capacity, home: i, priority: config.PriorityHigh})
+				s.offer(simAccount{name: fmt.Sprintf("lookups-%d", i), rate: 0.1 * capacity, home: i})
+				s.offer(simAccount{name: fmt.Sprintf("archive-%d", i), rate: 0.4 * capacity / 25, home: i, priority: config.PriorityLow, slower: 25})
+			}
+			s.warmUp(10 * time.Second)
+			s.run(20 * time.Second)
+			for _, kind := range []string{"stamps", "lookups", "archive"} {
+				k := s.kind(kind)
+				t.Logf("%-7s %-24s %-8s %v", z.name, p, kind, k)
+				if p != policyFull {
+					continue
+				}
+				if kind != "archive" && k.done < k.ended || k.done == 0 {
+					t.Errorf("%s: %s: %v", z.name, kind, k)
+				}
+			}
+		}
+	}
+}
+
+// ends are the results of the accounts of one kind.
+type ends struct {
+	p50, p99    time.Duration
+	done, ended int
+}
+
+func (e ends) String() string {
+	return fmt.Sprintf("p50 %4d  p99 %5d ms, done %d of %d", e.p50.Milliseconds(), e.p99.Milliseconds(), e.done, e.ended)
+}
+
+func (s *sim) kind(prefix string) ends {
+	var e ends
+	var latency []time.Duration
+	for name, t := range s.results {
+		if strings.HasPrefix(name, prefix) {
+			latency = append(latency, t.latency...)
+			e.done, e.ended = e.done+t.done, e.ended+t.done+t.refused
+		}
+	}
+	if slices.Sort(latency); len(latency) > 0 {
+		e.p50, e.p99 = latency[len(latency)/2], latency[len(latency)*99/100]
+	}
+	return e
+}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -20,10 +20,11 @@
 const (
 	// historyLength is how many requests that may come again are remembered.
 	historyLength = 4096
-	// latencyWeight is the part of a new sample in the pool's moving average.
-	latencyWeight = 0.05
-	// unknownLatency stands in before the first sample.
-	unknownLatency = 50 * time.Millisecond
+	// lowReserve is the part of the permits, as a divisor, that requests of the
+	// low class leave free.
+	lowReserve = 5
+	// lowReserveTime is how long they do so after the last more urgent request.
+	lowReserveTime = 10 * time.Second
 	// leastRetryAfter and mostRetryAfter bound what refusals say.
 	leastRetryAfter = 50 * time.Millisecond
 	mostRetryAfter  = 5 * time.Second
@@ -79,7 +80,8 @@
 	links    *links
 	queue    *queue.Queue[*ticket]
 	shifts   []*shift
-	latency  time.Duration
+	latency  average
+	routes   map[string]*average
 	// retried maps the ID of a request that may come again to the peers
 	// that refused it.
 	retried *simplelru.LRU[string, []string]
@@ -94,9 +96,13 @@
 	scratch    []int
 	// retired is when lease slots were given up; a slot that was taken again
 	// since may be used.
-	retired   map[int]clock.Time
+	retired map[int]clock.Time
+	// believing is whether targets that claim to be down are believed.
 	believing bool
-	counts    counts
+	// urgent is whether a request above the low class has come yet.
+	urgent     bool
+	lastUrgent clock.Time
+	counts     counts
 }
 
 // counts are the totals of a pool since its start.
@@ -110,7 +116,7 @@
 		panic(err) // only a size below 1 fails
 	}
 	s := &pool{
-		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, retired: map[int]clock.Time{}, believing: true,
+		name: p.Name, settings: c, targets: p.Targets, links: l, retried: retried, retired: map[int]clock.Time{}, routes: map[string]*average{}, believing: true,
 		peers: newPeers(c, p.Name, seed),
 		queue: queue.New[*ticket](queue.Config{Capacity: c.QueueCapacity, Floors: queue.DefaultFloors}),
 	}
@@ -164,7 +170,10 @@
 			return l, nil, nil
 		}
 	}
-	if p.queue.Len() == 0 {
+	if r.class != queue.Low {
+		p.urgent, p.lastUrgent = true, in.now
+	}
+	if p.queue.Len() == 0 && (r.class != queue.Low || p.roomForLow(in.now)) {
 		if b := p.pick(in.now, r.Tried); b != nil {
 			return p.lend(in.now, b, r), nil, nil
 		}
@@ -173,9 +182,7 @@
 	if t == nil {
 		return l, nil, refusal
 	}
-	if !r.HandedOver {
-		p.spill(in)
-	}
+	p.serve(in) // requests of the low class may wait although permits are free
 	return nil, t, nil
 }
 
@@ -293,13 +300,6 @@
 	return float64(latency) * float64(b.running+1) / float64(b.held)
 }
 
-func (p *pool) usualLatency() time.Duration {
-	if p.latency == 0 {
-		return unknownLatency
-	}
-	return p.latency
-}
-
 // capacity returns how many requests may run here at once now.
 func (p *pool) capacity(now clock.Time) int {
 	n := 0
--- a/pkg/dispatch/release.go
+++ b/pkg/dispatch/release.go
@@ -27,10 +27,11 @@
 	l.backend.put(l.slot)
 	kind := classify(in.now, l.request, res)
 	l.backend.health.Done(in.now, health.Sample{
-		Kind: kind, Latency: res.Latency, Running: running, PoolLatency: p.latency,
+		Kind: kind, Latency: p.comparable(l.request.Route.Name, res.Latency), Running: running,
+		PoolLatency: time.Duration(p.latency),
 	})
 	if kind == health.Good {
-		p.observe(res.Latency)
+		p.observe(l.request.Route.Name, res.Latency)
 	}
 }
 
@@ -46,19 +47,12 @@
 		s.ran(running)
 	}
 	if l.shift != nil && !res.Canceled {
+		latency := p.comparable(l.request.Route.Name, res.Latency-2*p.peers.cost(l.peer.Region))
 		l.shift.observe(now, res.Outcome == outcome.Done && res.Status < http.StatusInternalServerError,
-			res.Latency-2*p.peers.cost(l.peer.Region), p.latency)
+			latency, time.Duration(p.latency))
 	}
 }
 
-func (p *pool) observe(latency time.Duration) {
-	if p.latency == 0 {
-		p.latency = latency
-		return
-	}
-	p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
-}
-
 // classify tells what the end of a request says of its target.
 func classify(now clock.Time, r *request, res Result) health.Kind {
 	switch {
@@ -69,6 +63,8 @@
 	case res.Status == http.StatusServiceUnavailable, res.Status == http.StatusGatewayTimeout,
 		res.Status == http.StatusTooManyRequests:
 		return health.Overloaded
+	case res.Status >= http.StatusInternalServerError:
+		return health.Neutral // a fault of the request as likely as of the target
 	case res.Status != 0 && res.Outcome == outcome.Done:
 		return health.Good
 	case res.Status != 0:
--- a/pkg/dispatch/sim_test.go
+++ b/pkg/dispatch/sim_test.go
@@ -65,6 +65,10 @@
 	name string
 	rate float64
 	home int
+	// priority is normal where empty; slower is how many times the usual
+	// service its requests take, 1 where 0.
+	priority config.Priority
+	slower   float64
 }
 
 // sim is a discrete-event run of one pool on all VMs of a fleet.
@@ -141,8 +145,10 @@
 func newSim(z size, p policy, seed uint64) *sim {
 	s := &sim{size: z, policy: p, rand: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*simTarget{},
 		config: config.Empty(), results: map[string]*tally{}}
-	s.config.Routes["lookup"] = &config.Route{Name: "lookup", PathPrefix: "/", Pool: z.pool,
-		Mode: config.ModeIdempotent, Priority: config.PriorityNormal, Timeout: z.deadline}
+	for _, p := range []config.Priority{"", config.PriorityHigh, config.PriorityLow} {
+		s.config.Routes[string(p)] = &config.Route{Name: string(p), PathPrefix: "/" + string(p), Pool: z.pool,
+			Mode: config.ModeIdempotent, Priority: p, Timeout: z.deadline}
+	}
 	pool := target.Pool{Name: z.pool}
 	for i := range z.targets {
 		t := target.Target{ID: fmt.Sprintf("%s-%02d", z.pool, i), Region: z.regions[i%3],
@@ -283,11 +289,11 @@
 	s.calls++
 	s.results[a.name].offered++
 	c := &simCall{sim: s, account: a.name, started: s.now, request: &request{
-		Request: &Request{ID: fmt.Sprintf("%09d", s.calls), Account: a.name, Weight: 1, Route: s.config.Routes["lookup"]},
-		class:   queue.Normal, deadline: s.now.Add(s.size.deadline),
-	}}
+		Request: &Request{ID: fmt.Sprintf("%09d", s.calls), Account: a.name, Weight: 1, Route: s.config.Routes[string(a.priority)]},
+		class:   queue.ClassOf(a.priority), deadline: s.now.Add(s.size.deadline),
+	}, slower: max(1, a.slower)}
 	if s.policy == policyFIFO {
-		c.request.Account = ""
+		c.request.Account, c.request.class = "", queue.Normal
 	}
 	c.dispatch(vm)
 }
@@ -314,6 +320,7 @@
 	account  string
 	started  clock.Time
 	request  *request
+	slower   float64
 	attempts int
 }
 
@@ -405,7 +412,7 @@
 			s.after(s.size.zone, func() { done(Result{Outcome: outcome.NotRun}) })
 			return
 		}
-		t.run(s, func() {
+		t.run(s, c.slower, func() {
 			s.after(s.size.zone, func() {
 				res := Result{Outcome: outcome.Done, Status: 200, Latency: s.now.Sub(granted)}
 				if t.dead {
@@ -417,10 +424,10 @@
 	})
 }
 
-func (t *simTarget) run(s *sim, done func()) {
+func (t *simTarget) run(s *sim, slower float64, done func()) {
 	start := func() {
 		t.running++
-		service := simService * time.Duration(1000*math.Exp(0.7*s.rand.NormFloat64()-0.245)) / 1000
+		service := simService * time.Duration(1000*slower*math.Exp(0.7*s.rand.NormFloat64()-0.245)) / 1000
 		if t.served++; t.served <= t.coldFor {
 			service *= coldFactor
 		}
--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -10,6 +10,7 @@
 	"crocusramp.dev/crocusramp/pkg/health"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/queue"
 )
 
 // wait queues the request, or refuses it where that has no use.
@@ -22,7 +23,8 @@
 		return nil, nil, p.refuseStranded(in.now)
 	}
 	t := &ticket{request: r, decided: make(chan struct{})}
-	e := &entry{Account: r.Account, Weight: r.Weight, Class: r.class, Expires: in.now.Add(bound), Value: t}
+	e := &entry{Account: r.Account, Weight: r.Weight, Class: r.class, Cost: p.cost(r.Route.Name),
+		Expires: in.now.Add(bound), Value: t}
 	dropped := p.queue.Push(e)
 	if dropped == e {
 		return nil, nil, p.refuse(outcome.ReasonNoCapacity, p.retryAfter(in.now), "The queue of the pool is full.")
@@ -53,6 +55,10 @@
 func (p *pool) serve(in inputs) {
 	p.update(in)
 	for p.queue.Len() > 0 {
+		if p.queue.LenClass(queue.Low) == p.queue.Len() && !p.roomForLow(in.now) {
+			p.spill(in)
+			return
+		}
 		b := p.pick(in.now, p.queue.Peek().Value.request.Tried)
 		if b == nil {
 			// Only targets that failed the request may be left.
@@ -72,6 +78,19 @@
 	}
 }
 
+// roomForLow reports whether enough permits are free for a request of the low
+// class, which leaves some to more urgent ones as long as there are such.
+func (p *pool) roomForLow(now clock.Time) bool {
+	if !p.urgent || now.Sub(p.lastUrgent) > lowReserveTime {
+		return true
+	}
+	free := 0
+	for _, b := range p.local {
+		free += max(0, min(b.free(), b.allowed(now, p.believing)-b.running))
+	}
+	return lowReserve*free > p.capacity(now)
+}
+
 // spill hands waiting requests to peers, in the order of the queue, while the
 // peers have room and are nearer than the end of the wait here.
 func (p *pool) spill(in inputs) {
--- a/pkg/queue/class.go
+++ b/pkg/queue/class.go
@@ -13,11 +13,14 @@
 
 // account holds the entries of one client account, the oldest in front.
 type account[V any] struct {
-	name    string
-	weight  int
-	deficit int
-	entries list.List
-	turn    *list.Element
+	name   string
+	weight int
+	// deficit is what the account may still take in its turn, in cost;
+	// credited is set once the turn has added its weight.
+	deficit  float64
+	credited bool
+	entries  list.List
+	turn     *list.Element
 }
 
 func (c *class[V]) push(e *Entry[V]) {
@@ -35,22 +38,35 @@
 
 // front returns the entry that pop takes out. The class must not be empty.
 func (c *class[V]) front() *Entry[V] {
-	return c.turns.Front().Value.(*account[V]).entries.Front().Value.(*Entry[V])
+	return c.turn().entries.Front().Value.(*Entry[V])
 }
 
-// pop serves the account in front: it keeps its turn for as many entries as
-// its weight. The class must not be empty.
-func (c *class[V]) pop() *Entry[V] {
-	a := c.turns.Front().Value.(*account[V])
-	if a.deficit <= 0 {
-		a.deficit += a.weight
+// turn returns the account to serve. An account in front that cannot pay for
+// its oldest entry gets its weight and, if that does not suffice, goes to the
+// back, until one can.
+func (c *class[V]) turn() *account[V] {
+	for {
+		a := c.turns.Front().Value.(*account[V])
+		cost := a.entries.Front().Value.(*Entry[V]).cost()
+		if a.deficit >= cost {
+			return a
+		}
+		if !a.credited {
+			a.credited = true
+			a.deficit += float64(a.weight)
+			continue
+		}
+		a.credited = false
+		c.turns.MoveToBack(a.turn)
 	}
-	a.deficit--
+}
+
+// pop takes out the entry whose turn it is.
+func (c *class[V]) pop() *Entry[V] {
+	a := c.turn()
 	e := a.entries.Front().Value.(*Entry[V])
+	a.deficit -= e.cost()
 	c.remove(e)
-	if a.turn != nil && a.deficit <= 0 {
-		c.turns.MoveToBack(a.turn)
-	}
 	return e
 }
 
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -39,6 +39,9 @@
 	// Weight is the account's part under contention; less than 1 counts as 1.
 	Weight int
 	Class  Class
+	// Cost is how much of the capacity its service takes, 1 being usual; 0
+	// counts as 1.
+	Cost float64
 	// Expires is when the entry stops waiting.
 	Expires clock.Time
 	Value   V
@@ -47,6 +50,13 @@
 	owner   *account[V]
 }
 
+func (e *Entry[V]) cost() float64 {
+	if e.Cost <= 0 {
+		return 1
+	}
+	return e.Cost
+}
+
 // Queued reports whether the entry still waits.
 func (e *Entry[V]) Queued() bool { return e.element != nil }
 
@@ -54,7 +64,7 @@
 type Config struct {
 	// Capacity is how many entries one class may hold.
 	Capacity int
-	// Floors is the part of the service that a class gets at least while it
+	// Floors is the part of the capacity that a class gets at least while it
 	// has entries, however many wait in the classes above it.
 	Floors [3]float64
 }
@@ -145,20 +155,21 @@
 }
 
 // nextClass returns the class to serve and settles the credits. Each service
-// credits the waiting classes with their floor; a class with a whole credit
-// goes first, the others strictly by rank.
+// credits the waiting classes with their floor of its cost; a class whose
+// credit pays for its next entry goes first, the others strictly by rank.
 func (q *Queue[V]) nextClass() Class {
 	next, owed := q.choose()
+	cost := q.classes[next].front().cost()
 	for c := range classes {
 		cl := &q.classes[c]
 		if cl.length == 0 {
 			cl.credit = 0
 			continue
 		}
-		cl.credit += q.config.Floors[c]
+		cl.credit += q.config.Floors[c] * cost
 	}
 	if owed {
-		q.classes[next].credit--
+		q.classes[next].credit -= cost
 	}
 	return next
 }
@@ -171,7 +182,7 @@
 		if cl.length == 0 {
 			continue
 		}
-		if cl.credit+q.config.Floors[c] >= 1 {
+		if q.config.Floors[c] > 0 && cl.credit >= cl.front().cost() {
 			next, owed = c, true
 		} else if next == classes {
 			next = c
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -58,6 +59,35 @@
 	}
 }
 
+// TestShareCountsCost checks that classes and accounts share the capacity and
+// not the number of requests.
+func TestShareCountsCost(t *testing.T) {
+	q := newQueue(10_000)
+	for i := range 3000 {
+		q.Push(entry("a", 1, Normal))
+		if i < 1000 {
+			slow := entry("slow", 1, Normal)
+			slow.Cost = 10
+			q.Push(slow)
+			low := entry("a", 1, Low)
+			low.Cost = 20
+			q.Push(low)
+		}
+	}
+	cost := map[string]float64{}
+	total := 0.0
+	for total < 4000 {
+		e, _ := q.Pop(0)
+		cost[fmt.Sprintf("%s/%d", e.Account, e.Class)] += e.cost()
+		total += e.cost()
+	}
+	for name, want := range map[string]float64{"a/1": 0.475, "slow/1": 0.475, "a/2": 0.05} {
+		if got := cost[name] / total; math.Abs(got-want) > 0.01 {
+			t.Errorf("%s: %.3f of the cost, want %.3f", name, got, want)
+		}
+	}
+}
+
 func TestFullQueueDropsTheLongestAccount(t *testing.T) {
 	q := newQueue(10)
 	for range 10 {
@@ -91,6 +121,7 @@
 			"push": func(t *rapid.T) {
 				e := entry(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
 					rapid.IntRange(0, 3).Draw(t, "weight"), Class(rapid.IntRange(0, 2).Draw(t, "class")))
+				e.Cost = rapid.Float64Range(0, 64).Draw(t, "cost")
 				e.Expires = now + clock.Time(rapid.IntRange(1, 20).Draw(t, "wait"))
 				waiting[e] = true
 				if d := q.Push(e); d != nil {
