--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,9 +43,6 @@
 	// releaseTimeout bounds giving slots back while stopping; those that were
 	// not given back are freed by their refused peer port.
 	releaseTimeout = 3 * time.Second
-	// pullWait is how long a relay holds a call while nothing changes: with a
-	// relay that reads every 500 ms, the age stays below 2 s of the 3 s allowed.
-	pullWait = time.Second
 	// pollPeriod is how often a wait looks at its condition.
 	pollPeriod = 10 * time.Millisecond
 )
@@ -160,7 +157,7 @@
 		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
 		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
 		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
-		RelayLease: s.Feed.RelayLease.Duration, PullWait: pullWait,
+		RelayLease: s.Feed.RelayLease.Duration,
 	})
 }
 
@@ -184,9 +181,13 @@
 	for _, p := range s.Pools {
 		echoed[p.Name] = p.RequireEcho
 	}
+	blocks, err := s.BlockTable()
+	if err != nil {
+		panic(fmt.Sprintf("daemon: settings were not checked: %v", err))
+	}
 	d.entry = entry.NewServer(entry.Config{
 		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.admitted, Dispatcher: d.scheduler,
-		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, Peers: d.dialer, Table: d.table,
+		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, RegionOf: blocks.Lookup, Peers: d.dialer, Table: d.table,
 		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
 		Limits: entry.Limits{
 			MaxHeaderBytes: s.Callers.MaxHeaderBytes, MaxBodyBytes: s.Callers.MaxBodyBytes,
@@ -227,10 +228,11 @@
 
 // describe completes what heartbeats say of this VM.
 func (d *Daemon) describe(p *member.Peer) {
-	if d.leaving.Load() {
+	c := d.feed.Snapshot()
+	if d.leaving.Load() || drained(c.Config, d.settings.VM) {
 		p.State = member.Leaving
 	}
-	p.ConfigVersion = d.feed.Snapshot().Version
+	p.ConfigVersion = c.Version
 	p.FreePermits = d.scheduler.FreePermits()
 	p.SlotsHeld = len(d.leases.Holding().Slots)
 	p.Pools = d.scheduler.PoolLoads()
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peer"
 	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
 )
 
@@ -64,7 +66,10 @@
 	Match func(c *config.Config, method, path string) *config.Route
 	// Homes names the VMs that hold most of an account's share. Nil means none.
 	Homes func(account string) []string
-	Peers *peer.Dialer
+	// RegionOf finds the region nearest to a caller's address. Nil means that
+	// callers are near the VM that they ask.
+	RegionOf func(netip.Addr) (region string, ok bool)
+	Peers    *peer.Dialer
 	// Table keeps the claims of at-most-once requests.
 	Table   platform.Table
 	Clock   clock.Clock
@@ -79,19 +84,24 @@
 	Forward forward.Config
 	// Retry bounds the retries.
 	Retry retry.Config
+	// Quarantine keeps back requests that kill targets. Its clock is Clock.
+	Quarantine quarantine.Config
 }
 
 // Server is the request path of one VM.
 type Server struct {
-	config  Config
-	client  *forward.Client
-	running *gate
-	ready   atomic.Bool
-	callers http.Handler
-	peers   http.Handler
-	meters  *meters
-	budget  *retry.Budget
-	session *claim.Session
+	config Config
+	client *forward.Client
+	// peerClient keeps the connections to other VMs.
+	peerClient *forward.Client
+	running    *gate
+	ready      atomic.Bool
+	callers    http.Handler
+	peers      http.Handler
+	meters     *meters
+	budget     *retry.Budget
+	quarantine *quarantine.List
+	session    *claim.Session
 	// claims is nil without a table.
 	claims *claim.Store
 }
@@ -100,12 +110,15 @@
 func NewServer(c Config) *Server {
 	c = withDefaults(c)
 	s := &Server{
-		config:  c,
-		client:  forward.NewClient(c.Forward),
-		running: newGate(),
-		meters:  newMeters(c.Metrics),
-		budget:  retry.NewBudget(c.Retry),
+		config:     c,
+		client:     forward.NewClient(c.Forward),
+		peerClient: newPeerClient(c.Peers),
+		running:    newGate(),
+		meters:     newMeters(c.Metrics),
+		budget:     retry.NewBudget(c.Retry),
 	}
+	c.Quarantine.Clock = c.Clock
+	s.quarantine = quarantine.NewList(c.Quarantine)
 	self := c.Members.View().Self
 	s.session = claim.NewSession(claim.SessionConfig{VM: self.ID, Incarnation: self.Incarnation, Clock: c.Clock})
 	if c.Table != nil {
@@ -145,6 +158,14 @@
 	return c
 }
 
+// newPeerClient returns a client that connects as the dialer does.
+func newPeerClient(d *peer.Dialer) *forward.Client {
+	if d == nil {
+		d = peer.NewDialer(nil)
+	}
+	return forward.NewClient(forward.Config{Dial: d.DialContext})
+}
+
 // Callers returns the handler of the callers' listener.
 func (s *Server) Callers() http.Handler { return s.callers }
 
@@ -162,6 +183,7 @@
 // ctx's error where ctx ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.client.Close()
+	defer s.peerClient.Close()
 	if err := s.running.close(ctx); err != nil {
 		return err
 	}
@@ -199,6 +221,6 @@
 
 // routeError answers what echo itself refuses.
 func (s *Server) routeError(c *echo.Context, _ error) {
-	s.refuse(c.Response(), newRequestID(), outcome.Refuse(http.StatusNotFound,
+	s.refuse(c.Response(), c.Request(), newRequestID(), outcome.Refuse(http.StatusNotFound,
 		outcome.ReasonNoRoute, 0, "No route matches the path."))
 }
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"slices"
 	"time"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
@@ -11,6 +10,11 @@
 )
 
 const (
+	// initialRoundTrip is assumed until the first answer.
+	initialRoundTrip = 25 * time.Millisecond
+	// askTimeout and minAskTimeout bound a request for tokens.
+	askTimeout    = 400 * time.Millisecond
+	minAskTimeout = 50 * time.Millisecond
 	// askAhead is how much of its demand a VM asks the home for at once.
 	askAhead = 100 * time.Millisecond
 	// maxAheadBurst is the largest part of the burst that is asked for ahead.
@@ -72,10 +76,12 @@
 	denyUntil clock.Time
 	roundTrip time.Duration
 	// want is the share that the VM would best have for its own demand.
-	want share
-	// recalled holds loans that their lender wants back.
-	recalled map[uint64]bool
-	nextID   func() uint64
+	want   share
+	nextID func() uint64
+}
+
+func newBook(name string, nextID func() uint64) *book {
+	return &book{name: name, nextID: nextID, roundTrip: initialRoundTrip}
 }
 
 // step says what follows a decision.
@@ -181,6 +187,12 @@
 	return r
 }
 
+// timeout is how long the VM waits for the answer to ask. A loan of tokens has
+// ended by then, but a late answer still tells the length of the round trip.
+func (b *book) timeout() time.Duration {
+	return min(askTimeout, max(minAskTimeout, 4*b.roundTrip))
+}
+
 // returnSpent stops using the token loans that the bucket has no use for.
 func (b *book) returnSpent(now clock.Time) []*peerpb.LoanReturn {
 	b.advance(now)
@@ -202,6 +214,7 @@
 	b.coming -= q.Tokens
 	if r == nil {
 		b.denyUntil = now.Add(failedAskPause)
+		b.roundTrip = min(askTimeout, max(2*b.roundTrip, now.Sub(sent)))
 		return
 	}
 	b.roundTrip = max(now.Sub(sent), b.roundTrip-b.roundTrip/16)
@@ -227,209 +240,6 @@
 	}
 }
 
-// collect makes the periodic request of a home to a peer: it extends its loans
-// and asks for more. A VM that is home no longer returns what it still has. It
-// is nil where there is nothing to say.
-func (b *book) collect(peer string, now clock.Time) *peerpb.AccountRequest {
-	b.advance(now)
-	r := &peerpb.AccountRequest{Account: b.name, Collect: b.home}
-	for i := len(b.borrowed) - 1; i >= 0; i-- {
-		x := b.borrowed[i]
-		switch {
-		case x.peer != peer || x.kind != collected:
-		case b.home && !b.recalled[x.id]:
-			r.Extend = append(r.Extend, x.id)
-		default:
-			if tokens, ok := b.giveBack(x.id, peer, now); ok {
-				r.Returns = append(r.Returns, &peerpb.LoanReturn{Id: x.id, Tokens: tokens})
-				delete(b.recalled, x.id)
-			}
-		}
-	}
-	if !b.home && len(r.Returns) == 0 {
-		return nil
-	}
-	return r
-}
-
-// collectedFrom takes in the answer to collect. A loan that the lender did not
-// extend goes back with the next request; again reports that there is one.
-func (b *book) collectedFrom(q *peerpb.AccountRequest, r *peerpb.AccountResponse, peer string, sent, now clock.Time) (again bool) {
-	b.accept(collected, r, peer, sent, now)
-	for _, id := range q.Extend {
-		if !slices.Contains(r.Extended, id) {
-			if b.recalled == nil {
-				b.recalled = map[uint64]bool{}
-			}
-			b.recalled[id] = true
-			again = true
-		}
-	}
-	return again
-}
-
-// relend makes the periodic request of a VM to the home: for a share that
-// covers the demand beyond that of its slots. It is nil where there is nothing
-// to say.
-func (b *book) relend(home string, now clock.Time) *peerpb.AccountRequest {
-	b.advance(now)
-	b.plan(now)
-	if b.home {
-		return nil
-	}
-	own := b.own(now)
-	extra := b.want.minus(own).positive()
-	r := &peerpb.AccountRequest{Account: b.name}
-	var have share
-	for i := len(b.borrowed) - 1; i >= 0; i-- {
-		x := b.borrowed[i]
-		if x.peer != home || x.kind != relent {
-			continue
-		}
-		if x.share.rate+have.rate > extra.rate*(1+hysteresis) {
-			if tokens, ok := b.giveBack(x.id, home, now); ok {
-				r.Returns = append(r.Returns, &peerpb.LoanReturn{Id: x.id, Tokens: tokens})
-			}
-			continue
-		}
-		have = have.plus(x.share)
-		r.Extend = append(r.Extend, x.id)
-	}
-	if missing := extra.minus(have); missing.rate > b.want.rate*hysteresis/2 {
-		r.Rate, r.Capacity = missing.rate, max(0, missing.capacity)
-	}
-	if len(r.Returns)+len(r.Extend) == 0 && r.Rate == 0 {
-		return nil
-	}
-	return r
-}
-
-// plan sets the share that the VM wants for itself: enough rate for its demand
-// and a part of the burst, unless that part is too small to be of use; then
-// the tokens are better together at the home.
-func (b *book) plan(now clock.Time) {
-	b.demand.roll(now)
-	var want share
-	if b.limit.rate > 0 && !b.home {
-		want.rate = min(b.demand.smoothed, b.limit.rate) * localRate
-		want.capacity = localBurst * b.limit.capacity * want.rate / b.limit.rate
-	}
-	if want.capacity < minLocalBurst || want.rate < minLocalRate {
-		want = share{}
-	}
-	low, high := b.want.rate*(1-hysteresis), b.want.rate*(1+hysteresis)
-	if want.rate == 0 || want.rate < low || want.rate > high || want.rate > b.limit.rate {
-		b.want = want
-	}
-}
-
-// finite returns x, or 0 where no limit can have that value: one such value
-// would spread to every sum.
-func finite(x float64) float64 {
-	if x >= 0 && x <= maxAmount {
-		return x
-	}
-	return 0
-}
-
-// serve answers a peer's request as the lender.
-func (b *book) serve(r *peerpb.AccountRequest, peer string, now clock.Time) *peerpb.AccountResponse {
-	for _, x := range r.Returns {
-		b.takeBack(x.Id, peer, finite(x.Tokens), now)
-	}
-	out := &peerpb.AccountResponse{Account: b.name}
-	d := relendDuration
-	if r.Collect {
-		d = collectDuration
-	}
-	out.ExtendedUs = d.Microseconds()
-	b.advance(now)
-	recall := r.Collect && b.recalls(now)
-	for _, id := range r.Extend {
-		if !recall && b.extend(id, peer, d, now) {
-			out.Extended = append(out.Extended, id)
-		}
-	}
-	if r.Collect && !b.home {
-		b.grantIdle(out, peer, now)
-	}
-	if want := (share{finite(r.Rate), finite(r.Capacity)}); want.rate > 0 && b.home {
-		b.grantShare(out, want, peer, now)
-	}
-	if n := finite(r.Tokens); n >= 1 {
-		b.grantTokens(out, n, time.Duration(r.TokensUs)*time.Microsecond, peer, now)
-	}
-	return out
-}
-
-// idle is the part of its own share that the VM has no use for.
-func (b *book) idle(now clock.Time) share { return b.own(now).minus(b.want).positive() }
-
-// lentToHome is what the VM lent for collection.
-func (b *book) lentToHome() share {
-	var sum share
-	for _, x := range b.lent {
-		if x.kind == collected {
-			sum = sum.plus(x.share)
-		}
-	}
-	return sum
-}
-
-// recalls reports whether the VM lent more than it can spare.
-func (b *book) recalls(now clock.Time) bool {
-	return b.lentToHome().rate > b.idle(now).rate+b.own(now).rate*minLendFraction
-}
-
-func (b *book) grantIdle(out *peerpb.AccountResponse, peer string, now clock.Time) {
-	own := b.own(now)
-	more := b.idle(now).minus(b.lentToHome()).positive()
-	if more.capacity <= own.capacity*minLendFraction || more.rate <= own.rate*minLendFraction {
-		return
-	}
-	tokens := b.tokens * more.capacity / max(more.capacity, b.net.capacity)
-	if g, ok := b.lend(b.nextID(), peer, collected, more, tokens, collectDuration, now); ok {
-		out.Grants = append(out.Grants, g.message())
-	}
-}
-
-// grantShare lends on what was collected, but keeps enough for the VMs that
-// ask for single tokens.
-func (b *book) grantShare(out *peerpb.AccountResponse, want share, peer string, now clock.Time) {
-	free := b.lendable(now.Add(relendDuration + relendDuration/driftDivisor))
-	reserve := share{b.limit.rate*homeReserve + b.demand.smoothed, b.limit.capacity * homeBurst}
-	free = free.minus(reserve).positive()
-	want = share{min(want.rate, free.rate), min(want.capacity, free.capacity)}
-	if want.rate <= 0 || want.capacity <= 0 {
-		return
-	}
-	tokens := b.tokens * want.capacity / max(want.capacity, b.net.capacity)
-	if g, ok := b.lend(b.nextID(), peer, relent, want, tokens, relendDuration, now); ok {
-		out.Grants = append(out.Grants, g.message())
-	}
-}
-
-func (b *book) grantTokens(out *peerpb.AccountResponse, n float64, d time.Duration, peer string, now clock.Time) {
-	d = max(0, min(tokenDuration, d))
-	g, ok := b.lendTokens(b.nextID(), peer, n, d, now)
-	if ok {
-		out.Grants = append(out.Grants, g.message())
-		return
-	}
-	wait := b.wait(1)
-	if wait == 0 {
-		wait = noShareRetry
-	}
-	out.RetryAfterUs = wait.Microseconds()
-}
-
-func (g grant) message() *peerpb.Loan {
-	return &peerpb.Loan{
-		Id: g.id, Rate: g.share.rate, Capacity: g.share.capacity, Tokens: g.tokens,
-		DurationUs: g.duration.Microseconds(),
-	}
-}
-
 // summary describes the book for status.
 func (b *book) summary(name string) Share {
 	s := Share{Account: name, Rate: b.net.rate, Burst: b.net.capacity, Tokens: b.tokens}
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/control"
@@ -52,12 +54,35 @@
 	return h
 }
 
+// faulty stands between a VM and its peers.
+type faulty struct {
+	handler http.Handler
+	// frozen requests are neither handled nor answered.
+	frozen atomic.Bool
+	// lossy requests are handled, and their answer is lost.
+	lossy atomic.Bool
+}
+
+func (f *faulty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.frozen.Load() {
+		// The server sees that the client has gone once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
+	if f.lossy.Load() {
+		f.handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	f.handler.ServeHTTP(w, r)
+}
+
 // startFleet runs n services on loopback listeners and the system's clock.
-func startFleet(t *testing.T, n int, c *config.Config) ([]*Service, []*sources) {
+func startFleet(t *testing.T, n int, c *config.Config) ([]*Service, []*sources, []*faulty) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
 	t.Cleanup(func() { cancel(); ended.Wait() })
-	services, all := make([]*Service, n), make([]*sources, n)
+	services, all, faults := make([]*Service, n), make([]*sources, n), make([]*faulty, n)
 	peers := make([]member.Peer, n)
 	for i := range n {
 		loop := control.NewLoop()
@@ -70,9 +95,9 @@
 			Config: all[i], Slots: all[i], Members: all[i], Peers: dialer,
 			Clock: clock.System{}, Loop: loop, Log: zerolog.Nop(),
 		})
-		mux := http.NewServeMux()
-		mux.Handle(services[i].Handler())
-		server := httptest.NewServer(mux)
+		_, handler := services[i].Handler()
+		faults[i] = &faulty{handler: handler}
+		server := httptest.NewServer(faults[i])
 		t.Cleanup(func() { dialer.Close(); server.Close() })
 		id := fmt.Sprintf("vm-%d", i)
 		peers[i] = member.Peer{ID: id, Incarnation: id + "/1", PeerAddress: server.Listener.Addr().String()}
@@ -87,13 +112,13 @@
 		all[i].view.Store(view)
 		services[i].Start(ctx)
 	}
-	return services, all
+	return services, all, faults
 }
 
 // TestSmallRateOverTheFleet admits at a VM whose own share never reaches a
 // whole token: it needs the home's.
 func TestSmallRateOverTheFleet(t *testing.T) {
-	services, _ := startFleet(t, 3, accounts(config.Account{Name: "a", Rate: 5, Burst: 3}))
+	services, _, _ := startFleet(t, 3, accounts(config.Account{Name: "a", Rate: 5, Burst: 3}))
 	start := time.Now()
 	admitted := 0
 	for deadline := start.Add(time.Minute); admitted < 10; {
@@ -116,7 +141,7 @@
 }
 
 func TestUnknownAccountIsRefused(t *testing.T) {
-	services, all := startFleet(t, 1, accounts(config.Account{Name: "a", Rate: 1e6, Burst: 10}))
+	services, all, _ := startFleet(t, 1, accounts(config.Account{Name: "a", Rate: 1e6, Burst: 10}))
 	if d := services[0].Admit(t.Context(), "b"); d.Admitted {
 		t.Error("an account that does not exist was admitted")
 	}
@@ -129,6 +154,61 @@
 	}
 }
 
+// TestRecreatedAccountKeepsItsLoans: what was lent before an account was
+// deleted may still be in use when it is made again.
+func TestRecreatedAccountKeepsItsLoans(t *testing.T) {
+	s, src, now := newService(accountOf10)
+	now.Advance(time.Second)
+	answer, err := server{s}.Exchange(t.Context(), &peerpb.ExchangeRequest{
+		Borrower: "b", RequestId: 1, Accounts: []*peerpb.AccountRequest{{Account: "a", Collect: true}},
+	})
+	if err != nil || len(answer.Accounts) != 1 || len(answer.Accounts[0].Grants) != 1 {
+		t.Fatalf("Exchange: %v, %v", answer, err)
+	}
+	src.config.Store(config.Empty())
+	s.refresh(src.View())
+	src.config.Store(accounts(accountOf10))
+	s.refresh(src.View())
+	now.Advance(time.Second)
+	if s.Admit(t.Context(), "a").Admitted {
+		t.Error("admitted from a share that is still lent")
+	}
+	src.config.Store(config.Empty())
+	now.Advance(settleTime)
+	s.refresh(src.View())
+	if len(s.Shares()) != 0 {
+		t.Errorf("shares of a deleted account: %v", s.Shares())
+	}
+}
+
+// newService returns a service with all slots and a fake clock, that is not
+// the home of any account.
+func newService(a config.Account) (*Service, *sources, *clock.Fake) {
+	src := &sources{}
+	src.config.Store(accounts(a))
+	src.holding.Store(hold(16, 0, 1))
+	src.view.Store(&member.View{Self: member.Peer{State: member.Leaving}})
+	now := clock.NewFake(clock.Time(time.Hour))
+	s := NewService(Config{
+		Config: src, Slots: src, Members: src, Peers: peer.NewDialer(nil),
+		Clock: now, Loop: control.NewLoop(), Log: zerolog.Nop(),
+	})
+	s.refresh(src.View())
+	return s, src, now
+}
+
+// BenchmarkAdmitDecision leaves out the system call that reads the clock.
+func BenchmarkAdmitDecision(b *testing.B) {
+	s, _, now := newService(config.Account{Name: "a", Rate: 1e12, Burst: 1e12})
+	now.Advance(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.Admit(b.Context(), "a").Admitted {
+			b.Fatal("refused")
+		}
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	src := &sources{}
 	src.config.Store(accounts(config.Account{Name: "a", Rate: 1e12, Burst: 1e12}))
