dispatch: a waiting request behind an expired one is not lost

Seen as a panic in the stop scenario under load (grant of nothing in Scheduler.await; the caller got "unknown" for a filing). Cause: spill took an expired entry out by Pop, which goes on to the next one that has not expired, and that one was dropped without a decision. Excluded: the timer and the end of the context in await, which abandon under the lock. Change: expired entries in front are removed by themselves.

TestEveryTicketIsDecided drives a pool by random requests, ends, ticks, drains and time, and demands that whatever leaves the queue is granted or refused. Red before ("queued false, lent <nil>, refusal <nil>", after 3 tests), green after: go test ./pkg/dispatch -run TestEveryTicket -rapid.checks=5000.

--- a/pkg/dispatch/waiting.go
+++ b/pkg/dispatch/waiting.go
@@ -95,17 +95,19 @@
 // peers have room and are nearer than the end of the wait here.
 func (p *pool) spill(in inputs) {
 	for e := p.queue.Peek(); e != nil; e = p.queue.Peek() {
-		if in.now.Before(e.Expires) {
-			l := p.overflow(in, e.Value.request, p.drainTime(in.now))
-			if l == nil {
-				return
-			}
-			e.Value.lent = l
-			close(e.Value.decided)
+		if !in.now.Before(e.Expires) {
+			p.queue.Remove(e)
+			p.expire(in.now, []*entry{e})
+			continue
 		}
-		// Nothing has changed the queue since Peek, so this is e.
-		_, expired := p.queue.Pop(in.now)
-		p.expire(in.now, expired)
+		l := p.overflow(in, e.Value.request, p.drainTime(in.now))
+		if l == nil {
+			return
+		}
+		// Pop takes out what Peek showed, since that has not expired.
+		e, _ = p.queue.Pop(in.now)
+		e.Value.lent = l
+		close(e.Value.decided)
 	}
 }
 
