--- a/pkg/standin/target/target_test.go
+++ b/pkg/standin/target/target_test.go
@@ -80,6 +80,9 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			if resp.Header.Get(headerRequestID) != "r" {
+				t.Error("the answer does not name the request")
+			}
 			if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == shedNotRun {
 				shed++
 			}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -81,6 +81,7 @@
 // world is the state of one script.
 type world struct {
 	host      string
+	given     map[string]bool // ports that were given out
 	processes map[string]*process
 	loads     map[string]*load
 	// values are the results that expect compares.
@@ -104,6 +105,7 @@
 	env.Defer(func() { <-scripts })
 	w := &world{
 		host:      newHost(),
+		given:     map[string]bool{},
 		processes: map[string]*process{},
 		loads:     map[string]*load{},
 		values:    map[string]float64{},
