--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -58,8 +58,7 @@
 	Regions []string
 	// Duration is how long a lease runs; default 15 min. Leases must outlast
 	// outages of the table; the share of a VM that is cut off or frozen is
-	// stranded for as long. Two thirds of it must exceed the longest loan of
-	// package limit (3 s), or the VMs lend each other nothing.
+	// stranded for as long.
 	Duration time.Duration
 	// Margin is the most that two clocks may drift apart in a Duration;
 	// default Duration/50.
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -198,15 +198,11 @@
 	return max(time.Millisecond, time.Duration(math.Ceil(seconds*1e9)))
 }
 
-// certain is the share that this VM has until t: loans that it borrowed and
-// slots that end earlier do not count.
+// certain is the share that this VM may lend until t. Slots count whose lease
+// runs now, even if it ends before t: their next holder waits settleTime. Loans
+// that it borrowed and that end before t do not count.
 func (l *ledger) certain(t clock.Time) share {
-	var sum share
-	for _, p := range l.parts {
-		if !l.last.Before(p.from) && !p.until.Before(t) {
-			sum = sum.plus(p.share)
-		}
-	}
+	sum := l.own(l.last)
 	for _, x := range l.borrowed {
 		if !x.end.Before(t) {
 			sum = sum.plus(x.share)
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -140,3 +140,19 @@
 		}
 	})
 }
+
+// TestLendsPastItsLease: the next holder of the slot waits for the loan, so
+// leases shorter than a loan don't end lending.
+func TestLendsPastItsLease(t *testing.T) {
+	l := &ledger{}
+	l.setParts([]part{{share: share{10, 4}, until: at(2 * time.Second)}}, 0)
+	if _, ok := l.lend(1, "home", collected, share{10, 4}, 4, collectDuration, at(time.Second)); !ok {
+		t.Error("nothing lent under a lease of 2 s")
+	}
+	if l.extend(1, "home", collectDuration, at(2*time.Second)) {
+		t.Error("extended after the lease")
+	}
+	if got, most := l.lent[0].end, at(2*time.Second+settleTime); got > most {
+		t.Errorf("loan ends at %v, after the next holder may start at %v", got, most)
+	}
+}
