lease, limit: a new account has its burst, also in a fleet that just started

Two faults: the first VM that started took every slot and handed most of them over, and what is handed over settles for 3 s; and the tokens that a ledger starts with were cut to the capacity of the shares that it had before, none.

Change: a VM leaves absent slots to the VMs that the platform lists and that have not answered yet, for five polls at most, and takes none before it has seen the list. The ledger sets its shares before its first tokens.

The world test starts all its books at once, after slots have changed hands or not: a book that starts under a raised limit counts it as always in force, so while a limit changes the bound is the larger of both, as before; the test is otherwise as strict.

--- a/pkg/lease/assign.go
+++ b/pkg/lease/assign.go
@@ -39,9 +39,14 @@
 	return !readStart.Before(seen.since.Add(s.duration + s.margin))
 }
 
+// unheard stands for the incarnation of a VM that the platform lists and that
+// has not answered yet: it may be about to start.
+func unheard(vm string) string { return "unheard:" + vm }
+
 // candidates returns the incarnations among which the slots of a region are
-// divided, in order of VM id: its live VMs or, where it has none, all.
-func (s *state) candidates(view *member.View, region string) []string {
+// divided, in order of VM id: its live VMs or, where it has none, all. With
+// expected, VMs that have not answered yet count, in every region.
+func (s *state) candidates(view *member.View, region string, expected bool) []string {
 	var local, all []string
 	add := func(p *member.Peer) {
 		all = append(all, p.Incarnation)
@@ -56,8 +61,11 @@
 			add(&s.self)
 			selfAdded = true
 		}
-		if p.State == member.Live {
+		switch {
+		case p.State == member.Live:
 			add(p)
+		case expected && p.State == member.Silent && p.Incarnation == "":
+			add(&member.Peer{Incarnation: unheard(p.ID), Region: region})
 		}
 	}
 	if !selfAdded {
@@ -69,7 +77,8 @@
 	return all
 }
 
-// counts returns how many slots of the region each incarnation has.
+// counts returns how many slots of the region each incarnation has, and each VM
+// as long as its incarnation is not known.
 func (s *state) counts(region string) map[string]int {
 	n := map[string]int{}
 	for index, seen := range s.rows {
@@ -78,13 +87,16 @@
 		}
 		if _, vacant := s.vacant[index]; !vacant {
 			n[seen.row.Incarnation]++
+			n[unheard(seen.row.VM)]++
 		}
 	}
 	return n
 }
 
 // assign gives each vacant slot to the candidate with the fewest slots of its
-// region, so that VMs of one view agree without a message.
+// region, so that VMs of one view agree without a message. A fleet that starts
+// leaves slots to the VMs that have not answered yet: what one VM took and
+// handed over would have to settle.
 func (s *state) assign(view *member.View) map[int]string {
 	assigned := map[int]string{}
 	counts := map[string]map[string]int{}
@@ -97,7 +109,7 @@
 			counts[region] = s.counts(region)
 		}
 		n := counts[region]
-		chosen := fewest(s.candidates(view, region), n)
+		chosen := fewest(s.candidates(view, region, true), n)
 		n[chosen]++
 		assigned[index] = chosen
 	}
@@ -145,7 +157,7 @@
 	if mine == 0 {
 		return 0
 	}
-	candidates := s.candidates(view, region)
+	candidates := s.candidates(view, region, false)
 	if !slices.Contains(candidates, s.self.Incarnation) {
 		return mine
 	}
--- a/pkg/lease/state.go
+++ b/pkg/lease/state.go
@@ -258,7 +258,8 @@
 	for index := range s.slots {
 		since, vacant := s.vacant[index]
 		overdue := !now.Before(since.Add(s.patience))
-		if vacant && (assigned[index] == s.self.Incarnation || overdue) || s.orphaned(index) {
+		mine := view.Complete && assigned[index] == s.self.Incarnation
+		if vacant && (mine || overdue) || s.orphaned(index) {
 			writes = append(writes, s.attemptWrite(index, now))
 		}
 	}
--- a/pkg/lease/state_test.go
+++ b/pkg/lease/state_test.go
@@ -174,6 +174,46 @@
 	}
 }
 
+// TestFleetThatStartsSharesNewSlots: each VM knows the others from the platform's
+// list only, and takes no more than its part, so that none is handed over.
+func TestFleetThatStartsSharesNewSlots(t *testing.T) {
+	c := newCluster(t, 16, 4, "a")
+	for _, v := range c.vms {
+		for i := range v.view.Peers {
+			v.view.Peers[i] = member.Peer{ID: v.view.Peers[i].ID, State: member.Silent}
+		}
+	}
+	c.run(1)
+	for i, v := range c.vms {
+		if got := v.holding(); len(got) != 4 || !got[0].New {
+			t.Errorf("VM %d starts with %v", i, got)
+		}
+	}
+	c.setViews()
+	c.run(10)
+	for _, v := range c.vms {
+		for _, s := range v.holding() {
+			if !s.New {
+				t.Errorf("slot %d was handed over", s.Index)
+			}
+		}
+	}
+}
+
+// TestListedVMThatNeverAnswers: its slots are left to it for a short time only.
+func TestListedVMThatNeverAnswers(t *testing.T) {
+	c := newCluster(t, 4, 1, "a")
+	c.vms[0].view.Peers = []member.Peer{{ID: "vm-dead", State: member.Silent}}
+	c.run(1)
+	if got := c.total(); got != 2 {
+		t.Errorf("%d slots taken at once, want 2", got)
+	}
+	c.run(patiencePolls)
+	if got := c.total(); got != 4 {
+		t.Errorf("%d slots held after the patience, want 4", got)
+	}
+}
+
 func TestNewcomerIsHandedSlots(t *testing.T) {
 	c := newCluster(t, 16, 2, "a")
 	c.run(10)
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -101,6 +101,8 @@
 	lent     []loan
 	borrowed []loan
 	tokens   float64
+	// started reports that the ledger has had shares.
+	started bool
 	// last is when tokens was computed. net holds from last until change.
 	last   clock.Time
 	change clock.Time
@@ -170,13 +172,13 @@
 // former holder may have spent them. A ledger that starts has the tokens that
 // its slots gained since they could be used, as no one else had them.
 func (l *ledger) setParts(parts []part, now clock.Time) {
-	if l.last == 0 {
-		l.tokens = gained(parts, now)
-		l.last = now
-	}
 	l.advance(now)
 	l.parts = parts
 	l.recompute()
+	if !l.started {
+		l.started = true
+		l.tokens = gained(parts, now)
+	}
 }
 
 // gained is what the buckets of the parts hold at now if they began empty.
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -156,3 +156,24 @@
 		t.Errorf("loan ends at %v, after the next holder may start at %v", got, most)
 	}
 }
+
+// TestNewAccountHasItsBurst: a slot that was held for long has a full bucket
+// for an account that is made now, one that was just taken over has none.
+func TestNewAccountHasItsBurst(t *testing.T) {
+	l := &ledger{}
+	l.setParts([]part{
+		{share: share{10, 4}, from: at(time.Minute), until: never},
+		{share: share{10, 4}, from: at(time.Hour - 100*time.Millisecond), until: never},
+		{share: share{10, 4}, from: at(2 * time.Hour), until: never},
+		{share: share{10, 4}, from: 0, until: at(time.Minute)},
+	}, at(time.Hour))
+	if l.tokens != 4+1 {
+		t.Errorf("%g tokens, want 4 and 1", l.tokens)
+	}
+	l.setParts([]part{{share: share{10, 4}, from: 0, until: never}}, at(time.Hour))
+	l.tokens = 0
+	l.setParts([]part{{share: share{10, 4}, from: 0, until: never}}, at(time.Hour))
+	if l.tokens != 0 {
+		t.Errorf("%g tokens came with a change", l.tokens)
+	}
+}
--- a/pkg/limit/world_test.go
+++ b/pkg/limit/world_test.go
@@ -100,6 +100,16 @@
 	for k := range worldSlots {
 		w.take(k, w.vms[k%len(w.vms)])
 	}
+	// Slots have been held for a while, or not, when the account is made. All
+	// books start under the same version: one that starts under a raised limit
+	// takes it for one that was always in force.
+	for range rapid.IntRange(0, 4).Draw(t, "slots taken before") {
+		w.advance()
+		w.takeover()
+	}
+	for _, v := range w.vms {
+		w.sync(v)
+	}
 	return w
 }
 
@@ -194,6 +204,7 @@
 	}
 	w.retire(old)
 	w.vms[i] = w.boot(rapid.SampledFrom(w.vms).Draw(w.T, "config of").config)
+	w.sync(w.vms[i])
 	kept := w.flight[:0]
 	for _, m := range w.flight {
 		if m.from != old && m.to != old {
