--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -140,3 +140,40 @@
 		}
 	})
 }
+
+// TestLendsPastItsLease: the next holder of the slot waits for the loan, so
+// leases shorter than a loan don't end lending.
+func TestLendsPastItsLease(t *testing.T) {
+	l := &ledger{}
+	l.setParts([]part{{share: share{10, 4}, until: at(2 * time.Second)}}, 0)
+	if _, ok := l.lend(1, "home", collected, share{10, 4}, 4, collectDuration, at(time.Second)); !ok {
+		t.Error("nothing lent under a lease of 2 s")
+	}
+	if l.extend(1, "home", collectDuration, at(2*time.Second)) {
+		t.Error("extended after the lease")
+	}
+	if got, most := l.lent[0].end, at(2*time.Second+settleTime); got > most {
+		t.Errorf("loan ends at %v, after the next holder may start at %v", got, most)
+	}
+}
+
+// TestNewAccountHasItsBurst: a slot that was held for long has a full bucket
+// for an account that is made now, one that was just taken over has none.
+func TestNewAccountHasItsBurst(t *testing.T) {
+	l := &ledger{}
+	l.setParts([]part{
+		{share: share{10, 4}, from: at(time.Minute), until: never},
+		{share: share{10, 4}, from: at(time.Hour - 100*time.Millisecond), until: never},
+		{share: share{10, 4}, from: at(2 * time.Hour), until: never},
+		{share: share{10, 4}, from: 0, until: at(time.Minute)},
+	}, at(time.Hour))
+	if l.tokens != 4+1 {
+		t.Errorf("%g tokens, want 4 and 1", l.tokens)
+	}
+	l.setParts([]part{{share: share{10, 4}, from: 0, until: never}}, at(time.Hour))
+	l.tokens = 0
+	l.setParts([]part{{share: share{10, 4}, from: 0, until: never}}, at(time.Hour))
+	if l.tokens != 0 {
+		t.Errorf("%g tokens came with a change", l.tokens)
+	}
+}
