--- a/pkg/entry/locate.go
+++ b/pkg/entry/locate.go
@@ -43,6 +43,9 @@
 	// many requests. Set for callers that show a key.
 	Ticket      string `json:"ticket,omitempty"`
 	TicketTTLMS int64  `json:"ticket_ttl_ms,omitempty"`
+	// TicketVM is the ID of the VM that issued the ticket and runs its
+	// requests; others pass them to it.
+	TicketVM string `json:"ticket_vm,omitempty"`
 }
 
 func (s *Server) locate(c *echo.Context) error {
@@ -70,6 +73,7 @@
 			homes = s.homes(account)
 			answer.Ticket = s.session.Issue(account.Name)
 			answer.TicketTTLMS = claim.TicketTTL.Milliseconds()
+			answer.TicketVM = s.config.Members.View().Self.ID
 		}
 	}
 	w.Header().Set("Cache-Control", "private, max-age="+retrySeconds(s.config.Limits.LocateTTL))
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -1,6 +1,3 @@
-// Package entry serves callers: it authenticates and admits their requests,
-// has a place found for each, forwards it and answers. It also serves the
-// requests that other VMs hand over.
 package entry
 
 import (
