entry: refusals while stopping are true of earlier sendings; a missing route on a stale VM is no 404

A VM that stops refused re-sends as not_run although it remembered that the request ran (TestRefusalOfResendIsTrue, extended, red before). A VM without a fresh configuration answered 404 no_route for routes it had not heard of yet; it now says configuration_stale with Retry-After.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -69,6 +69,9 @@
 	}
 	snapshot := s.config.Config.Snapshot()
 	c.route = s.config.Match(snapshot.Config, c.r.Method, c.r.URL.Path)
+	if c.route == nil && !snapshot.Fresh {
+		return stale() // the route may be newer
+	}
 	if c.route == nil {
 		return outcome.Refuse(http.StatusNotFound, outcome.ReasonNoRoute, 0, "No route matches the path.")
 	}
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -132,7 +133,8 @@
 		return
 	}
 	if !s.running.enter() {
-		s.refuse(w, r, h.GetRequestId(), stopping())
+		id := claim.ID{Account: h.GetAccount(), Route: h.GetRoute(), Key: h.GetTicket()}
+		s.refuse(w, r, h.GetRequestId(), s.trueOf(id, stopping()))
 		return
 	}
 	defer s.running.leave()
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -62,10 +62,16 @@
 // earlier sending of the call may have run. What other VMs ran it cannot tell:
 // "not run" speaks of the present sending alone.
 func (s *Server) truthful(c *call, refusal *outcome.Refusal) *outcome.Refusal {
-	if refusal.Outcome != outcome.NotRun || c.key == "" || c.account == nil {
+	if c.key == "" || c.account == nil {
+		return refusal
+	}
+	return s.trueOf(c.onceID(), refusal)
+}
+
+func (s *Server) trueOf(id claim.ID, refusal *outcome.Refusal) *outcome.Refusal {
+	if refusal.Outcome != outcome.NotRun {
 		return refusal
 	}
-	id := c.onceID()
 	if !s.session.Known(id) && (s.claims == nil || s.claims.Recent(id) == nil) {
 		return refusal
 	}
@@ -74,6 +80,21 @@
 	return &changed
 }
 
+// identify finds out whose request with an idempotency key the call is, of
+// which nothing was looked at yet.
+func (s *Server) identify(c *call) {
+	key, refusal := idempotencyKey(c.r.Header)
+	if key == "" || refusal != nil {
+		return
+	}
+	snapshot := s.config.Config.Snapshot()
+	c.route = s.config.Match(snapshot.Config, c.r.Method, c.r.URL.Path)
+	if c.route == nil || s.authenticate(c, snapshot) != nil {
+		return
+	}
+	c.key = key
+}
+
 // onceID identifies the call to the claims.
 func (c *call) onceID() claim.ID {
 	return claim.ID{Account: c.accountName(), Route: c.route.Name, Key: c.key}
--- a/pkg/entry/once_test.go
+++ b/pkg/entry/once_test.go
@@ -418,6 +418,16 @@
 	if r := v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, "k2").refusal(t); r.Outcome != "not_run" {
 		t.Errorf("a first sending: %+v", r)
 	}
+	if err := v.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	other := startVM(t, "vm-2", nil)
+	other.know(member.Live, v)
+	for _, from := range []*vm{v, other} {
+		if r := from.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, keys[1]).refusal(t); r.Outcome != "unknown" || r.Reason != "stopping" {
+			t.Errorf("while stopping: %+v", r)
+		}
+	}
 	if n := runs.Load(); n != 2 {
 		t.Errorf("ran %d times", n)
 	}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -26,7 +26,8 @@
 	arrived := time.Now()
 	c := s.newCall(w, r)
 	if !s.running.enter() {
-		s.refuse(w, r, c.shownID, stopping())
+		s.identify(c)
+		s.refuse(w, r, c.shownID, s.truthful(c, stopping()))
 		return
 	}
 	defer s.running.leave()
--- a/pkg/entry/server_test.go
+++ b/pkg/entry/server_test.go
@@ -145,6 +145,7 @@
 		{name: "over the rate", path: "/lookup", prepare: func() { v.limiter.refuseFor = 1200 * time.Millisecond },
 			status: 429, reason: "rate_limited", retry: "2"},
 		{name: "stale", path: "/lookup", prepare: func() { v.source.setFresh(false) }, status: 503, reason: "configuration_stale", retry: "2"},
+		{name: "no route while stale", path: "/none", status: 503, reason: "configuration_stale", retry: "2"},
 		{name: "not ready", path: "/lookup", prepare: func() { v.SetReady(false) }, status: 503, reason: "not_ready", retry: "1"},
 	}
 	for _, test := range tests {
