entry: a request at a frozen peer does not wait for its deadline

A VM that was stopped with a request kept it until the deadline. The VM that handed it over now looks at the peer's state while it waits: when heartbeats stop, an idempotent request goes elsewhere and an at-most-once one is answered "unknown".

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
@@ -139,3 +140,33 @@
 		t.Errorf("%d requests were sent %d times", requests, n)
 	}
 }
+
+// TestSilentPeer has a peer freeze with a request. The next target runs an
+// idempotent one; an at-most-once one is refused before its deadline.
+func TestSilentPeer(t *testing.T) {
+	for path, want := range map[string]int{"/lookup/x": http.StatusOK, "/filing/x": http.StatusBadGateway} {
+		v := startVM(t, "vm-1", nil)
+		frozen := make(chan struct{})
+		address := v.addRaw(t, "frozen", func(c net.Conn) {
+			if readRequest(t, c) != nil {
+				v.dispatcher.handOverTo(nil)
+				view := *v.members.View()
+				view.Peers = []member.Peer{{ID: "vm-2", Incarnation: "vm-2-1", State: member.Silent}}
+				v.members.view.Store(&view)
+				<-frozen
+			}
+		}).Address
+		v.dispatcher.targets = nil
+		var runs atomic.Int32
+		v.addTarget(t, "t1", func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		v.dispatcher.handOverTo(&member.Peer{ID: "vm-2", Incarnation: "vm-2-1", PeerAddress: address})
+		got := v.send(t, "GET", path, "")
+		if got.status != want {
+			t.Errorf("%s: got %+v", path, got)
+		}
+		if want == http.StatusBadGateway && (got.refusal(t).Outcome != "unknown" || runs.Load() != 0) {
+			t.Errorf("%s: got %s after %d runs", path, got.body, runs.Load())
+		}
+		close(frozen)
+	}
+}
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -133,6 +133,12 @@
 	f.released = append(f.released, r)
 }
 
+func (f *fakeDispatcher) handOverTo(p *member.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peer = p
+}
+
 func (f *fakeDispatcher) results() []dispatch.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +21,7 @@
 	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
@@ -32,25 +34,30 @@
 // sendToPeer has the granted peer dispatch the call in this VM's place.
 func (s *Server) sendToPeer(ctx context.Context, c *call, g *dispatch.Grant) *answer {
 	started := time.Now()
-	a := s.handOver(ctx, c, g.Peer.ID, g.Peer.PeerAddress, "")
+	a := s.handOver(ctx, c, g.Peer, "")
 	s.settle(g, a, started, false)
 	return a
 }
 
 // handOver makes one exchange with a peer.
-func (s *Server) handOver(ctx context.Context, c *call, id, address, ticket string) *answer {
+func (s *Server) handOver(ctx context.Context, c *call, p *member.Peer, ticket string) *answer {
 	ctx, span := s.config.Tracer.Start(ctx, "forward.peer", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("vm", id)))
+		trace.WithAttributes(attribute.String("vm", p.ID)))
 	defer span.End()
 	u := *c.r.URL
 	if u.RawPath != "" {
 		u.RawPath = runPrefix + u.RawPath
 	}
 	u.Path = runPrefix + u.Path
-	req := outgoing(ctx, c, address, &u)
+	req := outgoing(ctx, c, p.PeerAddress, &u)
 	req.Header.Set(headerHandOver, s.handOverHeader(c, ticket))
-	a, err := exchange(ctx, s.peerClient, c, req, address, true)
+	watched, stop := s.watchPeer(ctx, p.Incarnation)
+	a, err := exchange(watched, s.peerClient, c, req, p.PeerAddress, true)
+	stop()
 	if err != nil {
+		if errors.Is(context.Cause(watched), errPeerSilent) {
+			err.Ended, err.Err = false, errPeerSilent
+		}
 		a = failed(err)
 		a.unreached = !err.Wrote
 		return a
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -151,7 +151,7 @@
 	if p == nil || p.State == member.Gone {
 		return &answer{refusal: lostTicket(0)}
 	}
-	a := s.handOver(ctx, c, p.ID, p.PeerAddress, c.key)
+	a := s.handOver(ctx, c, p, c.key)
 	if a.refusal != nil && a.unreached {
 		// An earlier sending may have run there.
 		return &answer{refusal: lostTicket(runningRetryAfter)}
