--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,6 +43,9 @@
 	// releaseTimeout bounds giving slots back while stopping; those that were
 	// not given back are freed by their refused peer port.
 	releaseTimeout = 3 * time.Second
+	// slotPatience is how long a VM that starts waits for its first slot and for
+	// the heartbeats of its peers before it takes callers.
+	slotPatience = 10 * time.Second
 	// pollPeriod is how often a wait looks at its condition.
 	pollPeriod = 10 * time.Millisecond
 )
--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -49,5 +49,8 @@
 	if !d.members.View().Complete {
 		missing = append(missing, "the platform's list of VMs was not read yet")
 	}
+	if len(missing) == 0 && !d.entry.Ready() {
+		missing = append(missing, "no slot, or no heartbeat from a peer yet")
+	}
 	return missing
 }
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -46,7 +46,46 @@
 	d.leases.Start(ctx)
 	d.limiter.Start(ctx)
 	d.scheduler.Start(ctx)
+	d.loop.Go(ctx, d.openWhenReady)
+}
+
+// openWhenReady lets callers in once this VM can serve them as well as the
+// others do. Before, it would refuse requests for a route or a rate that it
+// does not know yet.
+func (d *Daemon) openWhenReady(ctx context.Context) {
+	started := time.Now()
+	for !d.mayOpen(time.Since(started)) {
+		select {
+		case <-time.After(pollPeriod):
+		case <-ctx.Done():
+			return
+		}
+	}
 	d.entry.SetReady(true)
+	d.log.Info().Dur("after_ms", time.Since(started)).Msg("open to callers")
+}
+
+// mayOpen reports whether the VM has a fresh configuration, the platform's
+// list with the first heartbeat of each peer, and a slot. A VM that finds no
+// free slot, as in a fleet larger than its slots, opens after slotPatience and
+// asks its peers for admission.
+func (d *Daemon) mayOpen(waited time.Duration) bool {
+	if !d.feed.Ready() || !d.feed.Snapshot().Fresh {
+		return false
+	}
+	if waited > slotPatience {
+		return true
+	}
+	view := d.members.View()
+	if !view.Complete || len(d.leases.Holding().Slots) == 0 {
+		return false
+	}
+	for _, p := range view.Peers {
+		if p.Seen == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // stop lets every request in flight end and gives back what this VM holds.
