--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -144,6 +144,9 @@
 	}
 	a.stream.Close()
 	a.release(result)
+	if err == nil {
+		s.clear(c)
+	}
 	if err != nil {
 		s.meters.aborted.Inc(1)
 		panic(http.ErrAbortHandler)
--- a/pkg/entry/poison.go
+++ b/pkg/entry/poison.go
@@ -56,6 +56,13 @@
 		Detail: "Targets died while they ran this request. It was not sent again."}
 }
 
+// clear forgets the suspicion of a call that a target answered whole.
+func (s *Server) clear(c *call) {
+	if c.prior > 0 {
+		s.quarantine.Clear(c.base(), c.body.peek(0))
+	}
+}
+
 // noteDeath remembers that a target died with the call, and tells the peers if
 // this VM saw it.
 func (s *Server) noteDeath(c *call, a *answer) {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -78,6 +78,9 @@
 	for attempt := 1; ; attempt++ {
 		a := s.try(ctx, c)
 		if a.refusal == nil {
+			if a.stream == nil {
+				s.clear(c)
+			}
 			return a
 		}
 		if a.refusal.Outcome != outcome.NotRun {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -6,7 +6,9 @@
 // if it was sent anew, after a death was known of it, and its target died too.
 // Such a death counts by half where another suspect died on the same target at
 // that time, and twice the score is needed while other targets die that the
-// request had nothing to do with, as when a region fails.
+// request had nothing to do with, as when a region fails. A suspect that a
+// target answers is cleared: what kills targets kills each that runs it, while
+// a popular request is there whenever a target dies.
 package quarantine
 
 import (
@@ -150,6 +152,13 @@
 	return l.state.judge(b, prefix, l.config.Clock.Now(), &l.config)
 }
 
+// Clear forgets a suspect that a target has answered.
+func (l *List) Clear(b Base, prefix []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.clear(b, prefix)
+}
+
 // Note records that a target died while it ran the request. It reports whether
 // the death was not known before.
 func (l *List) Note(f Fingerprint, d Death) bool {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -174,3 +174,17 @@
 		l.Prefix(base(i))
 	}
 }
+
+// TestPopularRequestIsCleared has a popular request run on each target that a
+// poison kills, and be answered by others in between.
+func TestPopularRequestIsCleared(t *testing.T) {
+	f := newFleet()
+	const popular, poison = 1, 2
+	for i := range 4 {
+		f.dies(fmt.Sprintf("t%d", i), map[int]int{popular: f.list.Judge(base(popular), nil).Deaths, poison: min(i, 1)})
+		f.list.Clear(base(popular), nil)
+	}
+	if f.quarantined(popular) || !f.quarantined(poison) {
+		t.Error("the popular request is taken for the poison")
+	}
+}
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -47,8 +47,7 @@
 func (s *state) judge(b Base, prefix []byte, now clock.Time, c *Config) Judgement {
 	var worst Judgement
 	for _, v := range s.variants(b) {
-		n := v.fingerprint.PrefixBytes
-		if n > len(prefix) || sha256.Sum256(prefix[:n]) != v.fingerprint.PrefixHash {
+		if !v.matches(prefix) {
 			continue
 		}
 		j := s.judgeSuspect(v, now, c)
@@ -59,6 +58,20 @@
 	return worst
 }
 
+func (v *suspect) matches(prefix []byte) bool {
+	n := v.fingerprint.PrefixBytes
+	return n <= len(prefix) && sha256.Sum256(prefix[:n]) == v.fingerprint.PrefixHash
+}
+
+func (s *state) clear(b Base, prefix []byte) {
+	left := slices.DeleteFunc(slices.Clone(s.variants(b)), func(v *suspect) bool { return v.matches(prefix) })
+	if len(left) == 0 {
+		s.suspects.Remove(b)
+		return
+	}
+	s.suspects.Add(b, left)
+}
+
 func (s *state) judgeSuspect(v *suspect, now clock.Time, c *Config) Judgement {
 	last := v.deaths[len(v.deaths)-1].at
 	if now.Sub(last) > c.Memory {
--- a/test/scenario/ledger_test.go
+++ b/test/scenario/ledger_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io/fs"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -25,6 +28,8 @@
 //	ledger.over_slots     requests above the slots that ran at once, at most
 //	ledger.keys_seen      requests that held a client account key
 //	ledger.after          requests that started -after or later past the mark -since
+//	ledger.lost           targets that no longer accept connections, with -lost;
+//	                      without it they are an error
 //	ledger.run_twice      idempotency keys that ran more than once
 //	ledger.excess         requests of the -account above -burst + -rate x t in
 //	                      any window t; admissions are counted once
@@ -34,6 +39,7 @@
 	account := f.String("account", "", "client account")
 	rate := f.Float64("rate", 0, "requests a second")
 	burst := f.Float64("burst", 0, "requests at once")
+	lost := f.Bool("lost", false, "count targets that cannot be reached")
 	since := f.String("since", "", "mark")
 	after := f.Duration("after", 0, "time past the mark")
 	if err := f.Parse(args); err != nil {
@@ -43,11 +49,15 @@
 	if len(urls) == 0 {
 		urls = slices.Collect(maps.Values(w.current.targets))
 	}
+	all := len(urls)
+	if *lost {
+		urls = slices.DeleteFunc(urls, refuses)
+	}
 	records, err := readLedgers(urls)
 	if err != nil {
 		return err
 	}
-	v := map[string]float64{}
+	v := map[string]float64{"lost": float64(all - len(urls))}
 	runs := map[string]int{}
 	var entries []target.Entry
 	for _, r := range records {
@@ -79,6 +89,16 @@
 	return nil
 }
 
+// refuses reports whether nobody listens at the URL.
+func refuses(url string) bool {
+	resp, err := http.Get(url + "/ledger")
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	resp.Body.Close()
+	return false
+}
+
 func readLedgers(urls []string) ([]target.Record, error) {
 	var records []target.Record
 	for _, url := range urls {
