--- a/pkg/feed/bench_test.go
+++ b/pkg/feed/bench_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/goleak"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
@@ -111,7 +112,7 @@
 		runRelay(n)
 		return
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // runRelay prints its address, and then its processor time in nanoseconds
@@ -123,6 +124,10 @@
 	defer cancel()
 	f := New(Config{Loop: loop, Clock: clock.System{}, Members: noPeers{}})
 	must(f.takeNow(ctx, update{snapshot: benchConfig(accounts), version: 1, read: f.cfg.Clock.Now(), agreed: never}))
+	// Stands in for the periodic reads of the store.
+	loop.Every(ctx, defaultPoll, func() {
+		f.take(update{version: f.state.Load().version(), read: f.cfg.Clock.Now(), agreed: never})
+	})
 	_, h := f.Handler()
 	server := httptest.NewServer(h)
 	defer server.Close()
@@ -288,7 +293,7 @@
 // BenchmarkIdle is what following costs while nothing changes; an operation is
 // one second.
 func BenchmarkIdle(b *testing.B) {
-	for _, followers := range []int{4, 31, 124} {
+	for _, followers := range []int{4, fanOut, 31, 124} {
 		b.Run(fmt.Sprintf("followers=%d", followers), func(b *testing.B) {
 			fleet := newBenchFleet(b, followers, 1000, defaultPullWait)
 			fleet.step(b, 2)
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -101,6 +101,8 @@
 	lent     []loan
 	borrowed []loan
 	tokens   float64
+	// started reports that the ledger has had shares.
+	started bool
 	// last is when tokens was computed. net holds from last until change.
 	last   clock.Time
 	change clock.Time
@@ -167,11 +169,27 @@
 }
 
 // setParts replaces the shares of the slots. No tokens come with new ones: the
-// former holder may have spent them.
+// former holder may have spent them. A ledger that starts has the tokens that
+// its slots gained since they could be used, as no one else had them.
 func (l *ledger) setParts(parts []part, now clock.Time) {
 	l.advance(now)
 	l.parts = parts
 	l.recompute()
+	if !l.started {
+		l.started = true
+		l.tokens = gained(parts, now)
+	}
+}
+
+// gained is what the buckets of the parts hold at now if they began empty.
+func gained(parts []part, now clock.Time) float64 {
+	sum := 0.0
+	for _, p := range parts {
+		if p.from.Before(now) && now.Before(p.until) {
+			sum += min(p.capacity, p.rate*now.Sub(p.from).Seconds())
+		}
+	}
+	return sum
 }
 
 // take admits one request if there is a token.
@@ -198,15 +216,11 @@
 	return max(time.Millisecond, time.Duration(math.Ceil(seconds*1e9)))
 }
 
-// certain is the share that this VM has until t: loans that it borrowed and
-// slots that end earlier do not count.
+// certain is the share that this VM may lend until t. Slots count whose lease
+// runs now, even if it ends before t: their next holder waits settleTime. Loans
+// that it borrowed and that end before t do not count.
 func (l *ledger) certain(t clock.Time) share {
-	var sum share
-	for _, p := range l.parts {
-		if !l.last.Before(p.from) && !p.until.Before(t) {
-			sum = sum.plus(p.share)
-		}
-	}
+	sum := l.own(l.last)
 	for _, x := range l.borrowed {
 		if !x.end.Before(t) {
 			sum = sum.plus(x.share)
