limit: the home of an account follows each new view of the members

A VM that starts knows no peers at first and takes itself for the home; it refused for up to half a second after it knew better.

Change: the home is found again whenever the members publish a new view.

What remains is the time before the first view that has peers; a VM that is not ready would have to take no callers.

Red without: TestHomeFollowsTheView.

--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -56,9 +56,11 @@
 type account struct {
 	mu   sync.Mutex
 	book *book
-	// config and holding are what the book's shares were made from.
+	// config and holding are what the book's shares were made from, view what
+	// its home was found in.
 	config  *config.Account
 	holding *lease.Holding
+	view    *member.View
 	// keepUntil is how long the book is needed if the account is deleted.
 	keepUntil clock.Time
 	// asked is closed when the last request for tokens has ended.
@@ -188,8 +190,14 @@
 	return a
 }
 
-// sync makes the book follow the configuration and the slots. a is locked.
+// sync makes the book follow the members, the configuration and the slots. a is
+// locked.
 func (s *Service) sync(a *account, c *config.Account, now clock.Time) {
+	if view := s.cfg.Members.View(); a.view != view {
+		a.view = view
+		home, ok := s.home(a.book.name)
+		a.book.home = ok && home.ID == view.Self.ID
+	}
 	h := s.cfg.Slots.Holding()
 	if a.config == c && a.holding == h {
 		return
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -181,6 +182,27 @@
 	}
 }
 
+// TestHomeFollowsTheView: a VM that has just started takes itself for the home
+// until it knows its peers, and not for longer.
+func TestHomeFollowsTheView(t *testing.T) {
+	services, all, _ := startFleet(t, 2, accounts(config.Account{Name: "a", Rate: 1000, Burst: 100}))
+	home := slices.IndexFunc(all, func(s *sources) bool { return s.View().Self.ID == services[0].Homes("a")[0] })
+	other := 1 - home
+	full, alone := all[other].View(), &member.View{Self: all[other].View().Self}
+	all[other].holding.Store(&lease.Holding{Total: 16})
+	all[other].view.Store(alone)
+	for services[other].Admit(t.Context(), "a").Admitted {
+	}
+	for !services[home].Admit(t.Context(), "a").Admitted {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // a few tokens at 500 a second
+	all[other].view.Store(full)
+	if !services[other].Admit(t.Context(), "a").Admitted {
+		t.Error("refused though the home has tokens")
+	}
+}
+
 // newService returns a service with all slots and a fake clock, that is not
 // the home of any account.
 func newService(a config.Account) (*Service, *sources, *clock.Fake) {
