--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"sync"
-	"syscall"
 	"time"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
@@ -17,9 +15,9 @@
 )
 
 const (
-	// maxConsulted bounds how many peers one VM asks about its freshness.
-	// In a larger fleet it asks some, and agreement is never reached.
-	maxConsulted = 64
+	// fanOut is how many VMs pull from one. An idle follower costs its source
+	// 650 B/s and 0.3 ms/s; two levels reach 132 VMs.
+	fanOut = 11
 	// followPause is the pause after a pull that failed, or found no peer.
 	followPause = 100 * time.Millisecond
 )
@@ -37,23 +35,25 @@
 	ready         bool
 }
 
-// follow pulls from the relay, or from other peers while the relay does not
-// answer, until ctx ends. A VM that relays itself does not pull.
+// follow pulls from this VM's source until ctx ends. A VM that relays itself
+// does not pull.
 func (f *Feed) follow(ctx context.Context) {
-	failed := ""
+	avoid := map[string]clock.Time{}
 	for ctx.Err() == nil {
-		address, ok := f.source(failed)
+		address, ok := f.source(avoid)
 		if !ok {
 			sleep(ctx, followPause)
 			continue
 		}
 		a, err := f.pull(ctx, address, f.cfg.PullWait)
+		now := f.cfg.Clock.Now()
+		if err != nil || !a.ready || now.Sub(max(a.update.read, a.update.agreed)) > f.patience {
+			avoid[address] = now.Add(f.cfg.RelayLease)
+		}
 		if err != nil || !a.ready {
-			failed = address
 			sleep(ctx, followPause)
 			continue
 		}
-		failed = ""
 		f.cfg.Loop.Post(func() {
 			f.take(a.update)
 			f.hearOfRelay(a)
@@ -79,22 +79,26 @@
 	f.setRelay(observation{row: a.relay, revision: max(o.revision, 1), since: f.cfg.Clock.Now(), known: true})
 }
 
-// source returns the peer to pull from: the relay, or where it failed another
-// VM of the failure domain, or any VM.
-func (f *Feed) source(failed string) (string, bool) {
+// source returns the peer to pull from: the parent in the tree below the
+// relay, or else the relay, another VM of the failure domain, or any VM.
+func (f *Feed) source(avoid map[string]clock.Time) (string, bool) {
 	if f.isRelay() {
 		return "", false
 	}
-	o := f.relay.Load()
-	if address := o.row.Address; address != "" && address != failed {
-		return address, true
-	}
+	now := f.cfg.Clock.Now()
+	avoided := func(address string) bool { return now.Before(avoid[address]) }
+	relay := f.relay.Load().row
 	peers := f.cfg.Members.View().Peers
+	for _, address := range []string{parent(f.cfg.Self, relay, peers), relay.Address} {
+		if address != "" && !avoided(address) {
+			return address, true
+		}
+	}
 	for _, near := range []bool{true, false} {
 		var choice []string
 		for i := range peers {
 			p := &peers[i]
-			if usable(p) && p.PeerAddress != failed && (!near || p.FailureDomain == f.cfg.Self.FailureDomain) {
+			if usable(p) && !avoided(p.PeerAddress) && (!near || p.FailureDomain == f.cfg.Self.FailureDomain) {
 				choice = append(choice, p.PeerAddress)
 			}
 		}
@@ -105,6 +109,33 @@
 	return "", false
 }
 
+// parent returns the address of a VM's parent in the tree of its failure
+// domain: the relay is the root, and the other VMs follow in order of ID, each
+// with at most fanOut children. It is empty where the relay is unknown.
+func parent(self member.Peer, relay relayRow, peers []member.Peer) string {
+	if relay.Address == "" {
+		return ""
+	}
+	// The root has place 0. The others count from 1.
+	place := 1
+	var others []*member.Peer
+	for i := range peers {
+		p := &peers[i]
+		if !usable(p) || p.FailureDomain != self.FailureDomain || p.ID == relay.ID {
+			continue
+		}
+		others = append(others, p)
+		if p.ID < self.ID {
+			place++
+		}
+	}
+	above := (place - 1) / fanOut
+	if above == 0 {
+		return relay.Address
+	}
+	return others[above-1].PeerAddress
+}
+
 func usable(p *member.Peer) bool {
 	return p.PeerAddress != "" && (p.State == member.Live || p.State == member.Leaving)
 }
@@ -180,90 +211,3 @@
 	}
 	return entries, nil
 }
-
-// poll is the answer of one peer to a consultation.
-type poll struct {
-	answer answer
-	err    error
-}
-
-// startConsult asks all peers for what they know, beside the loop.
-func (f *Feed) startConsult(ctx context.Context) {
-	view := f.cfg.Members.View()
-	start := f.cfg.Clock.Now()
-	f.consulting = true
-	f.cfg.Loop.Go(ctx, func(ctx context.Context) {
-		polls := f.askAll(ctx, view)
-		f.cfg.Loop.Post(func() {
-			f.consulting = false
-			f.consulted(view, polls, start)
-		})
-	})
-}
-
-// askAll pulls from the peers at once, also from those that count as gone: a
-// new process may run there.
-func (f *Feed) askAll(ctx context.Context, view *member.View) []poll {
-	peers := view.Peers
-	if len(peers) > maxConsulted {
-		peers = sample(peers, maxConsulted)
-	}
-	polls := make([]poll, len(peers))
-	var wg sync.WaitGroup
-	for i := range peers {
-		wg.Go(func() {
-			if peers[i].PeerAddress == "" {
-				polls[i].err = errNotReady
-				return
-			}
-			polls[i].answer, polls[i].err = f.pull(ctx, peers[i].PeerAddress, 0)
-		})
-	}
-	wg.Wait()
-	return polls
-}
-
-func sample(peers []member.Peer, n int) []member.Peer {
-	out := make([]member.Peer, 0, n)
-	for _, i := range rand.Perm(len(peers))[:n] {
-		out = append(out, peers[i])
-	}
-	return out
-}
-
-// consulted takes the answers of a consultation begun at start, on the loop.
-func (f *Feed) consulted(view *member.View, polls []poll, start clock.Time) {
-	for _, p := range polls {
-		if p.err == nil && p.answer.ready {
-			f.take(p.answer.update)
-		}
-	}
-	all := view.Complete && len(polls) == len(view.Peers)
-	self := f.contact.unreachable(f.cfg.Clock.Now(), f.cfg.Freshness)
-	s := f.state.Load()
-	if all && self && agreement(s.version(), polls) {
-		f.take(update{version: s.version(), read: never, agreed: start})
-	}
-}
-
-// agreement reports whether the answers prove that no accepted change is
-// missing from version: every VM answered or has no process, none has a newer
-// version, and none reaches the store, without which nothing is accepted.
-//
-// The proof is only as good as the list of VMs. A VM that the list lacks
-// because it lags, whether new or removed too early, can reach the store and
-// accept a change that nobody here hears of; so can one that accepted a change
-// just before the outage and died before its push arrived anywhere.
-func agreement(version int64, polls []poll) bool {
-	if version == noVersion {
-		return false
-	}
-	for _, p := range polls {
-		switch {
-		case errors.Is(p.err, syscall.ECONNREFUSED):
-		case p.err != nil || !p.answer.unreachable || p.answer.update.version > version:
-			return false
-		}
-	}
-	return true
-}
