--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -199,7 +199,7 @@
 		RequireEcho: func(pool string) bool { return echoed[pool] },
 	})
 	d.operators = operator.NewServer(operator.Config{
-		Feed: d.feed, Status: d, Log: d.log, Metrics: d.registry,
+		Feed: d.feed, Status: d, Places: places(s), Log: d.log, Metrics: d.registry,
 	})
 	d.servers.callers.Handler = d.callersHandler()
 	d.servers.operators.Handler = d.operatorsHandler()
--- /dev/null
+++ b/pkg/daemon/places.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"slices"
+
+	"crocusramp.dev/crocusramp/pkg/operator"
+	"crocusramp.dev/crocusramp/pkg/settings"
+)
+
+// places lists the names that routes, shifts and drains may speak of, so that
+// a misspelt one is refused. A failure domain is named alone or after its
+// region.
+func places(s *settings.Settings) operator.Places {
+	p := operator.Places{Regions: s.Regions, Pools: []string{}, FailureDomains: []string{}, Targets: []string{}}
+	addDomain := func(region, domain string) {
+		p.FailureDomains = append(p.FailureDomains, domain, region+"/"+domain)
+	}
+	addDomain(s.VM.Region, s.VM.FailureDomain)
+	for _, pool := range s.Pools {
+		p.Pools = append(p.Pools, pool.Name)
+		for _, t := range pool.Targets {
+			p.Targets = append(p.Targets, t.ID)
+			addDomain(t.Region, t.FailureDomain)
+		}
+	}
+	slices.Sort(p.FailureDomains)
+	p.FailureDomains = slices.Compact(p.FailureDomains)
+	return p
+}
