--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -73,7 +73,9 @@
 
 	listeners *listeners
 	servers   servers
-	leaving   atomic.Bool
+	// cancel ends the control loop at once.
+	cancel  context.CancelFunc
+	leaving atomic.Bool
 	// arrivals counts callers' requests; a stop waits until it rests.
 	arrivals atomic.Int64
 }
--- a/pkg/daemon/main_test.go
+++ b/pkg/daemon/main_test.go
@@ -40,7 +40,7 @@
 	directory *directory.Server
 }
 
-func startStandins(t *testing.T) *standins {
+func startStandins(t testing.TB) *standins {
 	t.Helper()
 	s := &standins{directory: directory.New()}
 	serve := func(h http.Handler) string {
--- /dev/null
+++ b/pkg/daemon/recovery_test.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/settings"
+)
+
+// BenchmarkRecovery measures how long the slots of a failure domain that dies,
+// a quarter of the fleet, stay without a holder.
+func BenchmarkRecovery(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				daemons, stop := startMany(b, n)
+				waitSlots(b, daemons, 2*n)
+				for _, d := range daemons[:n/4] {
+					d.cancel()
+					_ = d.servers.peers.Close()
+				}
+				started := time.Now()
+				b.StartTimer()
+				waitSlots(b, daemons[n/4:], 2*n)
+				b.ReportMetric(time.Since(started).Seconds(), "s/recovery")
+				b.StopTimer()
+				stop()
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// startMany runs n VMs with two slots each.
+func startMany(b *testing.B, n int) ([]*Daemon, func()) {
+	b.Helper()
+	s := startStandins(b)
+	var daemons []*Daemon
+	var list []platform.VM
+	for i := range n {
+		v := s.settings(fmt.Sprintf("vm-%03d", i))
+		v.Slots = 2 * n
+		v.Stop = settings.Stop{Notice: settings.Duration{Duration: time.Millisecond}}
+		text, err := json.Marshal(v)
+		if err != nil {
+			b.Fatal(err)
+		}
+		parsed, err := settings.Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d, err := New(context.Background(), parsed, zerolog.Nop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		daemons = append(daemons, d)
+		list = append(list, platform.VM{ID: v.VM.ID, PeerAddress: d.PeerAddress(), State: platform.VMLive})
+	}
+	s.directory.Set(list)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, n)
+	for _, d := range daemons {
+		go func() { ended <- d.Run(ctx) }()
+	}
+	return daemons, func() {
+		cancel()
+		for range daemons {
+			<-ended
+		}
+	}
+}
+
+// waitSlots returns once the VMs hold total valid slots together.
+func waitSlots(b *testing.B, daemons []*Daemon, total int) {
+	b.Helper()
+	deadline := time.Now().Add(3 * time.Minute)
+	for time.Now().Before(deadline) {
+		held := 0
+		now := clock.System{}.Now()
+		for _, d := range daemons {
+			for _, s := range d.leases.Holding().Slots {
+				if s.Valid(now) {
+					held++
+				}
+			}
+		}
+		if held == total {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.Fatalf("the VMs do not hold %d slots", total)
+}
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -10,6 +10,7 @@
 // only where a listener failed while serving.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
 	loopEnded := make(chan struct{})
 	go func() { d.loop.Run(background); close(loopEnded) }()
 	failed := make(chan error, 3)
