--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -56,6 +56,7 @@
 	self     member.Peer
 	log      zerolog.Logger
 	registry metrics.Registry
+	latency  *telemetry.Histogram
 	tracer   trace.Tracer
 	flush    func(context.Context) error
 
@@ -87,7 +88,7 @@
 // New binds the listeners and builds every part; Run starts them. Errors wrap
 // settings.ErrInvalid where the settings are at fault.
 func New(ctx context.Context, s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), loop: control.NewLoop()}
+	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), latency: telemetry.NewHistogram(), loop: control.NewLoop()}
 	var err error
 	if d.listeners, err = listen(s); err != nil {
 		return nil, err
@@ -194,6 +195,7 @@
 		Config: d.feed, Authenticate: keys.Authenticate, Limiter: d.admitted, Dispatcher: d.scheduler,
 		Members: d.members, Match: route.Match, Homes: d.limiter.Homes, RegionOf: blocks.Lookup, Peers: d.dialer, Table: d.table,
 		Clock: clock.System{}, Log: d.log, Metrics: d.registry, Tracer: d.tracer,
+		Latency: func(l time.Duration) { d.latency.Record(l.Microseconds()) },
 		Limits: entry.Limits{
 			MaxHeaderBytes: s.Callers.MaxHeaderBytes, MaxBodyBytes: s.Callers.MaxBodyBytes,
 			MaxTimeout: s.Callers.MaxDeadline.Duration, LocateTTL: s.Callers.LocateTTL.Duration,
@@ -266,7 +268,7 @@
 	e := echo.New()
 	e.GET("/healthz", echo.WrapHandler(http.HandlerFunc(healthz)))
 	e.GET("/readyz", echo.WrapHandler(http.HandlerFunc(d.readyz)))
-	e.GET("/metrics", echo.WrapHandler(telemetry.Handler(d.registry, nil)))
+	e.GET("/metrics", echo.WrapHandler(telemetry.Handler(d.registry, map[string]*telemetry.Histogram{"entry.latency": d.latency})))
 	e.Any("/twirp/*", echo.WrapHandler(api))
 	return e
 }
--- a/pkg/entry/meters.go
+++ b/pkg/entry/meters.go
@@ -14,19 +14,22 @@
 	requests metrics.Counter
 	retries  metrics.Counter
 	aborted  metrics.Counter
-	latency  metrics.Timer
+	latency  func(time.Duration)
 }
 
-func newMeters(r metrics.Registry) *meters {
+func newMeters(r metrics.Registry, latency func(time.Duration)) *meters {
 	if r == nil {
 		r = metrics.NewRegistry()
 	}
+	if latency == nil {
+		latency = func(time.Duration) {}
+	}
 	return &meters{
 		registry: r,
 		requests: metrics.GetOrRegisterCounter("entry.requests", r),
 		retries:  metrics.GetOrRegisterCounter("entry.retries", r),
 		aborted:  metrics.GetOrRegisterCounter("entry.aborted", r),
-		latency:  metrics.GetOrRegisterTimer("entry.latency", r),
+		latency:  latency,
 	}
 }
 
@@ -34,4 +37,4 @@
 	metrics.GetOrRegisterCounter("entry.refused."+string(reason), m.registry).Inc(1)
 }
 
-func (m *meters) finished(start time.Time) { m.latency.UpdateSince(start) }
+func (m *meters) finished(start time.Time) { m.latency(time.Since(start)) }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -72,6 +72,9 @@
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Metrics metrics.Registry
+	// Latency receives the time from each request's arrival to the end of its
+	// answer. Nil drops it.
+	Latency func(time.Duration)
 	Tracer  trace.Tracer
 	Limits  Limits
 	// RequireEcho tells whether the targets of a pool must echo the request
@@ -111,7 +114,7 @@
 		client:     forward.NewClient(c.Forward),
 		peerClient: newPeerClient(c.Peers),
 		running:    newGate(),
-		meters:     newMeters(c.Metrics),
+		meters:     newMeters(c.Metrics, c.Latency),
 		budget:     retry.NewBudget(c.Retry),
 	}
 	c.Quarantine.Clock = c.Clock
