--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -24,8 +24,7 @@
 // quantiles are written for each histogram.
 var quantiles = []float64{50, 90, 99, 99.9}
 
-// Histogram records latencies in microseconds. It implements the parts of
-// metrics.Histogram that this product uses and is safe for concurrent use.
+// Histogram records latencies in microseconds. It is safe for concurrent use.
 type Histogram struct {
 	mu sync.Mutex
 	h  *hdrhistogram.Histogram
