--- a/pkg/dispatch/policy_test.go
+++ b/pkg/dispatch/policy_test.go
@@ -22,11 +22,13 @@
 	// most is the largest number of requests on a target, running and waiting
 	// in it.
 	most int
+	// headroom is the mean free part of the slots of the fullest region.
+	headroom float64
 }
 
 func (s summary) String() string {
-	return fmt.Sprintf("p50 %4d ms  p99 %5d ms  worst account %5.1f %% (of its due %5.1f %%)  refused %5.2f %%  most on a target %d",
-		s.p50.Milliseconds(), s.p99.Milliseconds(), 100*s.worst, 100*s.fair, 100*s.refused, s.most)
+	return fmt.Sprintf("p50 %4d ms  p99 %5d ms  worst account %5.1f %% (of its due %5.1f %%)  refused %5.2f %%  headroom %4.1f %%  most on a target %d",
+		s.p50.Milliseconds(), s.p99.Milliseconds(), 100*s.worst, 100*s.fair, 100*s.refused, 100*s.headroom, s.most)
 }
 
 func (s *sim) summarize(flood string) summary {
@@ -53,6 +55,9 @@
 	for _, t := range s.targets {
 		sum.most = max(sum.most, t.most)
 	}
+	for _, h := range s.headroom {
+		sum.headroom += h / float64(len(s.headroom))
+	}
 	return sum
 }
 
@@ -86,6 +91,7 @@
 func (s *sim) warmUp(d time.Duration) {
 	s.run(d)
 	s.countedFrom = s.now
+	s.headroom = nil
 	for _, t := range s.results {
 		*t = tally{}
 	}
--- a/pkg/dispatch/sim_test.go
+++ b/pkg/dispatch/sim_test.go
@@ -58,6 +58,8 @@
 	simAttempts = 4
 	// mostPermits is no less than what one VM holds.
 	mostPermits = 64
+	// simSample is the time between two samples of the headroom.
+	simSample = 100 * time.Millisecond
 )
 
 // simAccount is a simulated client account; its requests come to home more often.
@@ -86,6 +88,8 @@
 	calls   int
 	// report, where set, is what a target says of itself at each heartbeat.
 	report func(*simTarget) health.Report
+	// headroom holds the samples of sampleHeadroom since the warm-up.
+	headroom []float64
 	// countedFrom is the end of the warm-up.
 	countedFrom clock.Time
 }
@@ -159,6 +163,7 @@
 	}
 	s.addVMs(pool)
 	s.every(simHeartbeat, s.heartbeat)
+	s.every(simSample, s.sampleHeadroom)
 	s.every(simTick, s.tick)
 	return s
 }
@@ -219,6 +224,23 @@
 	return inputs{now: s.now, config: s.config, members: vm.view, holding: vm.holding}
 }
 
+// sampleHeadroom records the free part of the slots of the region that has the
+// least of it, dead targets left out.
+func (s *sim) sampleHeadroom() {
+	slots, running := map[string]int{}, map[string]int{}
+	for _, t := range s.targets {
+		if !t.dead {
+			slots[t.Region] += t.Slots
+			running[t.Region] += min(t.running, t.Slots)
+		}
+	}
+	least := 1.0
+	for region, n := range slots {
+		least = min(least, 1-float64(running[region])/float64(n))
+	}
+	s.headroom = append(s.headroom, least)
+}
+
 // heartbeat tells all VMs of all others, and takes the targets' reports.
 func (s *sim) heartbeat() {
 	for _, t := range s.targets {
