--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"syscall"
@@ -15,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
 	"crocusramp.dev/crocusramp/pkg/daemon"
 	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/settings"
@@ -33,9 +36,13 @@
 	domains  = 2
 )
 
+// accounts is the number of client accounts that a fleet knows.
+const accounts = 8
+
 // fleet is n daemons and their platform in this process.
 type fleet struct {
-	table   *table.Server
+	table     *table.Server
+	operators string
 	daemons []*daemon.Daemon
 	stop    context.CancelFunc
 	ended   chan error
@@ -43,7 +50,7 @@
 
 func startFleet(b *testing.B, n int) *fleet {
 	b.Helper()
-	f := &fleet{table: table.New(), ended: make(chan error, n)}
+	f := &fleet{table: table.New(), operators: freeAddress(b), ended: make(chan error, n)}
 	list := directory.New()
 	tables := httptest.NewServer(f.table.Handler())
 	store := httptest.NewServer(objects.New().Handler())
@@ -61,9 +68,13 @@
 	f.stop = cancel
 	for i := range n {
 		region := names[i%regions]
+		operators := anyPort
+		if i == 0 {
+			operators = f.operators
+		}
 		text, err := json.Marshal(settings.Settings{
 			VM:      settings.VM{ID: fmt.Sprintf("vm-%03d", i), Region: region, FailureDomain: fmt.Sprint(region, "-", i/regions%domains)},
-			Listen:  settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
+			Listen:  settings.Listen{Callers: anyPort, Operators: operators, Peers: anyPort},
 			Regions: names,
 			Slots:   max(16, 2*n),
 			Platform: settings.Platform{
@@ -100,17 +111,50 @@
 	return f
 }
 
-// peerBytes adds up what the VMs received from each other and answered.
-func (f *fleet) peerBytes() int64 {
+func freeAddress(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// createAccounts makes client accounts once the fleet accepts changes.
+func (f *fleet) createAccounts(b *testing.B) {
+	b.Helper()
+	client := operatorpb.NewAccountsProtobufClient("http://"+f.operators, http.DefaultClient)
+	deadline := time.Now().Add(time.Minute)
+	for i := range accounts {
+		account := &operatorpb.Account{Name: fmt.Sprint("account-", i), Rate: 500, Burst: 100}
+		for {
+			_, err := client.Create(context.Background(), &operatorpb.CreateAccountRequest{Account: account})
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				b.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// count adds up counters over all VMs.
+func (f *fleet) count(names ...string) float64 {
 	sum := int64(0)
 	for _, d := range f.daemons {
-		for _, name := range []string{"peer.bytes_received", "peer.bytes_sent"} {
+		for _, name := range names {
 			sum += metrics.GetOrRegisterCounter(name, d.Metrics()).Count()
 		}
 	}
-	return sum
+	return float64(sum)
 }
 
+// peerBytes is what the VMs received from each other and answered.
+func (f *fleet) peerBytes() float64 { return f.count("peer.bytes_received", "peer.bytes_sent") }
+
 func cpu(b *testing.B) time.Duration {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
@@ -119,18 +163,19 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkIdleFleet reports what each VM of an idle fleet spends a second,
-// the stand-ins' own work included, at four sizes.
+// BenchmarkIdleFleet reports what each VM of a fleet without callers spends a
+// second, the stand-ins' own work included, at four sizes.
 func BenchmarkIdleFleet(b *testing.B) {
 	for _, n := range []int{6, 12, 24, 48} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := startFleet(b, n)
+			f.createAccounts(b)
 			time.Sleep(settle)
 			f.table.Counts(true)
-			bytes, used := f.peerBytes(), cpu(b)
+			bytes, loans, used := f.peerBytes(), f.count("limit.collections"), cpu(b)
 			time.Sleep(measured)
 			used = cpu(b) - used
-			bytes = f.peerBytes() - bytes
+			bytes, loans = f.peerBytes()-bytes, f.count("limit.collections")-loans
 			counts := f.table.Counts(false)
 			var memory runtime.MemStats
 			runtime.GC()
@@ -139,7 +184,8 @@
 			vms := float64(n)
 			b.ReportMetric(0, "ns/op")
 			b.ReportMetric(100*used.Seconds()/seconds/vms, "%core/VM")
-			b.ReportMetric(float64(bytes)/seconds/vms, "peer-B/s/VM")
+			b.ReportMetric(bytes/seconds/vms, "peer-B/s/VM")
+			b.ReportMetric(loans/seconds, "loans/s")
 			b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/vms/(1<<20), "MiB/VM")
 			b.ReportMetric(float64(counts.Reads)/seconds, "reads/s")
 			b.ReportMetric(float64(counts.Writes)/seconds, "writes/s")
