--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -108,6 +108,8 @@
 	}
 	_ = d.servers.callers.Close()
 	d.release()
+	// An operator's call that has begun gets its answer.
+	_ = d.servers.operators.Shutdown(ctx)
 	_ = d.servers.operators.Close()
 	_ = d.flush(ctx)
 	d.log.Info().Dur("took_ms", time.Since(started)).Msg("nothing is running any more")
