--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -43,9 +43,9 @@
 type fleet struct {
 	table     *table.Server
 	operators string
-	daemons []*daemon.Daemon
-	stop    context.CancelFunc
-	ended   chan error
+	daemons   []*daemon.Daemon
+	stop      context.CancelFunc
+	ended     chan error
 }
 
 func startFleet(b *testing.B, n int) *fleet {
