--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -89,6 +89,7 @@
 // settings.ErrInvalid where the settings are at fault.
 func New(ctx context.Context, s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), latency: telemetry.NewHistogram(), loop: control.NewLoop()}
+	d.latency.RegisterQuantiles("entry.latency", d.registry)
 	var err error
 	if d.listeners, err = listen(s); err != nil {
 		return nil, err
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -35,6 +35,14 @@
 	return &Histogram{h: hdrhistogram.New(histogramMin, histogramMax, histogramDigits)}
 }
 
+// RegisterQuantiles makes the median and the 99th percentile gauges of a
+// registry, in microseconds, so that its JSON form shows them too.
+func (h *Histogram) RegisterQuantiles(name string, r metrics.Registry) {
+	for suffix, percent := range map[string]float64{"_p50_us": 50, "_p99_us": 99} {
+		metrics.NewRegisteredFunctionalGauge(name+suffix, r, func() int64 { return h.Quantile(percent) })
+	}
+}
+
 // Record adds one latency in microseconds; values out of range are clamped.
 func (h *Histogram) Record(microseconds int64) {
 	h.mu.Lock()
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -42,7 +42,8 @@
 	r := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("entry.requests", r).Inc(3)
 	h := NewHistogram()
-	h.Record(2_000_000)
+	h.Record(2_000)
+	h.RegisterQuantiles("entry.latency", r)
 	handler := Handler(r, map[string]*Histogram{"entry.latency": h})
 
 	text := httptest.NewRecorder()
@@ -57,8 +58,10 @@
 	}
 	asJSON := httptest.NewRecorder()
 	handler.ServeHTTP(asJSON, httptest.NewRequest("GET", "/metrics?format=json", nil))
-	if !strings.Contains(asJSON.Body.String(), `"entry.requests":{"count":3}`) {
-		t.Errorf("JSON: %s", asJSON.Body.String())
+	for _, want := range []string{`"entry.requests":{"count":3}`, `"entry.latency_p99_us":{"value":20`} {
+		if !strings.Contains(asJSON.Body.String(), want) {
+			t.Errorf("%s is missing in %s", want, asJSON.Body.String())
+		}
 	}
 }
 
