scenario: a VM that its peers cannot reach

Cause: no test cut VMs from each other with separate processes. The other direction, from the VM to its peers, stays open.

--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -37,7 +37,8 @@
 	vms, targets, slots int
 	service             time.Duration
 	lease, fresh        time.Duration
-	// linked is a VM that reaches the platform by links alone.
+	// linked is a VM that reaches the platform, and that its peers reach, by
+	// links alone.
 	linked string
 }
 
@@ -54,7 +55,7 @@
 	f.DurationVar(&c.service, "service", 5*time.Millisecond, "service time of each target")
 	f.DurationVar(&c.lease, "lease", 10*time.Second, "lease of slots")
 	f.DurationVar(&c.fresh, "fresh", 3*time.Second, "feed.fresh_for")
-	f.StringVar(&c.linked, "linked", "", "VM that reaches the platform by links only")
+	f.StringVar(&c.linked, "linked", "", "VM that reaches the platform, and that its peers reach, by links only")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -225,7 +226,11 @@
 		}
 	}
 	fl.vms[name] = "http://" + s.Listen.Callers
-	fl.listed = append(fl.listed, platform.VM{ID: name, PeerAddress: s.Listen.Peers, State: platform.VMLive})
+	listed := s.Listen.Peers
+	if s.Advertise.Peers != "" {
+		listed = s.Advertise.Peers
+	}
+	fl.listed = append(fl.listed, platform.VM{ID: name, PeerAddress: listed, State: platform.VMLive})
 	data, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return err
@@ -233,8 +238,9 @@
 	return os.WriteFile(ts.MkAbs(name+".json"), data, 0o600)
 }
 
-// link puts a link between a VM and each service of the platform. The links
-// are processes named VM-SERVICE.
+// link puts a link between a VM and each service of the platform, and one
+// between its peers and it. The links are processes named VM-SERVICE and
+// VM-peers.
 func (w *world) link(ts *testscript.TestScript, name string, s *settings.Settings) error {
 	for service, url := range map[string]*string{
 		"table": &s.Platform.Table.Endpoint, "objects": &s.Platform.Objects.Endpoint, "directory": &s.Platform.Directory.URL,
@@ -253,7 +259,12 @@
 		}
 		*url = "http://" + address
 	}
-	return nil
+	port, err := w.freePort()
+	if err != nil {
+		return err
+	}
+	s.Advertise.Peers = w.host + ":" + port
+	return w.start(ts, []string{name + "-peers", "standin", "link", "--listen", s.Advertise.Peers, "--to", s.Listen.Peers})
 }
 
 // names returns the names of the VMs with these numbers, or of all.
