--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -49,6 +49,10 @@
 	Burst float64 `json:"burst"`
 	// Weight is its part of the capacity under contention; 1 is usual.
 	Weight int `json:"weight"`
+	// Regions are where its requests may run; none means everywhere.
+	Regions []string `json:"regions,omitempty"`
+	// Rank goes before the rank of a route; nil leaves that in force.
+	Rank *int `json:"rank,omitempty"`
 }
 
 // Key is a client account's credential. Only its salted hash is kept.
@@ -75,6 +79,51 @@
 	Open bool `json:"open,omitempty"`
 	// Timeout bounds a request from its arrival to its answer.
 	Timeout time.Duration `json:"timeout"`
+	// Host limits the route to requests for this host, in lower case; empty
+	// means all.
+	Host string `json:"host,omitempty"`
+	// Split divides the requests among several pools; it goes before Pool.
+	Split []Part `json:"split,omitempty"`
+	// MaxAttempts is how many targets one request may be sent to; 0 leaves it
+	// to the retry budget.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration `json:"objective,omitempty"`
+	// Rank orders routes under contention; 0 goes first.
+	Rank int `json:"rank,omitempty"`
+	// Regions are where requests may run; none means everywhere.
+	Regions []string `json:"regions,omitempty"`
+	// Sticky says that a target runs a request faster that has lately handled
+	// the same object.
+	Sticky bool `json:"sticky,omitempty"`
+}
+
+// Part is a pool's part of a route's requests.
+type Part struct {
+	Pool   string  `json:"pool"`
+	Weight float64 `json:"weight"`
+}
+
+// Service describes the targets of a pool that are found at run time.
+type Service struct {
+	Name string `json:"name"`
+	// HealthPath is asked to learn whether a target is well.
+	HealthPath string `json:"health_path"`
+	// MaxConnections is how many connections a target accepts from all VMs.
+	MaxConnections int `json:"max_connections"`
+	// ColdStart is how long a target that has just started is slow.
+	ColdStart time.Duration `json:"cold_start"`
+	// ColdRate is how many requests a second a cold target bears.
+	ColdRate float64 `json:"cold_rate"`
+}
+
+// CallerLimits bound what callers may send; zero fields leave the settings in
+// force.
+type CallerLimits struct {
+	MaxHeaderBytes int           `json:"max_header_bytes"`
+	MaxBodyBytes   int64         `json:"max_body_bytes"`
+	HeaderTimeout  time.Duration `json:"header_timeout"`
+	IdleTimeout    time.Duration `json:"idle_timeout"`
 }
 
 // Shift moves a part of a pool's traffic from one region to another.
@@ -114,6 +163,9 @@
 	Routes   map[string]*Route   `json:"routes"`
 	Shifts   map[string]*Shift   `json:"shifts"`
 	Drains   map[string]*Drain   `json:"drains"`
+	// Services is set where targets are found at run time.
+	Services     map[string]*Service `json:"services,omitempty"`
+	CallerLimits CallerLimits        `json:"caller_limits,omitzero"`
 }
 
 // Empty returns version 0, which has no entities.
--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -36,18 +36,31 @@
 
 type commands struct {
 	Serve *fileCommand `arg:"subcommand:serve" help:"run one VM's daemon"`
+	Edge  *EdgeCommand `arg:"subcommand:edge" help:"run one VM on a platform that holds the configuration and the list of targets"`
 	Check *fileCommand `arg:"subcommand:check" help:"check settings and exit"`
 	Dev   *DevCommand  `arg:"subcommand:dev" help:"run three VMs, targets and a platform stand-in in one process, for trying things out"`
 }
 
+// EdgeCommand are the options of `crocusrampd edge`.
+type EdgeCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings in JSON"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// Commands runs the commands that are not part of this package.
+type Commands struct {
+	Dev  func(ctx context.Context, c *DevCommand, stdout, stderr io.Writer) error
+	Edge func(ctx context.Context, c *EdgeCommand, stdout io.Writer) error
+}
+
 // Description implements arg.Described.
 func (commands) Description() string {
 	return "crocusrampd steers requests from callers to targets."
 }
 
 // Main executes one command line, without the program's name, and returns the
-// exit status. dev runs the dev command.
-func Main(args []string, stdout, stderr io.Writer, dev func(ctx context.Context, c *DevCommand, stdout, stderr io.Writer) error) int {
+// exit status.
+func Main(args []string, stdout, stderr io.Writer, other Commands) int {
 	var c commands
 	parser, err := arg.NewParser(arg.Config{Program: "crocusrampd", IgnoreEnv: true}, &c)
 	if err != nil {
@@ -67,9 +80,11 @@
 	case c.Check != nil:
 		err = checkFile(c.Check.Config, stdout)
 	case c.Dev != nil:
-		err = dev(ctx, c.Dev, stdout, stderr)
+		err = other.Dev(ctx, c.Dev, stdout, stderr)
+	case c.Edge != nil:
+		err = other.Edge(ctx, c.Edge, stdout)
 	default:
-		return fail(stderr, ExitUsage, errors.New("a command is missing: serve, check or dev"))
+		return fail(stderr, ExitUsage, errors.New("a command is missing: serve, edge, check or dev"))
 	}
 	switch {
 	case errors.Is(err, settings.ErrInvalid):
--- a/pkg/daemon/main_test.go
+++ b/pkg/daemon/main_test.go
@@ -113,14 +113,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var stdout, stderr bytes.Buffer
-			status := Main(tt.args, &stdout, &stderr, nil)
+			status := Main(tt.args, &stdout, &stderr, Commands{})
 			if status != tt.status || !strings.Contains(stderr.String(), tt.want) || strings.Count(stderr.String(), "\n") != 1 {
 				t.Errorf("status %d, stderr %q; want status %d and one line with %q", status, stderr.String(), tt.status, tt.want)
 			}
 		})
 	}
 	var stdout, stderr bytes.Buffer
-	if status := Main([]string{"check", "--config", write(t, s.settings("vm-1"))}, &stdout, &stderr, nil); status != ExitOK {
+	if status := Main([]string{"check", "--config", write(t, s.settings("vm-1"))}, &stdout, &stderr, Commands{}); status != ExitOK {
 		t.Errorf("check: status %d, %s", status, stderr.String())
 	}
 }
--- /dev/null
+++ b/pkg/edge/fleet.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/lease"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// coldReserve is the part of a cold target's bound, in requests, that is
+	// left for requests which arrive later than they were sent.
+	coldReserve = 1.5
+	// farFuture is when a registered VM's part of the limits ends: never while
+	// its process runs.
+	farFuture = clock.Time(math.MaxInt64)
+)
+
+// Registration is what a VM writes of itself into the fleet's table.
+type Registration struct {
+	ID          string `json:"id"`
+	PeerAddress string `json:"peer_address"`
+}
+
+// registry knows which VMs are registered. Each has a fixed and equal part of
+// every bound that holds for the fleet, whether it runs or not, so that a VM that
+// is cut off from the others never uses more than its own. It implements
+// platform.Directory and lease.Holder.
+type registry struct {
+	self       Registration
+	started    clock.Time
+	firstStart bool
+	vms        atomic.Pointer[[]Registration]
+	holding    atomic.Pointer[lease.Holding]
+	settings   *atomic.Pointer[settings.Edge]
+}
+
+func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
+	r := &registry{self: self, started: started, firstStart: firstStart, settings: s}
+	r.holding.Store(&lease.Holding{Total: 1})
+	r.vms.Store(&[]Registration{})
+	return r
+}
+
+// set takes over the registered VMs, in order of ID.
+func (r *registry) set(vms []Registration) {
+	r.vms.Store(&vms)
+	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
+	old := r.holding.Load()
+	if old.Total == max(1, len(vms)) && (at < 0) == (len(old.Slots) == 0) {
+		return
+	}
+	h := &lease.Holding{Total: max(1, len(vms)), Generation: old.Generation + 1}
+	if at >= 0 {
+		h.Slots = []lease.Slot{{Index: at, Since: r.started, Until: farFuture, New: r.firstStart}}
+	}
+	r.holding.Store(h)
+}
+
+// Holding returns this VM's part of the limits.
+func (r *registry) Holding() *lease.Holding { return r.holding.Load() }
+
+// VMs returns the registered VMs.
+func (r *registry) VMs(context.Context) ([]platform.VM, error) {
+	list := *r.vms.Load()
+	if len(list) == 0 {
+		return nil, platform.ErrUnavailable
+	}
+	out := make([]platform.VM, len(list))
+	for i, v := range list {
+		out[i] = platform.VM{ID: v.ID, PeerAddress: v.PeerAddress, State: platform.VMLive}
+	}
+	return out, nil
+}
+
+// count is the number of VMs that share the bounds.
+func (r *registry) count() int { return max(1, len(*r.vms.Load())) }
+
+// ColdInterval implements ingress.Fleet. A VM may send floor(1 s/interval)+1
+// requests within a second, so only as many VMs use a cold target as the bound
+// leaves room for beyond the rate.
+func (r *registry) ColdInterval(l *target.Live, rate float64) (time.Duration, bool) {
+	b := r.settings.Load().Bounds
+	users := int(rate*(b.ColdFactor-1) + b.ColdSlack - coldReserve)
+	if users < 1 || rate <= 0 {
+		return 0, false
+	}
+	vms := *r.vms.Load()
+	users = min(users, max(1, len(vms)))
+	if r.rankFor(l.Hash, vms) >= users {
+		return 0, false
+	}
+	return time.Duration(float64(users) / rate * float64(time.Second)), true
+}
+
+// rankFor is this VM's place among those that may use a cold target.
+func (r *registry) rankFor(hash uint64, vms []Registration) int {
+	score := func(id string) uint64 { return (xxhash.Sum64String(id) ^ hash) * 0x9e3779b97f4a7c15 }
+	own, rank := score(r.self.ID), 0
+	for _, v := range vms {
+		if v.ID != r.self.ID && score(v.ID) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// RepeatLimit implements ingress.Fleet.
+func (r *registry) RepeatLimit() retry.PoolLimit {
+	b := r.settings.Load().Bounds
+	return retry.PoolLimit{Ratio: b.RepeatRatio, Floor: b.RepeatFloor, Window: b.RepeatWindow.Duration, VMs: r.count()}
+}
+
+// decodeRegistration reads a row of the fleet's table.
+func decodeRegistration(value []byte) (Registration, error) {
+	var v Registration
+	err := json.Unmarshal(value, &v)
+	return v, err
+}
+
+// maxLocated is how many VMs an answer names.
+const maxLocated = 64
+
+// locate names the VMs that a caller in a region uses: those of its region that
+// take work, else all that do.
+func locate(v *member.View, region string) []string {
+	var near, far []string
+	consider := func(p *member.Peer) {
+		if p.State != member.Live || p.Missed > 0 || p.CallerAddress == "" {
+			return
+		}
+		if p.Region == region {
+			near = append(near, p.CallerAddress)
+			return
+		}
+		far = append(far, p.CallerAddress)
+	}
+	consider(&v.Self)
+	for i := range v.Peers {
+		consider(&v.Peers[i])
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		near = []string{v.Self.CallerAddress}
+	}
+	return near[:min(len(near), maxLocated)]
+}
--- /dev/null
+++ b/pkg/edge/main.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"crocusramp.dev/crocusramp/pkg/daemon"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/telemetry"
+)
+
+// Run runs `crocusrampd edge` until ctx ends.
+func Run(ctx context.Context, c *daemon.EdgeCommand, stdout io.Writer) error {
+	s, err := settings.LoadEdge(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Fprintf(stdout, "%s: the settings are valid\n", c.Settings)
+		return nil
+	}
+	reload := make(chan struct{}, 1)
+	go notifyReload(ctx, reload)
+	out := telemetry.NewAsyncWriter(stdout)
+	defer out.Close()
+	log, err := telemetry.NewDecisionLogger(out, telemetry.LogConfig{Level: s.Log.Level, Text: s.Log.Format == "text", VM: s.VM.ID})
+	if err != nil {
+		return fmt.Errorf("%w: log: %w", settings.ErrInvalid, err)
+	}
+	d, err := New(ctx, c.Settings, s, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx, reload)
+}
+
+// notifyReload passes on the signal that the settings have changed.
+func notifyReload(ctx context.Context, reload chan<- struct{}) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		select {
+		case reload <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/edge/probe.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/target"
+	"crocusramp.dev/crocusramp/platform"
+)
+
+const (
+	// probePeriod is how often a suspect target is asked; probes are priced.
+	probePeriod = 700 * time.Millisecond
+	// probeTimeout bounds a probe, which may wait for a slot.
+	probeTimeout = 1500 * time.Millisecond
+	// probeBodyBytes bounds what is read of a probe's answer.
+	probeBodyBytes = 4 << 10
+)
+
+// probeSuspects asks the suspect targets whether they are well, until ctx ends.
+func (d *Daemon) probeSuspects(ctx context.Context) {
+	for {
+		for _, l := range d.targets.Suspects() {
+			d.loop.Go(ctx, func(ctx context.Context) { d.probe(ctx, l) })
+		}
+		select {
+		case <-time.After(probePeriod/2 + rand.N(probePeriod)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probe asks one target and clears it where it answers as itself.
+func (d *Daemon) probe(ctx context.Context, l *target.Live) {
+	state := d.state.Load()
+	if state == nil || state.Services[l.Pool] == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.Address, Path: state.Services[l.Pool].HealthPath},
+		Host: l.Address, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	resp, failure := d.client.Do(ctx, req, forward.Options{Address: l.Address})
+	if failure != nil {
+		d.log.Debug().Err(failure).Str("target", l.ID).Msg("probe failed")
+		return
+	}
+	_, copyErr := io.Copy(io.Discard, io.LimitReader(resp, probeBodyBytes))
+	resp.Close()
+	info := platform.Headers{}.FromTarget(resp.StatusCode, resp.Header)
+	// A target that is full says so without saying who it is.
+	full := info.NotRun && !info.OtherInstance && info.InstanceID == ""
+	switch {
+	case copyErr != nil:
+		return
+	case info.InstanceID != "" && info.InstanceID != l.ID:
+		l.SetReplaced()
+		d.log.Info().Str("target", l.ID).Str("now", info.InstanceID).Msg("another target has the address")
+	case resp.StatusCode == http.StatusOK || full:
+		l.Cleared(info.ColdFor, time.Now())
+		d.log.Info().Str("target", l.ID).Dur("cold_for_ms", info.ColdFor).Msg("target is well again")
+	}
+}
+
+// watchSettings takes in changes of the settings file: after a signal, and at
+// the latest with the next look.
+func (d *Daemon) watchSettings(ctx context.Context, reload <-chan struct{}) {
+	last := fmt.Sprint(d.settings.Load())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		case <-time.After(settingsPeriod):
+		}
+		last = d.reloadSettings(last)
+	}
+}
+
+// settingsPeriod is how often the settings file is looked at without a signal.
+const settingsPeriod = time.Second
+
+// sortedLines is used to compare settings; it keeps errors out of the log while a
+// wrong file stays.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
--- /dev/null
+++ b/pkg/edge/stop.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"slices"
+	"strings"
+
+	"crocusramp.dev/crocusramp/pkg/settings"
+)
+
+const (
+	// stopNotice is how long a stopping VM still takes requests: callers keep
+	// look-ups and connections for locateTTL, some for longer.
+	stopNotice = 3200 * time.Millisecond
+	// stopReserve is the part of the grace that is left for closing.
+	stopReserve = 400 * time.Millisecond
+	// releaseTimeout bounds handing back borrowed parts of limits.
+	releaseTimeout = 300 * time.Millisecond
+)
+
+// stop lets every request in flight end.
+func (d *Daemon) stop() {
+	started := time.Now()
+	grace := d.settings.Load().Bounds.Grace.Duration
+	d.leaving.Store(true)
+	d.ingress.Close()
+	d.log.Info().Int64("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
+	time.Sleep(min(stopNotice, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopReserve))
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn().Err(err).Int64("running", d.ingress.Running()).Msg("requests were still running at the end of the grace")
+	}
+	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancelRelease()
+	d.limiter.Release(release)
+	d.client.Close()
+	d.store.Close()
+}
+
+// reloadSettings takes over the settings file where it differs from last, and
+// returns its text.
+func (d *Daemon) reloadSettings(last string) string {
+	next, err := settings.LoadEdge(d.path)
+	if err != nil {
+		if text := firstLine(err); text != last {
+			d.log.Error().Err(err).Msg("the changed settings are not taken over")
+			return text
+		}
+		return last
+	}
+	old := d.settings.Load()
+	text := settingsText(next)
+	if text == settingsText(old) {
+		return text
+	}
+	d.settings.Store(next)
+	d.store.SetAddress(next.Store.Address)
+	d.log.Info().Str("store", next.Store.Address).Msg("settings taken over")
+	if next.VM != old.VM || next.Listen != old.Listen {
+		d.log.Warn().Msg("the changed identity or addresses take effect at the next start")
+	}
+	return text
+}
+
+func settingsText(s *settings.Edge) string {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+func sortedRegistrations(vms map[string]Registration) []Registration {
+	out := make([]Registration, 0, len(vms))
+	for _, v := range vms {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b Registration) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	bufferBytes                 = 16 << 10
+	defaultBufferBytes          = 16 << 10
 	defaultDialTimeout          = time.Second
 	defaultMaxIdle              = 64
 	defaultIdleTimeout          = 30 * time.Second
@@ -72,6 +72,17 @@
 	FreshIdle time.Duration
 	// MaxHeaderBytes bounds the header of an answer. Default 64 KiB.
 	MaxHeaderBytes int64
+	// BufferBytes is the size of a connection's read and of its write buffer.
+	// Default 16 KiB.
+	BufferBytes int
+	// EchoHeader names the header with which an answer names its request.
+	// Default X-Request-Id.
+	EchoHeader string
+	// SkipCrossed reads on where an answer belongs to another request, since
+	// the request's own may follow.
+	SkipCrossed bool
+	// AllowUnframed takes answers without length that end with their connection.
+	AllowUnframed bool
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -101,12 +112,29 @@
 	if c.MaxHeaderBytes == 0 {
 		c.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if c.BufferBytes == 0 {
+		c.BufferBytes = defaultBufferBytes
+	}
+	if c.EchoHeader == "" {
+		c.EchoHeader = headerRequestID
+	}
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{}).DialContext
 	}
 	return &Client{config: c, idle: map[string][]*conn{}}
 }
 
+// Drop closes the idle connections to an address whose target is gone.
+func (c *Client) Drop(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, t := range list {
+		t.Close()
+	}
+}
+
 // Close closes the idle connections. Exchanges that run go on.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -131,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(t), nil
+	return newConn(t, c.config.BufferBytes), nil
 }
 
 // reuse takes the connection that was used last, so that those beyond the
@@ -142,7 +170,11 @@
 		if t == nil {
 			return nil
 		}
-		if time.Since(t.idleSince) <= maxIdle && t.alive() {
+		limit := maxIdle
+		if t.keepAlive > 0 {
+			limit = min(limit, t.keepAlive)
+		}
+		if time.Since(t.idleSince) <= limit && t.alive() {
 			return t
 		}
 		t.Close()
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -25,9 +25,12 @@
 	budget atomic.Int64
 	// idleSince is when the connection came back to the pool.
 	idleSince time.Time
+	// keepAlive is how long the target said that it keeps the connection open
+	// while it is idle, less a margin; 0 is unknown.
+	keepAlive time.Duration
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(c net.Conn, bufferBytes int) *conn {
 	t := &conn{Conn: c}
 	t.reader = bufio.NewReaderSize(readLimiter{t}, bufferBytes)
 	t.writer = bufio.NewWriterSize(t, bufferBytes)
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -6,9 +6,21 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 )
 
+const (
+	// maxSkipped and maxSkippedBytes bound the answers to other requests that
+	// are read past.
+	maxSkipped      = 2
+	maxSkippedBytes = 1 << 20
+	// keepAliveMargin covers the way of a request to a target that is about to
+	// close its idle connection.
+	keepAliveMargin = time.Second
+)
+
 // headerRequestID carries the id that a target echoes.
 const headerRequestID = "X-Request-Id"
 
@@ -44,6 +56,8 @@
 	stop func() bool
 	// sent receives the result of sending the request, once.
 	sent chan error
+	// tainted connections brought an answer to another request.
+	tainted bool
 }
 
 // Do sends req and waits for the header of the answer. The request's body is
@@ -57,13 +71,11 @@
 		return nil, &Error{Ended: ctx.Err() != nil, Err: fmt.Errorf("connect to target: %w", err)}
 	}
 	x := c.start(ctx, t, req, o)
-	resp, err := x.readHeader(req)
-	if err == nil {
-		err = checkAnswer(resp, req, o.RequireEcho)
-	}
+	resp, err := x.readOwn(req, o.RequireEcho)
 	if err != nil {
 		return nil, x.fail(ctx, resp != nil, err)
 	}
+	t.keepAlive = keepAlive(resp.Header)
 	return &Response{Response: resp, exchange: x}, nil
 }
 
@@ -97,6 +109,41 @@
 	return err
 }
 
+// readOwn reads the header of the request's own answer.
+func (x *exchange) readOwn(req *http.Request, requireEcho bool) (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		resp, err := x.readHeader(req)
+		if err == nil {
+			err = x.checkAnswer(resp, req, requireEcho)
+		}
+		if !errors.Is(err, ErrCrossed) || !x.client.config.SkipCrossed || skipped == maxSkipped {
+			return resp, err
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return resp, err
+		}
+		if _, discardErr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); discardErr != nil {
+			return resp, err
+		}
+		x.tainted = true
+		x.conn.budget.Store(x.client.config.MaxHeaderBytes)
+	}
+}
+
+// keepAlive returns how long an idle connection may be used again.
+func keepAlive(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil && n > 0 {
+			return time.Duration(n)*time.Second - min(keepAliveMargin, time.Duration(n)*time.Second/2)
+		}
+	}
+	return 0
+}
+
 // readHeader reads the answer's header, past informational ones.
 func (x *exchange) readHeader(req *http.Request) (*http.Response, error) {
 	for range maxInformational {
@@ -116,9 +163,9 @@
 }
 
 // checkAnswer refuses answers that are not surely whole and the request's own.
-func checkAnswer(resp *http.Response, req *http.Request, requireEcho bool) error {
-	want := req.Header.Get(headerRequestID)
-	got := resp.Header.Values(headerRequestID)
+func (x *exchange) checkAnswer(resp *http.Response, req *http.Request, requireEcho bool) error {
+	want := req.Header.Get(x.client.config.EchoHeader)
+	got := resp.Header.Values(x.client.config.EchoHeader)
 	if len(got) == 0 && requireEcho {
 		return ErrNoEcho
 	}
@@ -127,7 +174,8 @@
 			return ErrCrossed
 		}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if unframed && !x.client.config.AllowUnframed {
 		return ErrNoLength
 	}
 	return nil
@@ -189,7 +237,7 @@
 		x.conn.Close()
 		x.join()
 	}
-	if live && sent && r.eof && !r.Response.Close && x.conn.reader.Buffered() == 0 {
+	if live && sent && r.eof && !r.Response.Close && !x.tainted && x.conn.reader.Buffered() == 0 {
 		x.client.put(x.address, x.conn)
 		return
 	}
--- /dev/null
+++ b/pkg/ingress/call.go
@@ -0,0 +1,303 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+// maxKeptBody is the largest request body that is kept for a repeat. Larger ones
+// are passed on while they come and sent once.
+const maxKeptBody = 64 << 10
+
+// call is one request on its way.
+type call struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	info    CallerInfo
+
+	state   *State
+	route   *config.Route
+	account *config.Account
+	pool    string
+	object  uint64
+
+	body     []byte // the kept body
+	stream   io.ReadCloser
+	streamed bool
+
+	cancel context.CancelFunc
+	timer  *time.Timer
+
+	sent       []*target.Live // in order
+	mayHaveRun bool
+	load       int // of the last target, when it was chosen
+	version    int64
+	note       string
+}
+
+// answer is what the caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	// stream, where set, follows body.
+	stream io.ReadCloser
+	reason outcome.Reason
+	detail string
+	retry  time.Duration
+	// own answers are the VM's and not a target's.
+	own bool
+	// drop closes the connection without an answer, as the caller has left.
+	drop bool
+}
+
+func refuse(status int, reason outcome.Reason, retry time.Duration, detail string) *answer {
+	return &answer{status: status, reason: reason, retry: retry, detail: detail, own: true}
+}
+
+// hash identifies the object, or the request where it names none.
+func (c *call) hash() uint64 {
+	if c.object == 0 {
+		key := c.info.Object
+		if key == "" {
+			key = "\x00" + c.info.ID
+		}
+		c.object = placement.Hash(c.route.Name, key)
+	}
+	return c.object
+}
+
+// patience is how long the request may take from its arrival.
+func (c *call) patience() time.Duration {
+	p := maxPatience
+	if c.info.Patience > 0 {
+		p = min(p, c.info.Patience)
+	}
+	if c.route.Timeout > 0 {
+		p = min(p, c.route.Timeout)
+	}
+	return p
+}
+
+// idempotent requests may run more than once.
+func (c *call) idempotent() bool { return c.route.Mode == config.ModeIdempotent }
+
+// allowed reports whether the request may run in a region.
+func (c *call) allowed(region string) bool {
+	if len(c.route.Regions) > 0 && !slices.Contains(c.route.Regions, region) {
+		return false
+	}
+	return c.account == nil || len(c.account.Regions) == 0 || slices.Contains(c.account.Regions, region)
+}
+
+// readBody reads the request's body as far as it is kept.
+func (c *call) readBody() *answer {
+	limit := c.state.CallerLimits.MaxBodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
+	}
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	if limit > 0 {
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
+	if c.r.ContentLength > maxKeptBody {
+		c.stream = c.r.Body
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxKeptBody+1))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
+	case err != nil:
+		return refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, "the body could not be read")
+	case len(body) > maxKeptBody:
+		c.stream = readCloser{io.MultiReader(bytes.NewReader(body), c.r.Body), c.r.Body}
+	default:
+		c.body = body
+	}
+	return nil
+}
+
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
+// repeatable reports whether the request can be sent again.
+func (c *call) repeatable() bool { return !c.streamed }
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// outgoing makes the request that a target gets.
+func (c *call) outgoing(l *target.Live) *http.Request {
+	h := endToEnd(c.r.Header)
+	t := TargetInfo{InstanceID: l.ID, Patience: time.Until(c.arrived.Add(c.patience()))}
+	if c.account != nil {
+		t.Account = c.account.Name
+	}
+	c.s.cfg.Wire.ToTarget(h, t)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // net/http would add its own
+	}
+	h.Del("Content-Length")
+	out := &http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: requestURL(c.r),
+	}
+	switch {
+	case c.stream != nil:
+		c.streamed = true
+		out.Body, out.ContentLength = c.stream, c.r.ContentLength
+	case len(c.body) > 0:
+		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	}
+	return out
+}
+
+// requestURL keeps path and query as the caller wrote them.
+func requestURL(r *http.Request) *url.URL {
+	u := *r.URL
+	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
+		u = url.URL{Opaque: r.RequestURI}
+	}
+	u.Scheme, u.Host = "http", r.Host
+	return &u
+}
+
+// deliver writes the answer and the request's log line.
+func (c *call) deliver(a *answer) {
+	defer c.end()
+	h := c.w.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	if a.own {
+		c.s.cfg.Wire.Refusal(h, c.info.ID)
+		if a.retry > 0 {
+			c.s.cfg.Wire.SetRetryAfter(h, a.retry)
+		}
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		a.body = []byte(a.detail + "\n")
+	}
+	c.log(a)
+	if a.drop {
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess one
+	}
+	c.w.WriteHeader(a.status)
+	if _, err := c.w.Write(a.body); err != nil {
+		return
+	}
+	if a.stream != nil {
+		c.copyStream(a.stream)
+	}
+}
+
+// copyStream passes on an answer that is too long to be kept. One that breaks
+// off must look so to the caller.
+func (c *call) copyStream(stream io.ReadCloser) {
+	defer stream.Close()
+	// A caller that is being answered waits on beyond the route's timeout.
+	patience := maxPatience
+	if c.info.Patience > 0 {
+		patience = c.info.Patience
+	}
+	c.timer.Reset(time.Until(c.arrived.Add(patience)))
+	if _, err := io.Copy(c.w, stream); err != nil {
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Err(err).Msg("an answer broke off")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// end releases what the call holds.
+func (c *call) end() {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.cancel()
+	}
+}
+
+func (c *call) log(a *answer) {
+	counters := &c.s.counters
+	switch {
+	case !a.own:
+		counters.answered.Inc(1)
+	case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable:
+		counters.refused.Inc(1)
+	default:
+		counters.failed.Inc(1)
+	}
+	e := c.s.cfg.Log.Info()
+	if !e.Enabled() {
+		return
+	}
+	e.Str("request", c.info.ID).Int("status", a.status).Dur("ms", time.Since(c.arrived))
+	if c.state != nil {
+		e.Int64("config", c.state.Version)
+	}
+	if c.route != nil {
+		e.Str("route", c.route.Name).Str("pool", c.pool)
+	}
+	if c.account != nil {
+		e.Str("account", c.account.Name)
+	}
+	c.logTargets(e)
+	if a.own {
+		e.Str("reason", string(a.reason)).Dur("retry_ms", a.retry)
+	}
+	if c.note != "" {
+		e.Str("note", c.note)
+	}
+	e.Msg("request")
+}
+
+func (c *call) logTargets(e *zerolog.Event) {
+	if len(c.sent) == 0 {
+		return
+	}
+	ids := make([]string, len(c.sent))
+	for i, l := range c.sent {
+		ids[i] = l.ID
+	}
+	last := c.sent[len(c.sent)-1]
+	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Int64("list", c.version).Bool("may_have_run", c.mayHaveRun)
+}
--- /dev/null
+++ b/pkg/ingress/run.go
@@ -0,0 +1,347 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// warmCandidates is how many targets keep an object warm. With three or
+	// more, targets hold more objects than they keep (docs/DESIGN.md).
+	warmCandidates = 2
+	// rankedCandidates is how many are looked at, since cold targets among them
+	// take only a part of their requests.
+	rankedCandidates = 5
+	// maxKeptAnswer is the longest answer that is read whole before the caller
+	// gets its first byte, so that one that breaks off can be had again.
+	maxKeptAnswer = 1 << 20
+	// shedMemory is how long a target that refused a request counts as full.
+	fullRetryMin = 100 * time.Millisecond
+	fullRetryMax = 400 * time.Millisecond
+	// minAttempt is the least time in which a target can be expected to answer.
+	minAttempt = 20 * time.Millisecond
+)
+
+// try is how one sending ended.
+type try struct {
+	answer *answer
+	// notRun says that the target has not run the request and will not.
+	notRun bool
+	// arrived says that the target got the request or may have.
+	arrived bool
+	err     error
+}
+
+// run sends the request until it has an answer for the caller.
+func (c *call) run(ctx context.Context) *answer {
+	attempts := max(1, c.route.MaxAttempts)
+	for {
+		l := c.choose(time.Now())
+		if l == nil {
+			return c.noTarget()
+		}
+		t := c.send(ctx, l)
+		if t.answer != nil {
+			return t.answer
+		}
+		if !t.notRun {
+			c.mayHaveRun = true
+		}
+		c.note = t.err.Error()
+		if a := c.ended(ctx); a != nil {
+			return a
+		}
+		if len(c.sent) >= attempts || !c.mayRepeat(t) {
+			return c.giveUp(t)
+		}
+		c.s.counters.repeats.Inc(1)
+	}
+}
+
+// mayRepeat reports whether the request may go to another target after t.
+func (c *call) mayRepeat(t *try) bool {
+	if !c.repeatable() || (!t.notRun && !c.idempotent()) {
+		return false
+	}
+	if time.Until(c.arrived.Add(c.patience())) < minAttempt {
+		return false
+	}
+	if !t.arrived {
+		return true
+	}
+	return c.s.budget.Take(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
+}
+
+// ended returns the final answer where the request's time is over or its caller
+// has left.
+func (c *call) ended(ctx context.Context) *answer {
+	if c.r.Context().Err() != nil {
+		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, own: true, drop: true, detail: "the caller has left"}
+	}
+	if ctx.Err() == nil {
+		return nil
+	}
+	if !c.mayHaveRun {
+		return c.refuseFull(outcome.ReasonDeadline, "the time is over and the request has not run")
+	}
+	return refuse(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the target did not answer in time")
+}
+
+// reasonCallerLeft is logged for requests whose caller closed its connection.
+const reasonCallerLeft outcome.Reason = "caller_left"
+
+// giveUp answers a request that is not sent again.
+func (c *call) giveUp(t *try) *answer {
+	if c.mayHaveRun {
+		return refuse(http.StatusBadGateway, outcome.ReasonTargetFailed, 0, "the target failed; the request may have run")
+	}
+	return c.refuseFull(outcome.ReasonNoCapacity, "the targets refused the request; it has not run")
+}
+
+func (c *call) noTarget() *answer {
+	if c.mayHaveRun {
+		return refuse(http.StatusBadGateway, outcome.ReasonTargetFailed, 0, "the target failed; the request may have run")
+	}
+	return c.refuseFull(outcome.ReasonNoCapacity, "no target has room")
+}
+
+// refuseFull says when to come back. Callers are spread over a span, so that they do
+// not come back together.
+func (c *call) refuseFull(reason outcome.Reason, detail string) *answer {
+	return refuse(http.StatusServiceUnavailable, reason, fullRetryMin+rand.N(fullRetryMax-fullRetryMin), detail)
+}
+
+// choose returns the target that takes the request, or nil.
+func (c *call) choose(now time.Time) *target.Live {
+	s := c.s.cfg.Targets.Snapshot()
+	c.version = s.Version
+	pool := s.Pools[c.pool]
+	var regions []placement.Region
+	for name, list := range pool {
+		if c.allowed(name) {
+			regions = append(regions, placement.Region{Name: name, Slots: usableSlots(list)})
+		}
+	}
+	slices.SortFunc(regions, func(a, b placement.Region) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, region := range placement.ChooseRegions(c.hash(), c.s.cfg.Region, regions) {
+		candidates := c.usable(pool[region])
+		if len(candidates) == 0 {
+			continue
+		}
+		return c.chooseIn(candidates, now)
+	}
+	return nil
+}
+
+// usableSlots is the capacity of targets that are not suspect.
+func usableSlots(list []*target.Live) int {
+	n := 0
+	for _, l := range list {
+		if !l.Suspect() && !l.Replaced() {
+			n += l.Slots
+		}
+	}
+	return n
+}
+
+// usable leaves out targets that failed or were tried.
+func (c *call) usable(list []*target.Live) []*target.Live {
+	var out []*target.Live
+	for _, l := range list {
+		if !l.Suspect() && !l.Replaced() && !slices.Contains(c.sent, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// chooseIn chooses among the targets of a region.
+func (c *call) chooseIn(list []*target.Live, now time.Time) *target.Live {
+	ranked := make([]placement.Candidate, len(list))
+	for i, l := range list {
+		ranked[i] = placement.Candidate{ID: l.Hash, Slots: l.Slots}
+	}
+	var candidates []*target.Live
+	var occupancy []placement.Occupancy
+	warm := 0
+	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
+		l := list[i]
+		cold := l.Cold(now)
+		candidates = append(candidates, l)
+		occupancy = append(occupancy, placement.Occupancy{Load: l.Load(now), Slots: l.Slots, Usable: !cold || c.mayUseCold(l, now)})
+		if !cold {
+			if warm++; warm == warmCandidates {
+				break
+			}
+		}
+	}
+	chosen := placement.Choose(occupancy)
+	if chosen < 0 {
+		return nil
+	}
+	c.load = occupancy[chosen].Load
+	return candidates[chosen]
+}
+
+// mayUseCold takes this VM's part of what a cold target bears.
+func (c *call) mayUseCold(l *target.Live, now time.Time) bool {
+	service := c.state.Services[l.Pool]
+	if service == nil || l.Load(now) >= l.Slots {
+		return false
+	}
+	interval, ok := c.s.cfg.Fleet.ColdInterval(l, service.ColdRate)
+	return ok && l.TakeCold(interval, now)
+}
+
+// send sends the request to one target and reads its answer.
+func (c *call) send(ctx context.Context, l *target.Live) *try {
+	ctx, span := c.s.cfg.Tracer.Start(ctx, "ingress.target", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	c.sent = append(c.sent, l)
+	l.Begin()
+	out := c.outgoing(l)
+	if span.SpanContext().IsSampled() {
+		traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	}
+	resp, failure := c.s.cfg.Client.Do(ctx, out, forward.Options{Address: l.Address, Once: !c.idempotent()})
+	if failure != nil {
+		l.End()
+		return c.failed(l, failure)
+	}
+	return c.received(l, resp)
+}
+
+// failed takes in a sending without an answer.
+func (c *call) failed(l *target.Live, f *forward.Error) *try {
+	t := &try{notRun: !f.Wrote, arrived: f.Wrote, err: fmt.Errorf("target %s: %w", l.ID, f)}
+	if f.Ended {
+		return t
+	}
+	unreachable := !f.Wrote || errors.Is(f.Err, syscall.ETIMEDOUT) || errors.Is(f.Err, syscall.EHOSTUNREACH)
+	if errors.Is(f.Err, forward.ErrCallerBody) {
+		return t
+	}
+	if l.Failed(unreachable) {
+		c.s.cfg.Log.Warn().Str("request", c.info.ID).Str("target", l.ID).Str("address", l.Address).
+			Err(f.Err).Bool("unreachable", unreachable).Msg("target is suspect")
+		c.s.cfg.Suspects(l)
+	}
+	return t
+}
+
+// received takes in an answer.
+func (c *call) received(l *target.Live, resp *forward.Response) *try {
+	info := c.s.cfg.Wire.FromTarget(resp.StatusCode, resp.Header)
+	now := time.Now()
+	if info.LoadKnown {
+		l.Reported(info.Load, now)
+	}
+	if info.ColdFor > 0 {
+		l.SetCold(info.ColdFor, now)
+	}
+	l.Answered()
+	switch {
+	case info.NotRun:
+		return c.shed(l, resp, info)
+	case success(resp.StatusCode) && !info.Sealed:
+		l.End()
+		resp.Close()
+		return &try{arrived: true, err: fmt.Errorf("target %s: status %d without a signature", l.ID, resp.StatusCode)}
+	}
+	return c.keep(l, resp)
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// shed takes in a target's word that it did not run the request.
+func (c *call) shed(l *target.Live, resp *forward.Response, info AnswerInfo) *try {
+	l.End()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxKeptBody))
+	resp.Close()
+	t := &try{notRun: true, arrived: true, err: fmt.Errorf("target %s did not run it: status %d", l.ID, resp.StatusCode)}
+	if info.OtherInstance {
+		t.arrived = false
+		l.SetReplaced()
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Str("now", info.InstanceID).Msg("another target has the address")
+		return t
+	}
+	c.s.counters.sheds.Inc(1)
+	// Its queue is full until an answer says otherwise.
+	l.Reported(max(info.Load, 2*l.Slots), time.Now())
+	return t
+}
+
+// keep reads the answer's body. Long ones are passed on while they come.
+func (c *call) keep(l *target.Live, resp *forward.Response) *try {
+	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header)}
+	var body bytes.Buffer
+	if n := resp.ContentLength; n > 0 && n <= maxKeptAnswer {
+		body.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := io.Copy(&body, io.LimitReader(resp, maxKeptAnswer))
+	if err == nil && body.Len() == maxKeptAnswer && !resp.Whole() {
+		a.body = body.Bytes()
+		a.stream = &passedOn{resp, l}
+		return &try{answer: a}
+	}
+	// A read of zero bytes tells the end of a body whose length was known.
+	if err == nil && !resp.Whole() {
+		var one [1]byte
+		if n, e := resp.Read(one[:]); n > 0 || (e != nil && e != io.EOF) {
+			err = errors.Join(errors.New("the body did not end"), e)
+		}
+	}
+	l.End()
+	resp.Close()
+	if err != nil {
+		l.Failed(false)
+		return &try{arrived: true, err: fmt.Errorf("target %s: answer broke off: %w", l.ID, err)}
+	}
+	a.body = body.Bytes()
+	c.soften(a)
+	return &try{answer: a}
+}
+
+// soften turns a failure that would promise "not run" into one that does not,
+// where the target has not said so.
+func (c *call) soften(a *answer) {
+	switch a.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		a.status = http.StatusBadGateway
+		c.s.cfg.Wire.RemoveSeal(a.header)
+	}
+}
+
+// passedOn is an answer that is still coming.
+type passedOn struct {
+	*forward.Response
+	l *target.Live
+}
+
+// Close ends the answer.
+func (p *passedOn) Close() error {
+	p.l.End()
+	p.Response.Close()
+	return nil
+}
--- /dev/null
+++ b/pkg/ingress/server.go
@@ -0,0 +1,191 @@
+// Package ingress carries callers' requests to targets that are found at run
+// time. Each request is admitted, placed by the object that it concerns, sent to
+// one target at a time and answered once; one log line tells what was decided.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/limit"
+	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/route"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// maxPatience bounds a request whose caller names no deadline.
+	maxPatience = 5 * time.Minute
+	// notReadyRetry is when a caller may come back to a VM that has just started.
+	notReadyRetry = 300 * time.Millisecond
+)
+
+// State is the configuration in force with what is derived from it. It is
+// immutable.
+type State struct {
+	*config.Config
+	Routes *route.Table
+	splits map[string]*splitter
+}
+
+// NewState derives what requests need from a configuration. The counts of split
+// routes go on from the state before.
+func NewState(c *config.Config, before *State) *State {
+	s := &State{Config: c, Routes: route.NewTable(c), splits: map[string]*splitter{}}
+	for name, r := range c.Routes {
+		if len(r.Split) == 0 {
+			continue
+		}
+		if before != nil && before.splits[name] != nil && before.splits[name].same(r.Split) {
+			s.splits[name] = before.splits[name]
+			continue
+		}
+		s.splits[name] = newSplitter(r.Split)
+	}
+	return s
+}
+
+// Fleet says what this VM may use of bounds that hold for all VMs together.
+type Fleet interface {
+	// ColdInterval is the time between two requests that this VM may send to a
+	// cold target; ok is false where it may send none.
+	ColdInterval(l *target.Live, rate float64) (interval time.Duration, ok bool)
+	// RepeatLimit bounds the repeats to a pool.
+	RepeatLimit() retry.PoolLimit
+}
+
+// Config holds what a Server works with.
+type Config struct {
+	Wire   Wire
+	Region string
+	// State returns the configuration in force, or nil before the first.
+	State    func() *State
+	Targets  *target.Registry
+	Limiter  limit.Limiter
+	Fleet    Fleet
+	Client   *forward.Client
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Metrics  metrics.Registry
+	Latency  func(time.Duration)
+	Tracer   trace.Tracer
+	Suspects func(*target.Live)
+}
+
+// Server answers callers' requests.
+type Server struct {
+	cfg      Config
+	budget   *retry.PoolBudget
+	counters counters
+	running  atomic.Int64
+	closing  atomic.Bool
+}
+
+type counters struct {
+	requests, answered, refused, failed, repeats, sheds metrics.Counter
+}
+
+// NewServer returns a Server.
+func NewServer(c Config) *Server {
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Latency == nil {
+		c.Latency = func(time.Duration) {}
+	}
+	if c.Tracer == nil {
+		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
+	}
+	if c.Suspects == nil {
+		c.Suspects = func(*target.Live) {}
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
+	return &Server{cfg: c, budget: retry.NewPoolBudget(), counters: counters{
+		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
+		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"),
+	}}
+}
+
+// Running is how many requests are being served.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// Close makes every answer from now on the last one of its connection.
+func (s *Server) Close() { s.closing.Store(true) }
+
+// traceContext carries traces between hops in the W3C format.
+var traceContext = propagation.TraceContext{}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	s.counters.requests.Inc(1)
+	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header)}
+	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.cfg.Tracer.Start(ctx, "ingress.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	a := s.serve(ctx, c)
+	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
+	c.deliver(a)
+	s.cfg.Latency(time.Since(c.arrived))
+}
+
+// serve decides on a request and runs it.
+func (s *Server) serve(ctx context.Context, c *call) *answer {
+	if a := c.admit(ctx); a != nil {
+		return a
+	}
+	if a := c.readBody(); a != nil {
+		return a
+	}
+	deadline := c.arrived.Add(c.patience())
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.timer = time.AfterFunc(time.Until(deadline), c.cancel)
+	return c.run(ctx)
+}
+
+// admit finds the route and the client account and counts the request.
+func (c *call) admit(ctx context.Context) *answer {
+	c.state = c.s.cfg.State()
+	if c.state == nil {
+		return refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, notReadyRetry, "no configuration is known yet")
+	}
+	c.route = c.state.Routes.Find(c.r.Host, c.r.URL.Path)
+	if c.route == nil {
+		return refuse(http.StatusNotFound, outcome.ReasonNoRoute, 0, "no route matches host and path")
+	}
+	if key := c.state.Keys[c.info.KeyID]; key != nil {
+		c.account = c.state.Accounts[key.Account]
+	}
+	if c.account == nil && !c.route.Open && len(c.state.Accounts) > 0 {
+		return refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0, "the key is missing or unknown")
+	}
+	c.pool = c.route.Pool
+	if split := c.state.splits[c.route.Name]; split != nil {
+		c.pool = split.choose(c.hash())
+	}
+	c.s.budget.Count(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
+	if c.account == nil || c.account.Rate <= 0 {
+		return nil
+	}
+	if d := c.s.cfg.Limiter.Admit(ctx, c.account.Name); !d.Admitted {
+		return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
+	}
+	return nil
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -53,6 +53,8 @@
 	Pools []PoolLoad
 	// Seen is when the last heartbeat that settled State was sent.
 	Seen clock.Time
+	// Missed is how many heartbeats in a row it did not answer.
+	Missed int
 }
 
 // PoolLoad is a VM's part of a pool of targets in its own region.
--- a/pkg/member/roster.go
+++ b/pkg/member/roster.go
@@ -100,12 +100,14 @@
 	case ProbeRefused:
 		e.failed = 0
 		e.refused++
+		e.peer.Missed++
 		if e.refused >= goneAfter {
 			e.peer.State, e.peer.Seen = Gone, p.Sent
 		}
 	case ProbeFailed:
 		e.refused = 0
 		e.failed++
+		e.peer.Missed++
 		if e.failed >= silentAfter && e.peer.State != Gone {
 			e.peer.State, e.peer.Seen = Silent, p.Sent
 		}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -95,6 +95,10 @@
 	return walkDurations(reflect.ValueOf(s).Elem(), "")
 }
 
+func checkEdgeDurations(s *Edge) error {
+	return walkDurations(reflect.ValueOf(s).Elem(), "")
+}
+
 func walkDurations(v reflect.Value, path string) error {
 	if d, ok := v.Interface().(Duration); ok {
 		if d.problem != "" {
--- a/pkg/telemetry/log.go
+++ b/pkg/telemetry/log.go
@@ -39,12 +39,17 @@
 		return zerolog.Nop(), fmt.Errorf("log level %q: %w", cfg.Level, err)
 	}
 	if cfg.Text {
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.TimeOnly}
+		w = textWriter(w)
 	}
 	hook := &repeatHook{now: time.Now, seen: map[repeatKey]*repeatCount{}}
 	return zerolog.New(w).Level(level).With().Timestamp().Str("vm", cfg.VM).Logger().Hook(hook), nil
 }
 
+// textWriter writes events for people.
+func textWriter(w io.Writer) io.Writer {
+	return zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.TimeOnly}
+}
+
 type repeatKey struct {
 	level   zerolog.Level
 	message string
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -21,7 +21,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"crocusrampd": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, dev.Run)) },
+		"crocusrampd": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, daemon.Commands{Dev: dev.Run})) },
 		"crocusramp":  func() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) },
 		"standin":     func() { os.Exit(command.Main()) },
 	})
