limit: a restarted VM uses its part as soon as nobody holds its loans

Excluded: the store (configuration in force 0.1 s after the start), the targets (none suspect), other refusals (all 429).

Change: the VM asks each registered VM whether it may still use what an earlier process lent; a refused connection counts as no. Loans and exchanges under way count unless they are surely another VM's.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -297,9 +297,22 @@
 	d.state.Store(ingress.NewState(next, old))
 	d.log.Info().Int64("config", next.Version).Int64("row", c.Version).Int("routes", len(next.Routes)).
 		Int("accounts", len(next.Accounts)).Msg("configuration in force")
+	d.logLimits(next, old)
 	return true
 }
 
+// logLimits tells which client accounts' limits a configuration changes.
+func (d *Daemon) logLimits(next *config.Config, old *ingress.State) {
+	for name, a := range next.Accounts {
+		if old != nil {
+			if b := old.Accounts[name]; b != nil && b.Rate == a.Rate && b.Burst == a.Burst {
+				continue
+			}
+		}
+		d.log.Info().Int64("config", next.Version).Str("account", name).Float64("rate", a.Rate).Float64("burst", a.Burst).Msg("limit in force")
+	}
+}
+
 // applyTargets takes in what targets wrote.
 func (d *Daemon) applyTargets(ctx context.Context) func(platform.Update) {
 	first := true
@@ -364,6 +377,7 @@
 
 // applyFleet takes in which VMs are registered, and registers this one.
 func (d *Daemon) applyFleet(ctx context.Context) func(platform.Update) {
+	first := true
 	return func(u platform.Update) {
 		for _, c := range u.Changes {
 			if c.Removed {
@@ -384,7 +398,24 @@
 		if len(u.Changes) > 0 {
 			d.log.Info().Int("vms", len(d.vms)).Int64("row", u.Version).Msg("registered VMs")
 		}
+		if first {
+			first = false
+			d.loop.Go(ctx, d.settle)
+		}
+	}
+}
+
+// settle waits until no other VM may use what an earlier process of this VM
+// lent.
+func (d *Daemon) settle(ctx context.Context) {
+	if d.fleet.settled.Load() {
+		return
 	}
+	started := time.Now()
+	vms, err := d.fleet.VMs(ctx)
+	settled := err == nil && d.limiter.AwaitSettled(ctx, vms)
+	d.fleet.endWait(settled)
+	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("own part of the limits")
 }
 
 // register writes this VM's row. A failure is settled by the next update.
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,16 +40,20 @@
 // is cut off from the others never uses more than its own. It implements
 // platform.Directory and lease.Holder.
 type registry struct {
-	self       Registration
-	started    clock.Time
-	firstStart bool
-	vms        atomic.Pointer[[]Registration]
-	holding    atomic.Pointer[lease.Holding]
-	settings   *atomic.Pointer[settings.Edge]
+	self    Registration
+	started clock.Time
+	// settled says that nothing of what this process holds can still be lent by
+	// an earlier process of the VM; waited, that this was asked for in vain.
+	settled, waited atomic.Bool
+	mu              sync.Mutex // serializes set
+	vms             atomic.Pointer[[]Registration]
+	holding         atomic.Pointer[lease.Holding]
+	settings        *atomic.Pointer[settings.Edge]
 }
 
 func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
-	r := &registry{self: self, started: started, firstStart: firstStart, settings: s}
+	r := &registry{self: self, started: started, settings: s}
+	r.settled.Store(firstStart)
 	r.holding.Store(&lease.Holding{Total: 1})
 	r.vms.Store(&[]Registration{})
 	return r
@@ -56,19 +61,31 @@
 
 // set takes over the registered VMs, in order of ID.
 func (r *registry) set(vms []Registration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.vms.Store(&vms)
 	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
-	if old.Total == max(1, len(vms)) && (at < 0) == (len(old.Slots) == 0) {
+	settled := r.settled.Load()
+	holds := at >= 0 && (settled || r.waited.Load())
+	if old.Total == max(1, len(vms)) && holds == (len(old.Slots) > 0) {
 		return
 	}
 	h := &lease.Holding{Total: max(1, len(vms)), Generation: old.Generation + 1}
-	if at >= 0 {
-		h.Slots = []lease.Slot{{Index: at, Since: r.started, Until: farFuture, New: r.firstStart}}
+	if holds {
+		h.Slots = []lease.Slot{{Index: at, Since: r.started, Until: farFuture, New: settled}}
 	}
 	r.holding.Store(h)
 }
 
+// endWait lets this VM use its own part: at once where that is settled, else
+// when every loan of an earlier process has ended.
+func (r *registry) endWait(settled bool) {
+	r.settled.Store(settled)
+	r.waited.Store(true)
+	r.set(*r.vms.Load())
+}
+
 // Holding returns this VM's part of the limits.
 func (r *registry) Holding() *lease.Holding { return r.holding.Load() }
 
--- a/pkg/limit/exchange.go
+++ b/pkg/limit/exchange.go
@@ -14,6 +14,7 @@
 
 // exchange calls a peer. It returns the answers by account, or nil.
 func (s *Service) exchange(ctx context.Context, p member.Peer, accounts []*peerpb.AccountRequest) map[string]*peerpb.AccountResponse {
+	defer s.asking(p.Incarnation)()
 	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(p.PeerAddress), s.cfg.Peers.HTTP())
 	response, err := client.Exchange(ctx, &peerpb.ExchangeRequest{
 		Borrower:  s.cfg.Members.View().Self.Incarnation,
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -77,6 +77,9 @@
 	ids      atomic.Uint64
 	stopping atomic.Bool
 	seen     *recent
+	// lenders counts the exchanges under way by the lender's incarnation.
+	lenders map[string]int
+	lendMu  sync.Mutex
 
 	admitted, refused, asks, collections, failures metrics.Counter
 }
@@ -91,6 +94,7 @@
 		cfg:         cfg,
 		ctx:         context.Background(),
 		seen:        newRecent(),
+		lenders:     map[string]int{},
 		admitted:    metrics.GetOrRegisterCounter("limit.admitted", cfg.Metrics),
 		refused:     metrics.GetOrRegisterCounter("limit.refused", cfg.Metrics),
 		asks:        metrics.GetOrRegisterCounter("limit.asks", cfg.Metrics),
--- /dev/null
+++ b/pkg/limit/settle_test.go
@@ -0,0 +1,100 @@
+package limit
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/platform"
+)
+
+// registered lists the services' VMs as the platform does.
+func registered(all []*sources) []platform.VM {
+	vms := make([]platform.VM, len(all))
+	for i, s := range all {
+		self := s.View().Self
+		vms[i] = platform.VM{ID: self.ID, PeerAddress: self.PeerAddress}
+	}
+	return vms
+}
+
+// addLoan gives a VM a loan of the lender for d.
+func addLoan(s *Service, lender string, d time.Duration) {
+	a, _ := s.account("a")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := clock.System{}.Now()
+	a.book.borrow(grant{id: 1, share: share{1, 1}, duration: d}, lender, now, now)
+}
+
+// TestMassRestartSettlesAtOnce: every VM of a fleet restarts at the same moment,
+// so none holds a loan of an earlier process. Waiting for the longest loan
+// refused all requests of all accounts for 3 s.
+func TestMassRestartSettlesAtOnce(t *testing.T) {
+	services, all, _ := startFleet(t, 4, accounts(accountOf10))
+	for _, s := range services {
+		if !s.AwaitSettled(t.Context(), registered(all)) {
+			t.Error("a VM waited for loans that nobody holds")
+		}
+	}
+}
+
+func TestRestartedVMWaitsForItsLoans(t *testing.T) {
+	const loanTime = 700 * time.Millisecond
+	services, all, _ := startFleet(t, 2, accounts(accountOf10))
+	lent := time.Now()
+	addLoan(services[0], "vm-1/0", loanTime)
+	if !services[0].mayHold("vm-1", "vm-1/1") {
+		t.Error("the loan of the earlier process is not seen")
+	}
+	if !services[1].AwaitSettled(t.Context(), registered(all)) {
+		t.Error("not settled though the loan has ended")
+	}
+	if waited := time.Since(lent); waited < loanTime-2*loanTime/driftDivisor {
+		t.Errorf("settled after %v while the loan ran for %v", waited, loanTime)
+	}
+}
+
+func TestMayHold(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		set    func(*Service)
+		expect bool
+	}{
+		{"nothing", func(*Service) {}, false},
+		{"a loan of the present process", func(s *Service) { addLoan(s, "vm-1/1", time.Minute) }, false},
+		{"a loan of another VM", func(s *Service) { addLoan(s, "vm-2/1", time.Minute) }, false},
+		{"a loan of an unknown process", func(s *Service) { addLoan(s, "vm-1/0", time.Minute) }, true},
+		{"an exchange under way with the earlier process", func(s *Service) { s.asking("vm-1/0") }, true},
+		{"an exchange that has ended", func(s *Service) { s.asking("vm-1/0")() }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			services, _, _ := startFleet(t, 3, accounts(accountOf10))
+			tt.set(services[0])
+			if got := services[0].mayHold("vm-1", "vm-1/1"); got != tt.expect {
+				t.Errorf("got %v, want %v", got, tt.expect)
+			}
+		})
+	}
+}
+
+func TestSettledBesideDeadAndSilentVMs(t *testing.T) {
+	services, all, faults := startFleet(t, 3, accounts(accountOf10))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := platform.VM{ID: "vm-9", PeerAddress: l.Addr().String()}
+	l.Close()
+	if !services[0].AwaitSettled(t.Context(), append(registered(all), dead)) {
+		t.Error("a VM at whose address nothing runs holds no loan")
+	}
+	faults[1].frozen.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if services[0].AwaitSettled(ctx, registered(all)) {
+		t.Error("a silent VM may hold a loan")
+	}
+}
