placement: regions take requests by capacity, relieved by demand

Change: heartbeats carry each VM's demand in slots (rate x mean duration). What is beyond the comfortable utilization of a region moves to those with room, by at most 3 % of the requests a second; a loss of capacity is followed at once. A request whose candidates are full may go to its object's next region, bounded to 6 % of requests. A target that refuses counts as full only if it says so.

A property test found that a single region with capacity got nothing of the others' requests (parts summed to 0); mended.

--- /dev/null
+++ b/pkg/edge/balance.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+// balancePeriod is how often the regions' parts follow capacity and demand.
+const balancePeriod = 250 * time.Millisecond
+
+// parts holds where the requests to each pool run.
+type parts map[string][]placement.Part
+
+// balance keeps the parts until ctx ends.
+func (d *Daemon) balance(ctx context.Context) {
+	balancers := map[string]*placement.Balancer{}
+	ticker := time.NewTicker(balancePeriod)
+	defer ticker.Stop()
+	for {
+		d.rebalance(balancers, time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) rebalance(balancers map[string]*placement.Balancer, now time.Time) {
+	snapshot, view := d.targets.Snapshot(), d.members.View()
+	next := parts{}
+	for pool, byRegion := range snapshot.Pools {
+		b := balancers[pool]
+		if b == nil {
+			b = &placement.Balancer{}
+			balancers[pool] = b
+		}
+		next[pool] = b.Update(d.self.Region, d.regionsOf(pool, byRegion, view), now)
+	}
+	d.parts.Store(&next)
+}
+
+// regionsOf describes the regions for a pool: the capacity that this VM may use,
+// and the demand of the live VMs' callers.
+func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View) []placement.Region {
+	work := map[string]float64{d.self.Region: d.ingress.Demand()[pool]}
+	for i := range view.Peers {
+		p := &view.Peers[i]
+		if p.State != member.Live {
+			continue
+		}
+		for _, l := range p.Pools {
+			if l.Pool == pool {
+				work[p.Region] += l.Demand
+			}
+		}
+	}
+	var regions []placement.Region
+	for _, name := range d.regions {
+		regions = append(regions, placement.Region{Name: name, Slots: float64(target.UsableSlots(byRegion[name])), Work: work[name]})
+	}
+	return regions
+}
+
+// partsOf returns where the requests to a pool run.
+func (d *Daemon) partsOf(pool string) []placement.Part {
+	if p := d.parts.Load(); p != nil && (*p)[pool] != nil {
+		return (*p)[pool]
+	}
+	return placement.Split(d.self.Region, d.regionsOf(pool, d.targets.Snapshot().Pools[pool], d.members.View()))
+}
+
+// regionNames lists the regions of the failure domains, in order.
+func regionNames(domains map[string]string) []string {
+	var names []string
+	for _, region := range domains {
+		if !slices.Contains(names, region) {
+			names = append(names, region)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -86,7 +86,9 @@
 	client  *forward.Client
 	ingress *ingress.Server
 	state   atomic.Pointer[ingress.State]
+	parts   atomic.Pointer[parts]
 	self    member.Peer
+	regions []string
 	tracing func(context.Context) error
 
 	vms     map[string]Registration // owned by the fleet table's watcher
@@ -99,6 +101,7 @@
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{}, loop: control.NewLoop(), vms: map[string]Registration{}}
 	d.settings.Store(s)
+	d.regions = regionNames(s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
 		Endpoint: s.Traces.Endpoint, SamplePercent: s.Traces.SamplePercent, VM: s.VM.ID,
 	})
@@ -129,7 +132,7 @@
 		EchoHeader: platform.Headers{}.EchoHeader(), SkipCrossed: true, AllowUnframed: true, Dial: dialTarget,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
-		Wire: platform.Headers{}, Region: s.VM.Region, State: d.state.Load, Targets: d.targets, Limiter: d.limiter,
+		Wire: platform.Headers{}, Region: s.VM.Region, State: d.state.Load, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
 		Fleet: d.fleet, Client: d.client, Clock: d.clock, Log: log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
@@ -161,6 +164,9 @@
 	if s := d.state.Load(); s != nil {
 		p.ConfigVersion = s.Version
 	}
+	for pool, slots := range d.ingress.Demand() {
+		p.Pools = append(p.Pools, member.PoolLoad{Pool: pool, Demand: slots})
+	}
 }
 
 // ready reports whether this VM takes callers.
@@ -191,6 +197,7 @@
 	d.limiter.Start(background)
 	d.follow(background)
 	d.loop.Go(background, d.probeSuspects)
+	d.loop.Go(background, d.balance)
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
 	d.log.Info().Str("incarnation", d.self.Incarnation).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -45,6 +45,7 @@
 	timer  *time.Timer
 
 	sent       []*target.Live // in order
+	sentAt     time.Time      // of the last one
 	mayHaveRun bool
 	load       int // of the last target, when it was chosen
 	version    int64
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -31,7 +31,8 @@
 	// maxKeptAnswer is the longest answer that is read whole before the caller
 	// gets its first byte, so that one that breaks off can be had again.
 	maxKeptAnswer = 1 << 20
-	// shedMemory is how long a target that refused a request counts as full.
+	// fullRetryMin and fullRetryMax are when the caller of a request without
+	// room may come back: a part of the mean time that a slot is taken.
 	fullRetryMin = 100 * time.Millisecond
 	fullRetryMax = 400 * time.Millisecond
 	// minAttempt is the least time in which a target can be expected to answer.
@@ -132,37 +133,21 @@
 	s := c.s.cfg.Targets.Snapshot()
 	c.version = s.Version
 	pool := s.Pools[c.pool]
-	var regions []placement.Region
-	for name, list := range pool {
-		if c.allowed(name) {
-			regions = append(regions, placement.Region{Name: name, Slots: usableSlots(list)})
-		}
-	}
-	slices.SortFunc(regions, func(a, b placement.Region) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+	regions := placement.ChooseRegions(c.hash(), c.s.cfg.Parts(c.pool), func(region string) bool {
+		return c.allowed(region) && len(c.usable(pool[region])) > 0
 	})
-	for _, region := range placement.ChooseRegions(c.hash(), c.s.cfg.Region, regions) {
-		candidates := c.usable(pool[region])
-		if len(candidates) == 0 {
-			continue
+	for i, region := range regions {
+		if i > 0 && !c.s.spill.may(now) {
+			return nil
 		}
-		return c.chooseIn(candidates, now)
-	}
-	return nil
-}
-
-// usableSlots is the capacity of targets that are not suspect.
-func usableSlots(list []*target.Live) int {
-	n := 0
-	for _, l := range list {
-		if !l.Suspect() && !l.Replaced() {
-			n += l.Slots
+		if l := c.chooseIn(c.usable(pool[region]), i > 0, now); l != nil {
+			if i > 0 {
+				c.s.spill.took(now)
+			}
+			return l
 		}
 	}
-	return n
+	return nil
 }
 
 // usable leaves out targets that failed or were tried.
@@ -176,8 +161,9 @@
 	return out
 }
 
-// chooseIn chooses among the targets of a region.
-func (c *call) chooseIn(list []*target.Live, now time.Time) *target.Live {
+// chooseIn chooses among the targets of a region. Requests that spill over from
+// another region take only what is well free.
+func (c *call) chooseIn(list []*target.Live, spilled bool, now time.Time) *target.Live {
 	ranked := make([]placement.Candidate, len(list))
 	for i, l := range list {
 		ranked[i] = placement.Candidate{ID: l.Hash, Slots: l.Slots}
@@ -189,7 +175,9 @@
 		l := list[i]
 		cold := l.Cold(now)
 		candidates = append(candidates, l)
-		occupancy = append(occupancy, placement.Occupancy{Load: l.Load(now), Slots: l.Slots, Usable: !cold || c.mayUseCold(l, now)})
+		load := l.Load(now)
+		usable := !spilled || float64(load) < spillLoad*float64(l.Slots)
+		occupancy = append(occupancy, placement.Occupancy{Load: load, Slots: l.Slots, Usable: usable && (!cold || c.mayUseCold(l, now))})
 		if !cold {
 			if warm++; warm == warmCandidates {
 				break
@@ -219,6 +207,7 @@
 	ctx, span := c.s.cfg.Tracer.Start(ctx, "ingress.target", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	c.sent = append(c.sent, l)
+	c.sentAt = time.Now()
 	l.Begin()
 	out := c.outgoing(l)
 	if span.SpanContext().IsSampled() {
@@ -287,8 +276,10 @@
 		return t
 	}
 	c.s.counters.sheds.Inc(1)
-	// Its queue is full until an answer says otherwise.
-	l.Reported(max(info.Load, 2*l.Slots), time.Now())
+	if !info.LoadKnown {
+		// Its queue is full until an answer says otherwise.
+		l.Reported(2*l.Slots, time.Now())
+	}
 	return t
 }
 
@@ -318,6 +309,7 @@
 		l.Failed(false)
 		return &try{arrived: true, err: fmt.Errorf("target %s: answer broke off: %w", l.ID, err)}
 	}
+	c.s.demand.took(c.pool, time.Since(c.sentAt))
 	a.body = body.Bytes()
 	c.soften(a)
 	return &try{answer: a}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -21,6 +21,7 @@
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/route"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -72,8 +73,10 @@
 	Wire   Wire
 	Region string
 	// State returns the configuration in force, or nil before the first.
-	State    func() *State
-	Targets  *target.Registry
+	State   func() *State
+	Targets *target.Registry
+	// Parts says in which regions the requests to a pool run.
+	Parts    func(pool string) []placement.Part
 	Limiter  limit.Limiter
 	Fleet    Fleet
 	Client   *forward.Client
@@ -89,6 +92,8 @@
 type Server struct {
 	cfg      Config
 	budget   *retry.PoolBudget
+	demand   *demand
+	spill    *spill
 	counters counters
 	running  atomic.Int64
 	closing  atomic.Bool
@@ -113,12 +118,15 @@
 		c.Suspects = func(*target.Live) {}
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
-	return &Server{cfg: c, budget: retry.NewPoolBudget(), counters: counters{
+	return &Server{cfg: c, budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"),
 	}}
 }
 
+// Demand returns how many slots the requests to each pool need.
+func (s *Server) Demand() map[string]float64 { return s.demand.slots(time.Now()) }
+
 // Running is how many requests are being served.
 func (s *Server) Running() int64 { return s.running.Load() }
 
@@ -181,11 +189,12 @@
 		c.pool = split.choose(c.hash())
 	}
 	c.s.budget.Count(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
-	if c.account == nil || c.account.Rate <= 0 {
-		return nil
-	}
-	if d := c.s.cfg.Limiter.Admit(ctx, c.account.Name); !d.Admitted {
-		return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
+	if c.account != nil && c.account.Rate > 0 {
+		if d := c.s.cfg.Limiter.Admit(ctx, c.account.Name); !d.Admitted {
+			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
+		}
 	}
+	c.s.demand.count(c.pool, c.arrived)
+	c.s.spill.count(c.arrived)
 	return nil
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -64,6 +64,9 @@
 	Permits int
 	Running int
 	Queued  int
+	// Demand is how many slots the requests of its callers need, wherever they
+	// run.
+	Demand float64
 }
 
 // View is an immutable picture of the fleet. Readers never change it.
--- /dev/null
+++ b/pkg/placement/balance_test.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func fractions(parts []Part) map[string]float64 {
+	m := map[string]float64{}
+	for _, p := range parts {
+		m[p.Region] = math.Round(p.Fraction*1000) / 1000
+	}
+	return m
+}
+
+func TestSplit(t *testing.T) {
+	calm := []Region{{Name: "a", Slots: 90}, {Name: "b", Slots: 18}, {Name: "c", Slots: 72}}
+	for _, tt := range []struct {
+		name, home string
+		regions    []Region
+		want       map[string]float64
+	}{
+		{"large region keeps its own", "a", calm, map[string]float64{"a": 1, "b": 0, "c": 0}},
+		{"small region keeps its part of the capacity", "b", calm, map[string]float64{"a": 0.5, "b": 0.3, "c": 0.2}},
+		{"no capacity at home", "b", []Region{{Name: "a", Slots: 10}, {Name: "b"}, {Name: "c", Slots: 10}}, map[string]float64{"a": 0.5, "b": 0, "c": 0.5}},
+		{"no capacity at all", "a", []Region{{Name: "a"}, {Name: "b"}}, map[string]float64{}},
+		// A wave that peaks in one region, half of whose targets are evacuated: by
+		// capacity it keeps 0.75, and 45 slots of work; 27 are comfortable.
+		{"wave on an evacuated region", "c", []Region{
+			{Name: "a", Slots: 90, Work: 30}, {Name: "b", Slots: 18, Work: 10}, {Name: "c", Slots: 36, Work: 60},
+		}, map[string]float64{"a": 0.438, "b": 0.112, "c": 0.45}},
+		{"a burst on a full fleet is shared", "a", []Region{
+			{Name: "a", Slots: 10, Work: 30}, {Name: "b", Slots: 10, Work: 10},
+		}, map[string]float64{"a": 0.667, "b": 0.333}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, fractions(Split(tt.home, tt.regions))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func drawRegions(t *rapid.T) []Region {
+	names := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "regions")]
+	var out []Region
+	for _, n := range names {
+		out = append(out, Region{Name: n, Slots: float64(rapid.IntRange(0, 100).Draw(t, "slots")), Work: rapid.Float64Range(0, 200).Draw(t, "work")})
+	}
+	return out
+}
+
+// TestSplitProperties: the parts of every region sum to 1, none is negative, and
+// no region gets more than the level that the fleet's demand asks for.
+func TestSplitProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := drawRegions(t)
+		slots, work := 0.0, 0.0
+		for _, r := range regions {
+			slots, work = slots+r.Slots, work+r.Work
+		}
+		if slots == 0 {
+			return
+		}
+		load := map[string]float64{}
+		for _, home := range regions {
+			sum := 0.0
+			for _, p := range Split(home.Name, regions) {
+				if p.Fraction < 0 {
+					t.Fatalf("negative part %v", p)
+				}
+				sum += p.Fraction
+				load[p.Region] += p.Fraction * home.Work
+			}
+			if math.Abs(sum-1) > 1e-9 {
+				t.Fatalf("parts of %s sum to %v", home.Name, sum)
+			}
+		}
+		level := max(comfortable, work/slots)
+		for _, r := range regions {
+			if load[r.Name] > level*r.Slots+1e-6 {
+				t.Fatalf("region %s: load %v over %v", r.Name, load[r.Name], level*r.Slots)
+			}
+		}
+	})
+}
+
+// TestBalancerMovesSlowly: with steady capacity, whatever the demand does, the
+// part of requests that changes region stays within the platform's bound.
+func TestBalancerMovesSlowly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &Balancer{}
+		regions := drawRegions(t)
+		now := time.Unix(0, 0)
+		old := b.Update("a", regions, now)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			for i := range regions {
+				regions[i].Work = rapid.Float64Range(0, 200).Draw(t, "work")
+			}
+			now = now.Add(250 * time.Millisecond)
+			next := b.Update("a", regions, now)
+			moved := 0.0
+			for i := range next {
+				moved += math.Abs(next[i].Fraction-old[i].Fraction) / 2
+			}
+			if moved > maxShiftRate*0.25+1e-9 {
+				t.Fatalf("%v of the requests changed region in 250 ms", moved)
+			}
+			old = next
+		}
+	})
+}
+
+func TestBalancerFollowsALossAtOnce(t *testing.T) {
+	b := &Balancer{}
+	now := time.Unix(0, 0)
+	b.Update("a", []Region{{Name: "a", Slots: 90}, {Name: "b", Slots: 90}}, now)
+	got := b.Update("a", []Region{{Name: "a", Slots: 0}, {Name: "b", Slots: 90}}, now.Add(time.Second))
+	if diff := cmp.Diff(map[string]float64{"a": 0, "b": 1}, fractions(got)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -2,27 +2,21 @@
 // concerns, so that each object is handled by few targets and stays warm there.
 // Its functions are pure.
 //
-// An object's hash decides whether it stays in the caller's region, by the
-// part of the fleet's capacity there; rendezvous hashing (Thaler and Ravishankar,
-// 1998) then orders the region's targets. Only the first few of them are
+// An object's hash decides which region it goes to, by the parts that a Balancer
+// keeps; rendezvous hashing (Thaler and Ravishankar, 1998) then orders the
+// region's targets. Only the first few of them are
 // candidates: under load, a request on any other target runs cold, takes several
 // times as long and displaces other objects.
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Region is a region's capacity for a pool.
-type Region struct {
-	Name string
-	// Slots is how many requests its usable targets run at once.
-	Slots int
-}
-
 // Hash returns the hash of an object of a route.
 func Hash(route, object string) uint64 {
 	var d xxhash.Digest
@@ -49,83 +43,37 @@
 const regionSalt = 0x9e3779b97f4a7c15
 
 // ChooseRegions orders the regions for an object: first the one that its hash
-// chooses, then those to which it goes if that has no room. home is the caller's
-// region. Regions without slots are left out.
-//
-// With capacity shares c of R regions, an object stays with probability
-// min(1, c*R); what leaves goes to the regions with more than 1/R, in
-// proportion to what they have beyond it.
-func ChooseRegions(object uint64, home string, regions []Region) []string {
-	total, count := 0, 0
-	for _, r := range regions {
-		if r.Slots > 0 {
-			total += r.Slots
-			count++
+// chooses by the parts, then the others, the largest part first. Regions that
+// are not in usable are left out.
+func ChooseRegions(object uint64, parts []Part, usable func(region string) bool) []string {
+	sum := 0.0
+	kept := make([]Part, 0, len(parts))
+	for _, p := range parts {
+		if usable(p.Region) {
+			kept = append(kept, p)
+			sum += p.Fraction
 		}
 	}
-	if total == 0 {
+	if len(kept) == 0 {
 		return nil
 	}
-	relative := func(r Region) float64 { return float64(r.Slots) * float64(count) / float64(total) }
-	u := unit(mix(object ^ regionSalt))
-	stay, surplus := 0.0, 0.0
-	for _, r := range regions {
-		if r.Name == home && r.Slots > 0 {
-			stay = min(1, relative(r))
+	u := unit(mix(object^regionSalt)) * sum
+	first := len(kept) - 1
+	for i, p := range kept {
+		if u -= p.Fraction; u < 0 {
+			first = i
+			break
 		}
-		if r.Name != home {
-			surplus += max(0, relative(r)-1)
-		}
-	}
-	first := ""
-	if u < stay {
-		first = home
-	} else {
-		first = chooseAway((u-stay)/(1-stay), home, regions, relative, surplus)
 	}
-	order := []string{first}
-	rest := slices.Clone(regions)
-	slices.SortStableFunc(rest, func(a, b Region) int { return b.Slots - a.Slots })
-	for _, r := range rest {
-		if r.Name != first && r.Slots > 0 {
-			order = append(order, r.Name)
-		}
+	order := []string{kept[first].Region}
+	kept = slices.Delete(kept, first, first+1)
+	slices.SortStableFunc(kept, func(a, b Part) int { return cmp.Compare(b.Fraction, a.Fraction) })
+	for _, p := range kept {
+		order = append(order, p.Region)
 	}
 	return order
 }
 
-// chooseAway maps u in [0, 1) to a region other than home.
-func chooseAway(u float64, home string, regions []Region, relative func(Region) float64, surplus float64) string {
-	weight := func(r Region) float64 {
-		if r.Name == home || r.Slots == 0 {
-			return 0
-		}
-		if surplus > 0 {
-			return max(0, relative(r)-1)
-		}
-		return float64(r.Slots)
-	}
-	sum := 0.0
-	for _, r := range regions {
-		sum += weight(r)
-	}
-	if sum == 0 {
-		return home
-	}
-	last := home
-	for _, r := range regions {
-		w := weight(r)
-		if w == 0 {
-			continue
-		}
-		last = r.Name
-		if u -= w / sum; u < 0 {
-			return r.Name
-		}
-	}
-	return last
-}
-
 // Candidate is a target as the ranking sees it.
 type Candidate struct {
 	// ID is a hash of the target's identity.
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func pool(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{ID: xxhash.Sum64String(fmt.Sprintf("target-%d", i)), Slots: 9}
+	}
+	return out
+}
+
+// TestRankIsStable: without one target, only the objects that it had move.
+func TestRankIsStable(t *testing.T) {
+	all := pool(20)
+	for object := range uint64(2000) {
+		h := Hash("route", fmt.Sprint(object))
+		before := Rank(h, all, 2)[0]
+		after := Rank(h, all[:19], 2)[0]
+		if before != 19 && before != after {
+			t.Fatalf("object %d moved from %d to %d", object, before, after)
+		}
+	}
+}
+
+func TestRankFollowsSlots(t *testing.T) {
+	c := pool(2)
+	c[1].Slots = 27
+	n := 0
+	const objects = 20000
+	for object := range objects {
+		if Rank(Hash("route", fmt.Sprint(object)), c, 1)[0] == 1 {
+			n++
+		}
+	}
+	if share := float64(n) / objects; share < 0.73 || share > 0.77 {
+		t.Errorf("a target with three quarters of the slots got %.3f of the objects", share)
+	}
+}
+
+func TestChooseRegions(t *testing.T) {
+	parts := []Part{{"a", 0.5}, {"b", 0.3}, {"c", 0.2}}
+	all := func(string) bool { return true }
+	counts := map[string]int{}
+	const objects = 20000
+	for object := range objects {
+		order := ChooseRegions(Hash("route", fmt.Sprint(object)), parts, all)
+		if len(order) != 3 {
+			t.Fatalf("order %v", order)
+		}
+		counts[order[0]]++
+	}
+	for _, p := range parts {
+		if share := float64(counts[p.Region]) / objects; share < p.Fraction-0.02 || share > p.Fraction+0.02 {
+			t.Errorf("region %s got %.3f, want %.1f", p.Region, share, p.Fraction)
+		}
+	}
+	only := ChooseRegions(1, parts, func(r string) bool { return r == "c" })
+	if len(only) != 1 || only[0] != "c" {
+		t.Errorf("only c is usable, got %v", only)
+	}
+	if got := ChooseRegions(1, parts, func(string) bool { return false }); got != nil {
+		t.Errorf("nothing is usable, got %v", got)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		c    []Occupancy
+		want int
+	}{
+		{"free", []Occupancy{{0, 9, true}, {0, 9, true}}, 0},
+		{"first is full", []Occupancy{{9, 9, true}, {8, 9, true}}, 1},
+		{"both are full", []Occupancy{{10, 9, true}, {9, 9, true}}, 0},
+		{"first queues too long", []Occupancy{{14, 9, true}, {13, 9, true}}, 1},
+		{"both queue too long", []Occupancy{{14, 9, true}, {14, 9, true}}, -1},
+		{"unusable", []Occupancy{{0, 9, false}, {20, 9, true}}, -1},
+		{"none", nil, -1},
+	} {
+		if got := Choose(tt.c); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
