--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -276,7 +276,7 @@
 		e.Int64("config", c.state.Version)
 	}
 	if c.route != nil {
-		e.Str("route", c.route.Name).Str("pool", c.pool)
+		e.Str("route", c.route.Name).Str("pool", c.pool).Str("object", c.info.Object)
 	}
 	if c.account != nil {
 		e.Str("account", c.account.Name)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -265,7 +265,7 @@
 
 // shed takes in a target's word that it did not run the request.
 func (c *call) shed(l *target.Live, resp *forward.Response, info AnswerInfo) *try {
-	l.End()
+	defer l.End()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxKeptBody))
 	resp.Close()
 	t := &try{notRun: true, arrived: true, err: fmt.Errorf("target %s did not run it: status %d", l.ID, resp.StatusCode)}
