placement: a request queues at its object's first target before it runs cold elsewhere

Excluded: too many objects for the targets (43 pairs a target), regions without room (demand is spread).

Change: the first candidate takes requests up to 1.8 times its slots, others up to 0.9, any up to 2.2.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -120,20 +120,32 @@
 	Usable bool
 }
 
-// queueFactor is how many requests a target may have, relative to its slots,
-// before a request is refused.
-const queueFactor = 1.5
+// A warm run takes a third of a cold one, so a short queue at the first
+// candidate ends sooner than a cold run elsewhere, and costs the fleet less.
+const (
+	// firstQueue, otherQueue and fullQueue are how many requests a target may have,
+	// relative to its slots: the first candidate before another is considered, the
+	// other one to be considered, and any before a request is refused.
+	firstQueue = 1.8
+	otherQueue = 0.9
+	fullQueue  = 2.2
+)
 
 // Choose returns the index of the candidate that takes the request: the first
-// with a free slot, else the first whose queue is short; -1 where there is none.
+// unless its queue is long, else another with a free slot, else the first whose
+// queue is bearable; -1 where there is none.
 func Choose(candidates []Occupancy) int {
+	limit := firstQueue
 	for i, c := range candidates {
-		if c.Usable && c.Load < c.Slots {
+		if c.Usable && float64(c.Load) < limit*float64(c.Slots) {
 			return i
 		}
+		if c.Usable {
+			limit = otherQueue
+		}
 	}
 	for i, c := range candidates {
-		if c.Usable && float64(c.Load) < queueFactor*float64(c.Slots) {
+		if c.Usable && float64(c.Load) < fullQueue*float64(c.Slots) {
 			return i
 		}
 	}
