placement: queues are bounded by the predicted wait

Excluded: the place of the objects (same as before).

Change: the wait is predicted from load, slots and the target's mean service time; a request queues at its first target up to 0.45 of its latency objective, at any up to 0.7, between 1.3 and 2.2 times the slots.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -96,6 +96,14 @@
 	return p
 }
 
+// objective is the time within which an answer is worth most.
+func (c *call) objective() time.Duration {
+	if c.route.Objective > 0 {
+		return c.route.Objective
+	}
+	return c.patience()
+}
+
 // idempotent requests may run more than once.
 func (c *call) idempotent() bool { return c.route.Mode == config.ModeIdempotent }
 
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -177,14 +177,14 @@
 		candidates = append(candidates, l)
 		load := l.Load(now)
 		usable := !spilled || float64(load) < spillLoad*float64(l.Slots)
-		occupancy = append(occupancy, placement.Occupancy{Load: load, Slots: l.Slots, Usable: usable && (!cold || c.mayUseCold(l, now))})
+		occupancy = append(occupancy, placement.Occupancy{Load: load, Slots: l.Slots, Service: l.Service(), Usable: usable && (!cold || c.mayUseCold(l, now))})
 		if !cold {
 			if warm++; warm == warmCandidates {
 				break
 			}
 		}
 	}
-	chosen := placement.Choose(occupancy)
+	chosen := placement.Choose(occupancy, c.objective())
 	if chosen < 0 {
 		return nil
 	}
@@ -309,7 +309,9 @@
 		l.Failed(false)
 		return &try{arrived: true, err: fmt.Errorf("target %s: answer broke off: %w", l.ID, err)}
 	}
-	c.s.demand.took(c.pool, time.Since(c.sentAt))
+	took := time.Since(c.sentAt)
+	c.s.demand.took(c.pool, took)
+	l.Served(took, c.load)
 	a.body = body.Bytes()
 	c.soften(a)
 	return &try{answer: a}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -116,36 +117,67 @@
 	// Load is how many requests run or wait there.
 	Load  int
 	Slots int
+	// Service is the mean time that a request keeps a slot there; 0 is unknown.
+	Service time.Duration
 	// Usable is false for targets that are suspect or may take no more now.
 	Usable bool
 }
 
+// wait predicts how long another request waits for a slot.
+func (o Occupancy) wait() time.Duration {
+	queued := o.Load + 1 - o.Slots
+	if queued <= 0 {
+		return 0
+	}
+	return time.Duration(float64(queued) / float64(o.Slots) * float64(o.Service))
+}
+
 // A warm run takes a third of a cold one, so a short queue at the first
-// candidate ends sooner than a cold run elsewhere, and costs the fleet less.
+// candidate ends sooner than a cold run elsewhere, and costs the fleet less. How
+// long a queue is depends on whether the target runs its objects warm.
 const (
-	// firstQueue, otherQueue and fullQueue are how many requests a target may have,
-	// relative to its slots: the first candidate before another is considered, the
-	// other one to be considered, and any before a request is refused.
-	firstQueue = 1.8
-	otherQueue = 0.9
-	fullQueue  = 2.2
+	// firstWait and fullWait are how long a request may wait for a slot, relative to
+	// its latency objective: at the first candidate before another is
+	// considered, and at any before it is refused.
+	firstWait = 0.45
+	fullWait  = 0.7
+	// otherLoad is the load, relative to the slots, up to which another candidate is
+	// considered.
+	otherLoad = 0.9
+	// minQueue and maxQueue bound the load, relative to the slots, where requests
+	// queue whatever the prediction says.
+	minQueue = 1.3
+	maxQueue = 2.2
 )
 
-// Choose returns the index of the candidate that takes the request: the first
-// unless its queue is long, else another with a free slot, else the first whose
-// queue is bearable; -1 where there is none.
-func Choose(candidates []Occupancy) int {
-	limit := firstQueue
+// queues reports whether a request may queue at a candidate.
+func (o Occupancy) queues(longest time.Duration) bool {
+	load := float64(o.Load)
+	if load >= maxQueue*float64(o.Slots) {
+		return false
+	}
+	return load < minQueue*float64(o.Slots) || o.wait() <= longest
+}
+
+// Choose returns the index of the candidate that takes a request with a latency
+// objective: the first unless its queue is long, else another with a free slot,
+// else the first whose queue is bearable; -1 where there is none.
+func Choose(candidates []Occupancy, objective time.Duration) int {
+	first := true
 	for i, c := range candidates {
-		if c.Usable && float64(c.Load) < limit*float64(c.Slots) {
+		if !c.Usable {
+			continue
+		}
+		if first && c.queues(time.Duration(firstWait*float64(objective))) {
 			return i
 		}
-		if c.Usable {
-			limit = otherQueue
+		if !first && float64(c.Load) < otherLoad*float64(c.Slots) {
+			return i
 		}
+		first = false
 	}
 	for i, c := range candidates {
-		if c.Usable && float64(c.Load) < fullQueue*float64(c.Slots) {
+		if c.Usable && c.queues(time.Duration(fullWait*float64(objective))) {
 			return i
 		}
 	}
