--- /dev/null
+++ b/pkg/target/registry.go
@@ -0,0 +1,465 @@
+package target
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+)
+
+const (
+	// loadMemory is how long a reported load is believed. Requests take tenths
+	// of a second, so an older report says little.
+	loadMemory = 700 * time.Millisecond
+	// removalHold is how long targets that vanished from the list are kept where
+	// the list had been unreadable. The platform promises that live targets are
+	// back about 2 s after the list's return, and holds a VM to the list 3 s after
+	// it, of which up to 1 s passes until the VM reads it again.
+	removalHold = 1600 * time.Millisecond
+	// massRemoval is the part of all targets whose removal at once may be a
+	// lapse of the list rather than their end.
+	massRemoval = 0.25
+	// minMassRemoval is the least number that counts as a mass.
+	minMassRemoval = 3
+	// heldPart is the part of a region's capacity up to which kept targets get
+	// nothing, as the others can do without them.
+	heldPart = 0.5
+)
+
+// Entry is what a target says of itself in the platform's list.
+type Entry struct {
+	Target
+	// Pool is the service that it belongs to.
+	Pool string
+	// Draining targets take no new work.
+	Draining bool
+	// Born is the Unix millisecond of its start; 0 is unknown.
+	Born int64
+	// ColdFor is how much longer it is slow, when it wrote the entry.
+	ColdFor time.Duration
+}
+
+// Live is one incarnation of a target with what this VM knows of it. Its fields
+// are immutable but for the counters, which are safe for concurrent use.
+type Live struct {
+	Target
+	Pool string
+	Born int64
+	// Hash is a hash of the ID, for rendezvous hashing.
+	Hash uint64
+
+	running   atomic.Int32
+	others    atomic.Int32 // requests of other VMs, as of the last report
+	reportAt  atomic.Int64 // Unix nanoseconds of the report, 0 for none
+	service   atomic.Int64 // mean service time in nanoseconds
+	mean      meanLoad
+	coldUntil atomic.Int64 // Unix nanoseconds
+	suspect   atomic.Bool
+	replaced  atomic.Bool
+	nextCold  atomic.Int64 // Unix nanoseconds from which the next cold request may go
+	failures  atomic.Int32
+}
+
+// Begin counts a request that is sent to the target, End one that ended there.
+func (l *Live) Begin() { l.running.Add(1) }
+
+// End counts a request that ended.
+func (l *Live) End() { l.running.Add(-1) }
+
+// Running is how many requests of this VM the target has.
+func (l *Live) Running() int { return int(l.running.Load()) }
+
+// Reported takes in the load that an answer told, while the request that was
+// answered still counts as running.
+func (l *Live) Reported(load int, now time.Time) {
+	others := max(0, min(load, math.MaxInt32)-max(0, l.Running()-1))
+	l.others.Store(int32(others))
+	l.reportAt.Store(now.UnixNano())
+	l.mean.add(float64(load)/float64(l.Slots), now)
+}
+
+// Utilization is the mean of the reported loads relative to the slots; ok is
+// false where there is no recent report.
+func (l *Live) Utilization(now time.Time) (util float64, ok bool) { return l.mean.value(now) }
+
+// meanMemory is the time over which reports are averaged: long against single
+// requests, short against a wave of traffic.
+const meanMemory = 2 * time.Second
+
+// meanLoad is a mean of reports in which older ones count for less.
+type meanLoad struct {
+	mu   sync.Mutex
+	mean float64
+	at   time.Time
+}
+
+func (m *meanLoad) add(v float64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	keep := math.Exp(-float64(now.Sub(m.at)) / float64(meanMemory))
+	if m.at.IsZero() {
+		keep = 0
+	}
+	// Reports come with answers, several a second: a single one counts for at
+	// least a tenth.
+	keep = min(keep, 0.9)
+	m.mean = keep*m.mean + (1-keep)*v
+	m.at = now
+}
+
+func (m *meanLoad) value(now time.Time) (float64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mean, !m.at.IsZero() && now.Sub(m.at) < 2*meanMemory
+}
+
+// Load is the number of requests that run or wait there: this VM's own, and
+// those of other VMs as of the last report.
+func (l *Live) Load(now time.Time) int {
+	own := l.Running()
+	if at := l.reportAt.Load(); at != 0 && now.UnixNano()-at < int64(loadMemory) {
+		return own + int(l.others.Load())
+	}
+	return own
+}
+
+// serviceWeight is the weight of one request in a target's mean service time.
+const serviceWeight = 0.05
+
+// Served notes how long a request took, with the load that it met there.
+func (l *Live) Served(took time.Duration, load int) {
+	queued := max(0, load+1-l.Slots)
+	service := float64(took) / (1 + float64(queued)/float64(l.Slots))
+	for {
+		old := l.service.Load()
+		mean := service
+		if old != 0 {
+			mean = float64(old) + serviceWeight*(service-float64(old))
+		}
+		if l.service.CompareAndSwap(old, int64(mean)) {
+			return
+		}
+	}
+}
+
+// Service is the mean time that a request keeps a slot; 0 is unknown.
+func (l *Live) Service() time.Duration { return time.Duration(l.service.Load()) }
+
+// Cold reports whether the target may not take its usual rate yet.
+func (l *Live) Cold(now time.Time) bool { return now.UnixNano() < l.coldUntil.Load() }
+
+// SetCold marks the target cold for at least d from now.
+func (l *Live) SetCold(d time.Duration, now time.Time) {
+	until := now.Add(d).UnixNano()
+	for {
+		old := l.coldUntil.Load()
+		if until <= old || l.coldUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// Suspect reports whether the target failed and has not shown since that it
+// is well.
+func (l *Live) Suspect() bool { return l.suspect.Load() }
+
+// Replaced reports whether another incarnation answers at the address.
+func (l *Live) Replaced() bool { return l.replaced.Load() }
+
+// SetReplaced takes the target out of use.
+func (l *Live) SetReplaced() { l.replaced.Store(true) }
+
+// Failed notes a request that the target did not answer. It reports whether
+// the target became suspect by it.
+func (l *Live) Failed(unreachable bool) bool {
+	if n := l.failures.Add(1); !unreachable && n < failuresToSuspect {
+		return false
+	}
+	return !l.suspect.Swap(true)
+}
+
+// failuresToSuspect is the number of lost answers in a row that make a target
+// suspect: single answers are lost on sound targets too.
+const failuresToSuspect = 3
+
+// Answered notes that the target answered.
+func (l *Live) Answered() { l.failures.Store(0) }
+
+// Cleared ends the suspicion. The target may have restarted meanwhile, so it
+// counts as cold for the given time.
+func (l *Live) Cleared(cold time.Duration, now time.Time) {
+	l.failures.Store(0)
+	l.SetCold(cold, now)
+	l.suspect.Store(false)
+}
+
+// TakeCold uses this VM's part of the requests that a cold target bears, or
+// reports false where it is used up. interval is the time between two of them.
+func (l *Live) TakeCold(interval time.Duration, now time.Time) bool {
+	at := now.UnixNano()
+	for {
+		next := l.nextCold.Load()
+		if at < next {
+			return false
+		}
+		if l.nextCold.CompareAndSwap(next, at+int64(interval)) {
+			return true
+		}
+	}
+}
+
+// Snapshot is an immutable picture of the targets that may be used.
+type Snapshot struct {
+	// Pools holds the usable targets by pool and region, in order of ID.
+	Pools map[string]map[string][]*Live
+	// Version is the list's version that the picture was made from.
+	Version int64
+}
+
+// record is one entry of the list.
+type record struct {
+	live     *Live
+	draining bool
+	// removedAt is when the entry vanished; zero while it is there.
+	removedAt time.Time
+	hold      time.Duration
+}
+
+// Registry folds the platform's list of targets into snapshots. It has no I/O
+// and no clock.
+type Registry struct {
+	mu       sync.Mutex
+	regions  map[string]string // region by failure domain
+	records  map[string]*record
+	services map[string]*config.Service
+	// evacuated holds the failure domains that get nothing.
+	evacuated map[string]bool
+	version   int64
+	// returned is when the list could be read again.
+	returned time.Time
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// NewRegistry returns an empty registry. regions names the region of each
+// failure domain.
+func NewRegistry(regions map[string]string) *Registry {
+	r := &Registry{regions: regions, records: map[string]*record{}, evacuated: map[string]bool{}}
+	r.snapshot.Store(&Snapshot{})
+	return r
+}
+
+// Snapshot returns the present picture. It is never nil.
+func (r *Registry) Snapshot() *Snapshot { return r.snapshot.Load() }
+
+// Upsert takes in an entry. first says that it was there when this VM read the
+// list for the first time: then nothing is known of when it started. It returns
+// the incarnation and whether it is new.
+func (r *Registry) Upsert(e Entry, first bool, now time.Time) (live *Live, fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[e.ID]
+	if rec == nil || !rec.live.same(&e) {
+		rec = &record{live: r.newLive(e)}
+		r.records[e.ID] = rec
+		fresh = true
+		if s := r.services[e.Pool]; s != nil && !first {
+			rec.live.SetCold(s.ColdStart, now)
+		}
+	}
+	rec.draining = e.Draining
+	rec.removedAt = time.Time{}
+	rec.live.SetCold(e.ColdFor, now)
+	return rec.live, fresh
+}
+
+// same reports whether the entry is of this incarnation.
+func (l *Live) same(e *Entry) bool {
+	return l.Born == e.Born && l.Address == e.Address && l.Pool == e.Pool && l.FailureDomain == e.FailureDomain && l.Slots == e.Slots
+}
+
+func (r *Registry) newLive(e Entry) *Live {
+	t := e.Target
+	t.Region = r.regions[e.FailureDomain]
+	return &Live{Target: t, Pool: e.Pool, Born: e.Born, Hash: xxhash.Sum64String(e.ID)}
+}
+
+// Removal is what became of entries that vanished from the list.
+type Removal struct {
+	// Gone targets are used no more.
+	Gone []*Live
+	// Held targets are used for a while, since the list may have lapsed.
+	Held []*Live
+	// Until is when those that are held are gone too.
+	Until time.Time
+}
+
+// Remove takes in that entries vanished. returned says that the list could not
+// be read just before; drain is how long a target serves on after it left the
+// list.
+func (r *Registry) Remove(ids []string, returned bool, drain time.Duration, now time.Time) Removal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if returned {
+		r.returned = now
+	}
+	hold := time.Duration(0)
+	switch {
+	case now.Sub(r.returned) < removalHold && !r.returned.IsZero():
+		hold = r.returned.Add(removalHold).Sub(now)
+	case len(ids) >= minMassRemoval && float64(len(ids)) > massRemoval*float64(len(r.records)):
+		// A lapse ends sooner than the time in which a target that has left
+		// must get nothing.
+		hold = drain / 2
+	}
+	out := Removal{Until: now.Add(hold)}
+	for _, id := range ids {
+		rec := r.records[id]
+		if rec == nil {
+			continue
+		}
+		if hold <= 0 || rec.draining {
+			delete(r.records, id)
+			out.Gone = append(out.Gone, rec.live)
+			continue
+		}
+		rec.removedAt, rec.hold = now, hold
+		out.Held = append(out.Held, rec.live)
+	}
+	return out
+}
+
+// Expire drops the entries whose hold has ended and returns them.
+func (r *Registry) Expire(now time.Time) []*Live {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []*Live
+	for id, rec := range r.records {
+		if !rec.removedAt.IsZero() && now.Sub(rec.removedAt) >= rec.hold {
+			delete(r.records, id)
+			gone = append(gone, rec.live)
+		}
+	}
+	return gone
+}
+
+// SetServices takes in the configuration's services.
+func (r *Registry) SetServices(s map[string]*config.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.services = s
+}
+
+// Evacuate sets whether a failure domain gets nothing. Its targets may be cold
+// when it is taken back.
+func (r *Registry) Evacuate(domain string, on bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if on {
+		r.evacuated[domain] = true
+		return
+	}
+	if !r.evacuated[domain] {
+		return
+	}
+	delete(r.evacuated, domain)
+	for _, rec := range r.records {
+		if rec.live.FailureDomain != domain {
+			continue
+		}
+		if s := r.services[rec.live.Pool]; s != nil {
+			rec.live.SetCold(s.ColdStart, now)
+		}
+	}
+}
+
+// Publish makes a new snapshot of what was taken in, as of a version of the list.
+func (r *Registry) Publish(version int64) *Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = max(r.version, version)
+	s := &Snapshot{Pools: map[string]map[string][]*Live{}, Version: r.version}
+	lapsed := r.lapsed()
+	for _, rec := range r.records {
+		l := rec.live
+		if rec.draining || l.Region == "" || r.evacuated[l.FailureDomain] {
+			continue
+		}
+		if !rec.removedAt.IsZero() && !lapsed[poolRegion{l.Pool, l.Region}] {
+			continue
+		}
+		regions := s.Pools[l.Pool]
+		if regions == nil {
+			regions = map[string][]*Live{}
+			s.Pools[l.Pool] = regions
+		}
+		regions[l.Region] = append(regions[l.Region], l)
+	}
+	for _, regions := range s.Pools {
+		for _, list := range regions {
+			slices.SortFunc(list, func(a, b *Live) int { return strings.Compare(a.ID, b.ID) })
+		}
+	}
+	r.snapshot.Store(s)
+	return s
+}
+
+type poolRegion struct{ pool, region string }
+
+// lapsed tells where so many targets vanished together that the rest cannot do
+// without them.
+func (r *Registry) lapsed() map[poolRegion]bool {
+	held, all := map[poolRegion]int{}, map[poolRegion]int{}
+	for _, rec := range r.records {
+		at := poolRegion{rec.live.Pool, rec.live.Region}
+		all[at] += rec.live.Slots
+		if !rec.removedAt.IsZero() {
+			held[at] += rec.live.Slots
+		}
+	}
+	out := map[poolRegion]bool{}
+	for at, slots := range held {
+		out[at] = float64(slots) > heldPart*float64(all[at])
+	}
+	return out
+}
+
+// UsableSlots is the capacity of the targets that are not suspect.
+func UsableSlots(list []*Live) int {
+	n := 0
+	for _, l := range list {
+		if !l.Suspect() && !l.Replaced() {
+			n += l.Slots
+		}
+	}
+	return n
+}
+
+// Suspects returns the listed targets that are suspect.
+func (r *Registry) Suspects() []*Live {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*Live
+	for _, rec := range r.records {
+		if rec.live.Suspect() && !rec.live.Replaced() && !rec.draining {
+			out = append(out, rec.live)
+		}
+	}
+	return out
+}
+
+// Usable reports whether the target may still get requests. It is asked just
+// before the first byte of a request is sent.
+func (r *Registry) Usable(l *Live) bool {
+	for _, other := range r.Snapshot().Pools[l.Pool][l.Region] {
+		if other == l {
+			return !l.Replaced()
+		}
+	}
+	return false
+}
