--- a/pkg/standin/fault/fault.go
+++ b/pkg/standin/fault/fault.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -28,6 +29,8 @@
 	DownRefuse Down = "refuse"
 	// DownClose closes the connection without an answer.
 	DownClose Down = "close"
+	// DownSilent never answers.
+	DownSilent Down = "silent"
 )
 
 // Duration is a time.Duration that JSON writes as a string such as "250ms".
@@ -165,6 +168,10 @@
 			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
 		case DownClose:
 			admin.Drop(w)
+		case DownSilent:
+			// The server sees that the client has gone once the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
 		default:
 			next.ServeHTTP(w, r)
 		}
