--- /dev/null
+++ b/pkg/ingress/fakes_test.go
@@ -0,0 +1,262 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/limit"
+	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+// The headers of the tests' wire.
+const (
+	hID, hPatience, hKey, hObject   = "Test-Id", "Test-Patience", "Test-Key", "Test-Object"
+	hInstance, hAccount             = "Test-Instance", "Test-Account"
+	hSeal, hNotRun, hLoad, hCold    = "Test-Seal", "Test-Not-Run", "Test-Load", "Test-Cold"
+	hRetryAfter                     = "Test-Retry-After"
+	testKey, testAccount, otherName = "k1", "a1", "a2"
+)
+
+type fakeWire struct{}
+
+func (fakeWire) Caller(h http.Header) CallerInfo {
+	ms, _ := strconv.Atoi(h.Get(hPatience))
+	return CallerInfo{ID: h.Get(hID), Patience: time.Duration(ms) * time.Millisecond, KeyID: h.Get(hKey), Object: h.Get(hObject)}
+}
+
+func (fakeWire) ToTarget(h http.Header, t TargetInfo) {
+	h.Del(hKey)
+	h.Del(hAccount)
+	h.Set(hInstance, t.InstanceID)
+	h.Set(hPatience, strconv.FormatInt(t.Patience.Milliseconds(), 10))
+	if t.Account != "" {
+		h.Set(hAccount, t.Account)
+	}
+}
+
+func (fakeWire) FromTarget(status int, h http.Header) AnswerInfo {
+	load, err := strconv.Atoi(h.Get(hLoad))
+	cold, _ := time.ParseDuration(h.Get(hCold))
+	return AnswerInfo{
+		Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "" || status == http.StatusMisdirectedRequest,
+		OtherInstance: status == http.StatusMisdirectedRequest, Load: load, LoadKnown: err == nil, ColdFor: cold,
+	}
+}
+
+func (fakeWire) RemoveSeal(h http.Header) { h.Del(hSeal) }
+
+func (fakeWire) SetRetryAfter(h http.Header, d time.Duration) { h.Set(hRetryAfter, d.String()) }
+
+func (fakeWire) Refusal(h http.Header, id string) { h.Set(hID, id) }
+
+// fakeFleet gives this VM the whole of every bound.
+type fakeFleet struct {
+	repeats retry.PoolLimit
+	cold    time.Duration
+}
+
+func (f *fakeFleet) ColdInterval(*target.Live, float64) (time.Duration, bool) {
+	return f.cold, f.cold > 0
+}
+func (f *fakeFleet) RepeatLimit() retry.PoolLimit { return f.repeats }
+
+// fakeLimiter refuses the accounts that it names.
+type fakeLimiter map[string]bool
+
+func (f fakeLimiter) Admit(_ context.Context, account string) limit.Decision {
+	return limit.Decision{Admitted: !f[account], RetryAfter: time.Second}
+}
+
+// fakeTarget counts what reaches it.
+type fakeTarget struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	seen    []*http.Request
+	bodies  []string
+}
+
+func (f *fakeTarget) requests() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.seen)
+}
+
+// world is one server with its targets.
+type world struct {
+	t       *testing.T
+	server  *Server
+	targets *target.Registry
+	fleet   *fakeFleet
+	limiter fakeLimiter
+	front   *httptest.Server
+	state   *State
+	all     map[string]*fakeTarget
+}
+
+const testPool = "s"
+
+func testConfig() *config.Config {
+	c := config.Empty()
+	c.Version = 7
+	c.Services = map[string]*config.Service{testPool: {Name: testPool, HealthPath: "/health", ColdStart: 3 * time.Second, ColdRate: 15}}
+	c.Accounts[testAccount] = &config.Account{Name: testAccount, Rate: 100, Burst: 100}
+	c.Accounts[otherName] = &config.Account{Name: otherName, Rate: 100, Burst: 100}
+	c.Keys[testKey] = &config.Key{ID: testKey, Account: testAccount}
+	c.Keys["k2"] = &config.Key{ID: "k2", Account: otherName}
+	for _, r := range []config.Route{
+		{Name: "safe", PathPrefix: "/safe/", Mode: config.ModeIdempotent},
+		{Name: "once", PathPrefix: "/once/", Mode: config.ModeAtMostOnce},
+		{Name: "open", PathPrefix: "/open/", Mode: config.ModeIdempotent, Open: true},
+		{Name: "east", PathPrefix: "/east/", Mode: config.ModeIdempotent, Regions: []string{"east"}},
+		{Name: "short", PathPrefix: "/short/", Mode: config.ModeAtMostOnce, Timeout: 150 * time.Millisecond},
+	} {
+		r.Host, r.Pool, r.MaxAttempts, r.Objective = "host.example", testPool, 2, 250*time.Millisecond
+		if r.Timeout == 0 {
+			r.Timeout = 5 * time.Second
+		}
+		c.Routes[r.Name] = &r
+	}
+	return c
+}
+
+// newWorld starts a server in region east.
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t: t, targets: target.NewRegistry(map[string]string{"fd-e": "east", "fd-w": "west"}), limiter: fakeLimiter{},
+		fleet: &fakeFleet{repeats: retry.PoolLimit{Ratio: 0.2, Floor: 100, Window: 10 * time.Second, VMs: 1}, cold: time.Millisecond},
+		all:   map[string]*fakeTarget{},
+	}
+	w.state = NewState(testConfig(), nil)
+	w.targets.SetServices(w.state.Services)
+	client := forward.NewClient(forward.Config{EchoHeader: hID, SkipCrossed: true, AllowUnframed: true})
+	t.Cleanup(client.Close)
+	w.server = NewServer(Config{
+		Wire: fakeWire{}, Region: "east", State: func() *State { return w.state }, Targets: w.targets, Limiter: w.limiter,
+		Parts: func(pool string) []placement.Part {
+			var regions []placement.Region
+			for _, name := range []string{"east", "west"} {
+				regions = append(regions, placement.Region{Name: name, Slots: float64(target.UsableSlots(w.targets.Snapshot().Pools[pool][name]))})
+			}
+			return placement.Split("east", regions)
+		},
+		Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
+	})
+	w.front = httptest.NewServer(w.server)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+// raw adds a target that handles each connection by itself.
+func (w *world) raw(id, domain string, handle func(net.Conn)) *fakeTarget {
+	w.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return w.list(id, domain, l.Addr().String())
+}
+
+// add adds a target that answers by handle.
+func (w *world) add(id, domain string, handle http.HandlerFunc) *fakeTarget {
+	w.t.Helper()
+	var f *fakeTarget
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.seen = append(f.seen, r)
+		f.bodies = append(f.bodies, string(body))
+		f.mu.Unlock()
+		rw.Header().Set(hID, r.Header.Get(hID))
+		handle(rw, r)
+	}))
+	w.t.Cleanup(server.Close)
+	f = w.list(id, domain, server.Listener.Addr().String())
+	return f
+}
+
+func (w *world) list(id, domain, address string) *fakeTarget {
+	f := &fakeTarget{id: id, address: address}
+	w.all[id] = f
+	w.targets.Upsert(target.Entry{Target: target.Target{ID: id, Address: address, FailureDomain: domain, Slots: 9}, Pool: testPool, Born: 1}, true, time.Now())
+	w.targets.Publish(1)
+	return f
+}
+
+// good answers with a seal and the request's path.
+func good(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set(hSeal, "seal")
+	fmt.Fprint(rw, "body of ", r.URL.Path)
+}
+
+// shed says that the request was not run.
+func shed(rw http.ResponseWriter, _ *http.Request) {
+	rw.Header().Set(hNotRun, "1")
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+var ids int
+
+// send makes a request and returns the answer and its body; err is set where no
+// complete answer came.
+func (w *world) send(method, path, body string, change ...func(*http.Request)) (*http.Response, string, error) {
+	w.t.Helper()
+	r, err := http.NewRequest(method, w.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ids++
+	r.Host = "host.example"
+	r.Header.Set(hID, fmt.Sprint("id-", ids))
+	r.Header.Set(hKey, testKey)
+	r.Header.Set(hPatience, "5000")
+	for _, f := range change {
+		f(r)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
+
+// expect sends a request and checks the status.
+func (w *world) expect(status int, method, path string, change ...func(*http.Request)) (*http.Response, string) {
+	w.t.Helper()
+	resp, body, err := w.send(method, path, "", change...)
+	if err != nil {
+		w.t.Fatalf("%s %s: %v", method, path, err)
+	}
+	if resp.StatusCode != status {
+		w.t.Fatalf("%s %s: status %d %q, want %d", method, path, resp.StatusCode, body, status)
+	}
+	return resp, body
+}
