--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -9,6 +9,7 @@
 
 	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
 	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/operator"
 )
 
 // Status reports the fleet as this VM knows it: its own parts exactly, its
@@ -20,7 +21,7 @@
 	slices.SortFunc(vms, func(a, b member.Peer) int { return strings.Compare(a.ID, b.ID) })
 	response := &operatorpb.StatusResponse{
 		Vm:       d.self.ID,
-		Vms:      vmStatus(vms),
+		Vms:      operator.VMStatus(vms),
 		Regions:  regionStatus(vms),
 		Accounts: d.accountStatus(),
 	}
@@ -42,18 +43,6 @@
 	return c, store
 }
 
-func vmStatus(vms []member.Peer) []*operatorpb.VMStatus {
-	var out []*operatorpb.VMStatus
-	for _, p := range vms {
-		out = append(out, &operatorpb.VMStatus{
-			Id: p.ID, Region: p.Region, FailureDomain: p.FailureDomain, State: p.State.String(),
-			ConfigVersion: p.ConfigVersion, SlotsHeld: int32(p.SlotsHeld),
-			FreePermits: int32(p.FreePermits), CallerAddress: p.CallerAddress,
-		})
-	}
-	return out
-}
-
 // regionStatus adds up the VMs of each region, in order of region and pool.
 func regionStatus(vms []member.Peer) []*operatorpb.RegionStatus {
 	type place struct{ region, pool string }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -235,6 +235,7 @@
 		{s.Listen.Ready, platform.ReadyHandler(d.ready)},
 		{s.Listen.Callers, d.ingress},
 		{s.Listen.Metrics, inspect},
+		{s.Listen.Operators, d.operatorsHandler()},
 	} {
 		if l.address == "" {
 			continue
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -36,6 +36,9 @@
 	Peers  string `json:"peers"`
 	// Metrics serves /metrics; empty means nowhere.
 	Metrics string `json:"metrics"`
+	// Operators serves the operators' API, which only shows the configuration here;
+	// empty means nowhere. It asks for no token, so it must be on loopback.
+	Operators string `json:"operators"`
 }
 
 // Store is the platform's metadata store.
@@ -154,7 +157,8 @@
 	}{
 		{"listen.callers", s.Listen.Callers, false}, {"listen.locate", s.Listen.Locate, false},
 		{"listen.ready", s.Listen.Ready, false}, {"listen.peers", s.Listen.Peers, false},
-		{"listen.metrics", s.Listen.Metrics, true}, {"store.address", s.Store.Address, false},
+		{"listen.metrics", s.Listen.Metrics, true}, {"listen.operators", s.Listen.Operators, true},
+		{"store.address", s.Store.Address, false},
 	} {
 		if f.optional && f.value == "" {
 			continue
@@ -163,6 +167,9 @@
 			return invalid(f.name, "%q is not host:port", f.value)
 		}
 	}
+	if s.Listen.Operators != "" && !loopback(s.Listen.Operators) {
+		return invalid("listen.operators", "%q is not on loopback", s.Listen.Operators)
+	}
 	b := &s.Bounds
 	for _, f := range []struct {
 		name  string
@@ -181,3 +188,13 @@
 	}
 	return nil
 }
+
+// loopback reports whether an address reaches this machine only.
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
