--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -221,6 +221,9 @@
 		c.s.cfg.Wire.Refusal(h, c.info.ID)
 		if a.retry > 0 {
 			c.s.cfg.Wire.SetRetryAfter(h, a.retry)
+			// Callers come back on another connection, and would leave this one
+			// behind; thousands of them fill the memory in an overload.
+			h.Set("Connection", "close")
 		}
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 		a.body = []byte(a.detail + "\n")
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -73,6 +73,9 @@
 			if got := resp.Header.Get(hRetryAfter) != ""; got != tt.comesBack {
 				t.Errorf("time to come back: %v, want %v", got, tt.comesBack)
 			}
+			if resp.Close != tt.comesBack {
+				t.Errorf("the connection ends: %v, want %v", resp.Close, tt.comesBack)
+			}
 			if f.requests() != 0 {
 				t.Error("the request reached a target")
 			}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -335,9 +335,7 @@
 			return invalid(fmt.Sprintf("operators.token_hashes[%d]", i), "not the SHA-256 of a token in hex")
 		}
 	}
-	host, _, _ := net.SplitHostPort(s.Listen.Operators)
-	ip := net.ParseIP(host)
-	if len(s.Operator.TokenHashes) == 0 && (ip == nil || !ip.IsLoopback()) {
+	if len(s.Operator.TokenHashes) == 0 && !loopback(s.Listen.Operators) {
 		return invalid("operators.token_hashes", "missing; required because listen.operators %q is not loopback", s.Listen.Operators)
 	}
 	return nil
