platform: one client for the store; the DynamoDB and S3 adapters give way

Cause: two stores' client libraries were linked that nothing on the users' platform speaks to; the daemon on static targets ran on adapters that production does not have.

Change: platform.Table and platform.Objects keep the product's items and objects in the metadata store, on the same client as everything else; crocusrampd serve, dev, the scenarios and the capacity bench run on platform/standin. pkg/platform is pkg/storage now, so that one folder has the name. A transaction holds 50 writes at most (100 entries, each write with its condition). The HTTP list of VMs stays for `serve`: the scenarios make it lag and lie, which the store's rows do not do.

Tests: the contract tests of pkg/storage run on the new adapter, unchanged but for one store a test (a server for each of 100 draws ran out of descriptors); those of the adapters and of the stand-ins' own protocols went with them. standins.txtar waits for the store's counts, which begin empty. The contract found that a transaction named only the failed conditions known in advance.

--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -23,7 +23,7 @@
 // batcher combines concurrent writes into transactions (group commit): while
 // some are under way, the others gather.
 type batcher struct {
-	table platform.Table
+	table storage.Table
 
 	mu       sync.Mutex
 	queue    []*pending
@@ -33,7 +33,7 @@
 // pending is a write that waits for its result.
 type pending struct {
 	ctx        context.Context
-	write      platform.Write
+	write      storage.Write
 	collisions int
 	result     chan error
 }
@@ -41,7 +41,7 @@
 // write submits w and waits for its result: nil, errConflict, or the table's
 // ErrUnavailable or ErrIndeterminate. Where ctx ends first the result is
 // ErrIndeterminate.
-func (b *batcher) write(ctx context.Context, w platform.Write) error {
+func (b *batcher) write(ctx context.Context, w storage.Write) error {
 	p := &pending{ctx: ctx, write: w, result: make(chan error, 1)}
 	b.mu.Lock()
 	b.queue = append(b.queue, p)
@@ -51,7 +51,7 @@
 	case err := <-p.result:
 		return err
 	case <-ctx.Done():
-		return platform.ErrIndeterminate
+		return storage.ErrIndeterminate
 	}
 }
 
@@ -72,9 +72,9 @@
 // split takes the writes of the next transaction, which may not hold two
 // writes of one item. Writes that nobody waits for any more are dropped.
 func split(queue []*pending) (batch, rest []*pending) {
-	taken := make(map[platform.Key]bool)
+	taken := make(map[storage.Key]bool)
 	for i, p := range queue {
-		if len(batch) == platform.MaxTransactWrites {
+		if len(batch) == storage.MaxTransactWrites {
 			return batch, append(rest, queue[i:]...)
 		}
 		if p.ctx.Err() != nil {
@@ -104,17 +104,17 @@
 func (b *batcher) transact(batch []*pending) (again []*pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), transactTimeout)
 	defer cancel()
-	writes := make([]platform.Write, len(batch))
+	writes := make([]storage.Write, len(batch))
 	for i, p := range batch {
 		writes[i] = p.write
 	}
 	err := b.table.Transact(ctx, writes)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return collide(batch, conflict.Failed)
 	}
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
-		err = platform.ErrIndeterminate
+	if err != nil && !errors.Is(err, storage.ErrUnavailable) {
+		err = storage.ErrIndeterminate
 	}
 	for _, p := range batch {
 		p.result <- err
@@ -138,7 +138,7 @@
 			p.collisions++
 		}
 		if p.collisions > maxCollisions {
-			p.result <- platform.ErrUnavailable
+			p.result <- storage.ErrUnavailable
 			continue
 		}
 		again = append(again, p)
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 // StoreConfig holds what a Store works with.
 type StoreConfig struct {
-	Table       platform.Table
+	Table       storage.Table
 	VM          string
 	Incarnation string
 }
@@ -44,7 +44,7 @@
 	batcher *batcher
 	// recent holds what this process claimed last and has not released, so
 	// that a re-send needs no table.
-	recent *lru.Cache[platform.Key, Record]
+	recent *lru.Cache[storage.Key, Record]
 	// delay separates the attempts to record a result; it doubles.
 	delay time.Duration
 	// recording counts the results that are being written.
@@ -53,7 +53,7 @@
 
 // NewStore returns a Store.
 func NewStore(c StoreConfig) *Store {
-	recent, err := lru.New[platform.Key, Record](maxRecent)
+	recent, err := lru.New[storage.Key, Record](maxRecent)
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
@@ -63,7 +63,7 @@
 // Claim is a claimed request. Finish is called once.
 type Claim struct {
 	store    *Store
-	key      platform.Key
+	key      storage.Key
 	revision int64
 	record   Record
 }
@@ -82,14 +82,14 @@
 	}
 	revision, maybe := int64(0), false
 	for range maxSteps {
-		err := s.batcher.write(ctx, platform.Write{Key: c.key, IfRevision: revision, Value: c.record.encode()})
+		err := s.batcher.write(ctx, storage.Write{Key: c.key, IfRevision: revision, Value: c.record.encode()})
 		if err == nil {
 			return s.own(c, revision+1), nil, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, storage.ErrUnavailable) {
 			break
 		}
-		maybe = maybe || errors.Is(err, platform.ErrIndeterminate)
+		maybe = maybe || errors.Is(err, storage.ErrIndeterminate)
 		v, readErr := s.settle(ctx, c.key, c.record.Token)
 		if readErr != nil && errors.Is(err, errConflict) {
 			// Somebody claimed it, and who it was cannot be read.
@@ -150,9 +150,9 @@
 }
 
 // settle reads the claim back and judges it.
-func (s *Store) settle(ctx context.Context, key platform.Key, token string) (verdict, error) {
+func (s *Store) settle(ctx context.Context, key storage.Key, token string) (verdict, error) {
 	item, err := s.config.Table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return verdict{kind: free}, nil
 	}
 	if err != nil {
@@ -162,7 +162,7 @@
 }
 
 // judge decides what an item of the table means to the claimer with token.
-func judge(item platform.Item, token string) (verdict, error) {
+func judge(item storage.Item, token string) (verdict, error) {
 	r := &Record{}
 	if err := json.Unmarshal(item.Value, r); err != nil {
 		return verdict{}, fmt.Errorf("claim %s: %w", item.Sort, err)
@@ -192,7 +192,7 @@
 
 // write reports whether there is no more to do.
 func (c *Claim) write(ctx context.Context) bool {
-	err := c.store.batcher.write(ctx, platform.Write{Key: c.key, IfRevision: c.revision, Value: c.record.encode()})
+	err := c.store.batcher.write(ctx, storage.Write{Key: c.key, IfRevision: c.revision, Value: c.record.encode()})
 	// A conflict means that an earlier attempt took effect after all.
 	return err == nil || errors.Is(err, errConflict)
 }
@@ -232,10 +232,10 @@
 func (s *Store) Wait() { s.recording.Wait() }
 
 // itemKey hashes the ID: account names and keys may hold any character.
-func itemKey(id ID) platform.Key {
+func itemKey(id ID) storage.Key {
 	h := hashID(id)
 	text := hex.EncodeToString(h[:])
-	return platform.Key{Partition: partitionPrefix + text[:2], Sort: text}
+	return storage.Key{Partition: partitionPrefix + text[:2], Sort: text}
 }
 
 // hashID hashes the parts with their lengths, so that no two IDs join up to
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -27,13 +27,12 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/operator"
 	"crocusramp.dev/crocusramp/pkg/peer"
-	"crocusramp.dev/crocusramp/pkg/platform"
-	"crocusramp.dev/crocusramp/pkg/platform/directory"
-	"crocusramp.dev/crocusramp/pkg/platform/dynamo"
-	"crocusramp.dev/crocusramp/pkg/platform/objects"
 	"crocusramp.dev/crocusramp/pkg/route"
 	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/pkg/storage/directory"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
+	"crocusramp.dev/crocusramp/platform"
 )
 
 const (
@@ -63,7 +62,7 @@
 
 	loop      *control.Loop
 	dialer    *peer.Dialer
-	table     platform.Table
+	table     storage.Table
 	members   *member.Prober
 	leases    *lease.Manager
 	feed      *feed.Feed
@@ -139,16 +138,11 @@
 // buildControl builds what the control loop owns.
 func (d *Daemon) buildControl() {
 	s := d.settings
-	d.table = dynamo.New(dynamo.Config{
-		Endpoint: s.Platform.Table.Endpoint, Region: s.Platform.Table.Region, Table: s.Platform.Table.Name,
-		AccessKey: s.Platform.Table.AccessKey, SecretKey: s.Platform.Table.SecretKey,
-		Timeout: s.Platform.Table.Timeout.Duration,
-	})
-	store := objects.New(objects.Config{
-		Endpoint: s.Platform.Objects.Endpoint, Region: s.Platform.Objects.Region, Bucket: s.Platform.Objects.Name,
-		AccessKey: s.Platform.Objects.AccessKey, SecretKey: s.Platform.Objects.SecretKey,
-		Timeout: s.Platform.Objects.Timeout.Duration,
+	store := platform.NewStore(platform.StoreConfig{
+		Address: s.Platform.Store.Address, ReadsPerSecond: s.Platform.Store.ReadsPerSecond,
+		WritesPerSecond: s.Platform.Store.WritesPerSecond, Metrics: d.registry,
 	})
+	d.table = platform.NewTable(store)
 	d.members = member.NewProber(member.Config{
 		Self: d.self, Directory: directory.New(s.Platform.Directory.URL), Dialer: d.dialer,
 		Loop: d.loop, Clock: clock.System{}, Log: d.log, Local: d.describe,
@@ -162,7 +156,7 @@
 		Log:    d.log, Metrics: d.registry,
 	})
 	d.feed = feed.New(feed.Config{
-		Table: d.table, Objects: store, Loop: d.loop, Clock: clock.System{}, Members: d.members,
+		Table: d.table, Objects: platform.NewObjects(store), Loop: d.loop, Clock: clock.System{}, Members: d.members,
 		Self: d.self, Peers: d.dialer, Log: d.log, Metrics: d.registry,
 		Freshness: s.Feed.FreshFor.Duration, Poll: s.Feed.Poll.Duration,
 		RelayLease: s.Feed.RelayLease.Duration,
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -16,13 +16,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusramp.dev/crocusramp/pkg/daemon"
-	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/standin/directory"
-	"crocusramp.dev/crocusramp/pkg/standin/objects"
-	"crocusramp.dev/crocusramp/pkg/standin/table"
 	"crocusramp.dev/crocusramp/pkg/standin/target"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
+	"crocusramp.dev/crocusramp/platform/standin"
 )
 
 const (
@@ -105,21 +104,17 @@
 
 func (f *fleet) startPlatform() error {
 	f.directory = directory.New()
-	addresses := make([]string, 0, 3)
-	for _, h := range []http.Handler{table.New().Handler(), objects.New().Handler(), f.directory.Handler()} {
+	addresses := make([]string, 0, 2)
+	for _, h := range []http.Handler{standin.New().Handler(), f.directory.Handler()} {
 		address, err := f.serve(h)
 		if err != nil {
 			return err
 		}
 		addresses = append(addresses, address)
 	}
-	service := func(address string) settings.Service {
-		return settings.Service{Endpoint: "http://" + address, Region: "local", Name: "crocusramp", AccessKey: "dev", SecretKey: "dev"}
-	}
 	f.platform = settings.Platform{
-		Table:     service(addresses[0]),
-		Objects:   service(addresses[1]),
-		Directory: settings.Directory{URL: "http://" + addresses[2] + "/"},
+		Store:     settings.Store{Address: addresses[0]},
+		Directory: settings.Directory{URL: "http://" + addresses[1] + "/"},
 	}
 	return nil
 }
@@ -148,7 +143,7 @@
 
 // addVMs binds the listeners of every VM, then tells the platform's list.
 func (f *fleet) addVMs(ctx context.Context, c *daemon.DevCommand) error {
-	var list []platform.VM
+	var list []storage.VM
 	for i, callers := range c.Callers {
 		operators := anyPort
 		if i == 0 {
@@ -163,7 +158,7 @@
 			return err
 		}
 		f.daemons = append(f.daemons, d)
-		list = append(list, platform.VM{ID: s.VM.ID, PeerAddress: d.PeerAddress(), State: platform.VMLive})
+		list = append(list, storage.VM{ID: s.VM.ID, PeerAddress: d.PeerAddress(), State: storage.VMLive})
 	}
 	f.directory.Set(list)
 	return nil
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -14,9 +14,9 @@
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/lease"
 	"crocusramp.dev/crocusramp/pkg/member"
-	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -38,7 +38,7 @@
 // registry knows which VMs are registered. Each has a fixed and equal part of
 // every bound that holds for the fleet, whether it runs or not, so that a VM that
 // is cut off from the others never uses more than its own. It implements
-// platform.Directory and lease.Holder.
+// storage.Directory and lease.Holder.
 type registry struct {
 	self    Registration
 	started clock.Time
@@ -90,14 +90,14 @@
 func (r *registry) Holding() *lease.Holding { return r.holding.Load() }
 
 // VMs returns the registered VMs.
-func (r *registry) VMs(context.Context) ([]platform.VM, error) {
+func (r *registry) VMs(context.Context) ([]storage.VM, error) {
 	list := *r.vms.Load()
 	if len(list) == 0 {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
-	out := make([]platform.VM, len(list))
+	out := make([]storage.VM, len(list))
 	for i, v := range list {
-		out[i] = platform.VM{ID: v.ID, PeerAddress: v.PeerAddress, State: platform.VMLive}
+		out[i] = storage.VM{ID: v.ID, PeerAddress: v.PeerAddress, State: storage.VMLive}
 	}
 	return out, nil
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -22,9 +22,9 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peer"
-	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // Limits bounds what a caller may send.
@@ -68,7 +68,7 @@
 	RegionOf func(netip.Addr) (region string, ok bool)
 	Peers    *peer.Dialer
 	// Table keeps the claims of at-most-once requests.
-	Table   platform.Table
+	Table   storage.Table
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Metrics metrics.Registry
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -18,7 +18,7 @@
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/peer"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -57,8 +57,8 @@
 
 // Config holds what a Feed needs.
 type Config struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	// Loop owns the feed's state.
 	Loop    *control.Loop
 	Clock   clock.Clock
--- a/pkg/feed/log.go
+++ b/pkg/feed/log.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"crocusramp.dev/crocusramp/pkg/config"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -23,8 +23,8 @@
 // store reads and writes the log of changes in the platform's table, and the
 // snapshots in its object store.
 type store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   storage.Table
+	objects storage.Objects
 }
 
 // pointer is the value of the pointer row.
@@ -33,8 +33,8 @@
 	Object  string `json:"object"`
 }
 
-func rowKey(version int64) platform.Key {
-	return platform.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", version)}
+func rowKey(version int64) storage.Key {
+	return storage.Key{Partition: logPartition, Sort: fmt.Sprintf("%020d", version)}
 }
 
 func objectName(version int64) string { return fmt.Sprintf("config/%020d.json", version) }
@@ -42,7 +42,7 @@
 // create appends the change. The row of its version must not exist, so that
 // at most one change wins a version.
 func (s *store) create(ctx context.Context, e entry) error {
-	return s.table.Transact(ctx, []platform.Write{{Key: rowKey(e.change.Version), Value: e.data}})
+	return s.table.Transact(ctx, []storage.Write{{Key: rowKey(e.change.Version), Value: e.data}})
 }
 
 // get reads the change that made a version.
@@ -77,7 +77,7 @@
 	}
 }
 
-func decodeRow(item platform.Item) (entry, error) {
+func decodeRow(item storage.Item) (entry, error) {
 	ch, err := config.DecodeChange(item.Value)
 	if err != nil {
 		return entry{}, fmt.Errorf("row %s: %w", item.Sort, err)
@@ -112,8 +112,8 @@
 
 // pointer reads the pointer row and its revision, 0 if there is none.
 func (s *store) pointer(ctx context.Context) (pointer, int64, error) {
-	item, err := s.table.Get(ctx, platform.Key{Partition: pointerPartition, Sort: pointerSort})
-	if errors.Is(err, platform.ErrNotFound) {
+	item, err := s.table.Get(ctx, storage.Key{Partition: pointerPartition, Sort: pointerSort})
+	if errors.Is(err, storage.ErrNotFound) {
 		return pointer{}, 0, nil
 	}
 	if err != nil {
@@ -144,8 +144,8 @@
 	if err != nil {
 		return err
 	}
-	return s.table.Transact(ctx, []platform.Write{{
-		Key:        platform.Key{Partition: pointerPartition, Sort: pointerSort},
+	return s.table.Transact(ctx, []storage.Write{{
+		Key:        storage.Key{Partition: pointerPartition, Sort: pointerSort},
 		IfRevision: revision,
 		Value:      value,
 	}})
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // relayPartition holds one row for each failure domain: the lease of the VM
@@ -86,12 +86,12 @@
 func (f *Feed) campaign(ctx context.Context, o observation) (observation, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
 	defer cancel()
-	key := platform.Key{Partition: relayPartition, Sort: f.cfg.Self.FailureDomain}
+	key := storage.Key{Partition: relayPartition, Sort: f.cfg.Self.FailureDomain}
 	item, err := f.cfg.Table.Get(ctx, key)
 	var row relayRow
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		item = platform.Item{}
+	case errors.Is(err, storage.ErrNotFound):
+		item = storage.Item{}
 	case err != nil:
 		return o, fmt.Errorf("read relay lease: %w", err)
 	default:
@@ -108,7 +108,7 @@
 	if err != nil {
 		return o, err
 	}
-	err = f.cfg.Table.Transact(ctx, []platform.Write{{Key: key, IfRevision: item.Revision, Value: value}})
+	err = f.cfg.Table.Transact(ctx, []storage.Write{{Key: key, IfRevision: item.Revision, Value: value}})
 	if err != nil {
 		return o, fmt.Errorf("write relay lease: %w", err)
 	}
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -13,7 +13,7 @@
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/member"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -43,7 +43,7 @@
 
 // Config says what a Manager works on.
 type Config struct {
-	Table   platform.Table
+	Table   storage.Table
 	Loop    *control.Loop
 	Clock   clock.Clock
 	Members member.Source
@@ -189,7 +189,7 @@
 		return fmt.Errorf("read slots: %w", err)
 	}
 	end := m.cfg.Clock.Now()
-	planned := make(chan []platform.Write, 1)
+	planned := make(chan []storage.Write, 1)
 	if !m.cfg.Loop.Call(ctx, func() { planned <- m.decide(items, start, end) }) {
 		return fmt.Errorf("decide on slots: %w", errNotDecided)
 	}
@@ -205,8 +205,8 @@
 	return nil
 }
 
-func (m *Manager) list(ctx context.Context) ([]platform.Item, error) {
-	var all []platform.Item
+func (m *Manager) list(ctx context.Context) ([]storage.Item, error) {
+	var all []storage.Item
 	after := ""
 	for {
 		items, err := m.cfg.Table.List(ctx, partition, after, m.cfg.Slots)
@@ -223,7 +223,7 @@
 
 // decide runs on the loop. Slots that are given up are out of the published
 // holding before the writes that say so are sent.
-func (m *Manager) decide(items []platform.Item, start, end clock.Time) []platform.Write {
+func (m *Manager) decide(items []storage.Item, start, end clock.Time) []storage.Write {
 	m.state.observe(items, end)
 	writes := m.state.plan(m.cfg.Members.View(), start, m.cfg.Clock.Now())
 	m.publish()
@@ -231,8 +231,8 @@
 }
 
 // settle runs on the loop.
-func (m *Manager) settle(writes []platform.Write, err error) {
-	var conflict *platform.ConflictError
+func (m *Manager) settle(writes []storage.Write, err error) {
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		m.conflicts.Inc(1)
 	}
--- a/pkg/lease/state.go
+++ b/pkg/lease/state.go
@@ -9,7 +9,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/member"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // partition holds one item for each slot, sorted by zero-padded index.
@@ -29,8 +29,8 @@
 	Idle bool `json:"idle,omitempty"`
 }
 
-func key(index int) platform.Key {
-	return platform.Key{Partition: partition, Sort: fmt.Sprintf("%06d", index)}
+func key(index int) storage.Key {
+	return storage.Key{Partition: partition, Sort: fmt.Sprintf("%06d", index)}
 }
 
 // terms are the fixed parameters of the state machine.
@@ -108,8 +108,8 @@
 }
 
 // observe takes in a complete read of the partition that ended at end.
-func (s *state) observe(items []platform.Item, end clock.Time) {
-	present := map[string]platform.Item{}
+func (s *state) observe(items []storage.Item, end clock.Time) {
+	present := map[string]storage.Item{}
 	for _, item := range items {
 		present[item.Sort] = item
 	}
@@ -124,7 +124,7 @@
 	}
 }
 
-func (s *state) observeRow(index int, item platform.Item, end clock.Time) {
+func (s *state) observeRow(index int, item storage.Item, end clock.Time) {
 	seen, known := s.rows[index]
 	if known && item.Revision < seen.revision {
 		return
@@ -175,7 +175,7 @@
 }
 
 // written takes in the result of a transaction that plan returned.
-func (s *state) written(writes []platform.Write, err error, now clock.Time) {
+func (s *state) written(writes []storage.Write, err error, now clock.Time) {
 	if err != nil {
 		return // Reading back settles it; a write that failed changed nothing.
 	}
@@ -190,7 +190,7 @@
 	}
 }
 
-func decode(w platform.Write) (int, Row) {
+func decode(w storage.Write) (int, Row) {
 	index, err := strconv.Atoi(w.Sort)
 	if err != nil {
 		panic(fmt.Sprintf("lease: own key does not decode: %v", err))
@@ -205,7 +205,7 @@
 // plan returns the writes of the next transaction, or none: it gives up slots
 // first, then renews, then takes. The slots that it gives up are out of use
 // from now on.
-func (s *state) plan(view *member.View, readStart, now clock.Time) []platform.Write {
+func (s *state) plan(view *member.View, readStart, now clock.Time) []storage.Write {
 	s.noteVacant(view, readStart)
 	if s.stopping {
 		s.giveAll()
@@ -221,8 +221,8 @@
 	return s.takeovers(view, now)
 }
 
-func (s *state) releases() []platform.Write {
-	var writes []platform.Write
+func (s *state) releases() []storage.Write {
+	var writes []storage.Write
 	for index := range s.slots {
 		if s.giving[index] {
 			writes = append(writes, s.write(index, true))
@@ -233,9 +233,9 @@
 
 // renewals renews everything that is held as soon as one slot is due, to keep
 // all in one transaction.
-func (s *state) renewals(now clock.Time) []platform.Write {
+func (s *state) renewals(now clock.Time) []storage.Write {
 	due := false
-	var writes []platform.Write
+	var writes []storage.Write
 	for index := range s.slots {
 		if h, ok := s.held[index]; ok && !now.Before(h.renewed.Add(s.duration/3)) {
 			due = true
@@ -252,8 +252,8 @@
 	return limitWrites(writes)
 }
 
-func (s *state) takeovers(view *member.View, now clock.Time) []platform.Write {
-	var writes []platform.Write
+func (s *state) takeovers(view *member.View, now clock.Time) []storage.Write {
+	var writes []storage.Write
 	assigned := s.assign(view)
 	for index := range s.slots {
 		since, vacant := s.vacant[index]
@@ -274,7 +274,7 @@
 }
 
 // attemptWrite makes the write by which this VM takes or renews a slot.
-func (s *state) attemptWrite(index int, now clock.Time) platform.Write {
+func (s *state) attemptWrite(index int, now clock.Time) storage.Write {
 	w := s.write(index, false)
 	s.attempts[index] = append(s.attempts[index], attempt{
 		counter: s.counter, sent: now, created: w.IfRevision == 0, idle: s.rows[index].row.Released && s.rows[index].row.Idle,
@@ -282,7 +282,7 @@
 	return w
 }
 
-func (s *state) write(index int, released bool) platform.Write {
+func (s *state) write(index int, released bool) storage.Write {
 	s.counter++
 	row := Row{
 		VM: s.self.ID, Incarnation: s.self.Incarnation, Counter: s.counter,
@@ -293,11 +293,11 @@
 	if err != nil {
 		panic(fmt.Sprintf("lease: row does not encode: %v", err))
 	}
-	return platform.Write{Key: key(index), IfRevision: s.rows[index].revision, Value: value}
+	return storage.Write{Key: key(index), IfRevision: s.rows[index].revision, Value: value}
 }
 
-func limitWrites(w []platform.Write) []platform.Write {
-	return w[:min(len(w), platform.MaxTransactWrites)]
+func limitWrites(w []storage.Write) []storage.Write {
+	return w[:min(len(w), storage.MaxTransactWrites)]
 }
 
 // stop gives up every slot and takes none from now on.
--- a/pkg/limit/settle.go
+++ b/pkg/limit/settle.go
@@ -9,7 +9,7 @@
 	"time"
 
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -76,7 +76,7 @@
 // AwaitSettled returns true once no VM may use what an earlier incarnation of
 // this one lent: each has said so, or nothing runs at its address. It returns
 // false where that takes as long as the loans themselves.
-func (s *Service) AwaitSettled(ctx context.Context, vms []platform.VM) bool {
+func (s *Service) AwaitSettled(ctx context.Context, vms []storage.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	self := s.cfg.Members.View().Self
@@ -91,7 +91,7 @@
 }
 
 // awaitSettledAt returns when one VM holds nothing, or ctx ends.
-func (s *Service) awaitSettledAt(ctx context.Context, vm platform.VM, id, incarnation string) {
+func (s *Service) awaitSettledAt(ctx context.Context, vm storage.VM, id, incarnation string) {
 	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(vm.PeerAddress), s.cfg.Peers.HTTP())
 	for refused := 0; ctx.Err() == nil; {
 		call, cancel := context.WithTimeout(ctx, holdsTimeout)
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -14,7 +14,7 @@
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/peer"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // Default timings.
@@ -37,7 +37,7 @@
 // Config sets up a Prober. All fields without a default are required.
 type Config struct {
 	Self      Peer
-	Directory platform.Directory
+	Directory storage.Directory
 	Dialer    *peer.Dialer
 	Loop      *control.Loop
 	Clock     clock.Clock
--- a/pkg/member/roster.go
+++ b/pkg/member/roster.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -43,7 +43,7 @@
 	peer     Peer
 	refused  int
 	failed   int
-	listed   platform.VMState
+	listed   storage.VMState
 	probedAt clock.Time
 }
 
@@ -60,7 +60,7 @@
 }
 
 // applyList takes over the platform's list, read at started.
-func (r *roster) applyList(vms []platform.VM, started clock.Time) {
+func (r *roster) applyList(vms []storage.VM, started clock.Time) {
 	r.complete, r.listed = true, started
 	present := map[string]bool{}
 	for _, vm := range vms {
@@ -75,7 +75,7 @@
 		}
 		e.peer.PeerAddress = vm.PeerAddress
 		e.listed = vm.State
-		if vm.State == platform.VMLeaving && e.peer.State == Live {
+		if vm.State == storage.VMLeaving && e.peer.State == Live {
 			e.peer.State = Leaving
 		}
 	}
@@ -119,7 +119,7 @@
 	e.refused, e.failed = 0, 0
 	e.peer = p.Peer
 	e.peer.ID, e.peer.PeerAddress, e.peer.Seen = p.ID, address, p.Sent
-	if e.listed == platform.VMLeaving && e.peer.State == Live {
+	if e.listed == storage.VMLeaving && e.peer.State == Live {
 		e.peer.State = Leaving
 	}
 }
--- a/pkg/operator/writer.go
+++ b/pkg/operator/writer.go
@@ -11,7 +11,7 @@
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/feed"
 	"crocusramp.dev/crocusramp/pkg/keys"
-	"crocusramp.dev/crocusramp/pkg/platform"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // The metadata of errors.
@@ -107,7 +107,7 @@
 		return twirp.NewError(twirp.NotFound, message)
 	case errors.Is(err, config.ErrExists):
 		return twirp.NewError(twirp.AlreadyExists, message)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return unavailable(errors.New(message))
 	default:
 		return twirp.NewError(twirp.Internal, message)
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -68,8 +68,6 @@
 	if s.Log.Format == "" {
 		s.Log.Format = "json"
 	}
-	orDefault(&s.Platform.Table.Timeout, defaultServiceTimeout)
-	orDefault(&s.Platform.Objects.Timeout, defaultServiceTimeout)
 	orDefault(&s.Platform.Directory.Timeout, defaultServiceTimeout)
 	orDefault(&s.Platform.Directory.Poll, defaultListPoll)
 	orDefault(&s.Lease.Duration, defaultLease)
@@ -237,23 +235,10 @@
 }
 
 func (s *Settings) checkPlatform() error {
-	urls := []struct{ name, value string }{
-		{"platform.table.endpoint", s.Platform.Table.Endpoint},
-		{"platform.objects.endpoint", s.Platform.Objects.Endpoint},
-		{"platform.directory.url", s.Platform.Directory.URL},
-	}
-	for _, f := range urls {
-		if err := checkURL(f.name, f.value); err != nil {
-			return err
-		}
-	}
-	if s.Platform.Table.Name == "" {
-		return invalid("platform.table.name", "missing")
-	}
-	if s.Platform.Objects.Name == "" {
-		return invalid("platform.objects.name", "missing")
+	if err := checkAddress("platform.store.address", s.Platform.Store.Address); err != nil {
+		return err
 	}
-	return nil
+	return checkURL("platform.directory.url", s.Platform.Directory.URL)
 }
 
 func checkURL(field, value string) error {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -99,25 +99,10 @@
 
 // Platform says where the platform's services are.
 type Platform struct {
-	Table     Service   `json:"table"`
-	Objects   Service   `json:"objects"`
+	Store     Store     `json:"store"`
 	Directory Directory `json:"directory"`
 }
 
-// Service is a table or an object store.
-type Service struct {
-	// Endpoint is the service's URL.
-	Endpoint string `json:"endpoint"`
-	// Region is the platform's region name that requests are signed for.
-	Region string `json:"region"`
-	// Name is the table's or the bucket's name.
-	Name      string `json:"name"`
-	AccessKey string `json:"access_key"`
-	SecretKey string `json:"secret_key"`
-	// Timeout bounds one call, 2 s by default.
-	Timeout Duration `json:"timeout"`
-}
-
 // Directory is the platform's list of VMs.
 type Directory struct {
 	URL string `json:"url"`
--- a/pkg/standin/directory/directory.go
+++ b/pkg/standin/directory/directory.go
@@ -7,15 +7,15 @@
 	"sync"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/platform"
 	"crocusramp.dev/crocusramp/pkg/standin/fault"
 	"crocusramp.dev/crocusramp/pkg/standin/internal/admin"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // version is a list that was set at an instant.
 type version struct {
 	at  time.Time
-	vms []platform.VM
+	vms []storage.VM
 }
 
 // Server is the list of VMs.
@@ -34,7 +34,7 @@
 func (s *Server) Faults() *fault.Injector { return s.faults }
 
 // Set replaces the list. Readers see it once the lag has passed.
-func (s *Server) Set(vms []platform.VM) {
+func (s *Server) Set(vms []storage.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, version{time.Now(), vms})
@@ -66,7 +66,7 @@
 
 // list is the JSON body of the service.
 type list struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []storage.VM `json:"vms"`
 }
 
 func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
@@ -75,7 +75,7 @@
 
 // visible returns the newest list that is older than the lag. The first list
 // is visible at once, since an empty one would mean that VMs were removed.
-func (s *Server) visible(now time.Time) []platform.VM {
+func (s *Server) visible(now time.Time) []storage.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := len(s.versions) - 1; i >= 0; i-- {
@@ -83,7 +83,7 @@
 			return v.vms
 		}
 	}
-	return []platform.VM{}
+	return []storage.VM{}
 }
 
 func (s *Server) serveSet(w http.ResponseWriter, r *http.Request) {
--- a/pkg/platform/platform.go
+++ b/pkg/storage/platform.go
@@ -1,7 +1,7 @@
-// Package platform declares the services that the platform provides: a
-// transactional table, an object store and a list of VMs. Adapters for their
-// published protocols live in packages below this one.
-package platform
+// Package storage declares what the product keeps outside its processes: a
+// transactional table, an object store and a list of VMs. The platform folder
+// implements the first two.
+package storage
 
 import (
 	"context"
@@ -32,9 +32,9 @@
 	return fmt.Sprintf("condition failed for writes %v", e.Failed)
 }
 
-// MaxTransactWrites is the largest number of writes in one transaction, the
-// limit of DynamoDB's TransactWriteItems.
-const MaxTransactWrites = 100
+// MaxTransactWrites is the largest number of writes in one transaction. The
+// platform's store takes 100 entries, and each write has a condition of its own.
+const MaxTransactWrites = 50
 
 // Key names an item: items of one partition are listed in order of Sort.
 type Key struct {
