--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -93,6 +93,8 @@
 	Rank int `json:"rank,omitempty"`
 	// Regions are where requests may run; none means everywhere.
 	Regions []string `json:"regions,omitempty"`
+	// Bulky answers are large; they stay in the caller's region where they can.
+	Bulky bool `json:"bulky,omitempty"`
 	// Sticky says that a target runs a request faster that has lately handled
 	// the same object.
 	Sticky bool `json:"sticky,omitempty"`
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -14,9 +14,10 @@
 const (
 	// stopNotice is how long a stopping VM still takes requests: callers keep
 	// look-ups and connections for locateTTL, some for longer.
-	stopNotice = 3200 * time.Millisecond
-	// stopReserve is the part of the grace that is left for closing.
-	stopReserve = 400 * time.Millisecond
+	stopNotice = 2900 * time.Millisecond
+	// stopReserve is the part of the grace that is left for closing. A process that
+	// is killed at the end of the grace has stopped ungracefully.
+	stopReserve = 900 * time.Millisecond
 	// releaseTimeout bounds handing back borrowed parts of limits.
 	releaseTimeout = 300 * time.Millisecond
 )
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -133,9 +133,13 @@
 	s := c.s.cfg.Targets.Snapshot()
 	c.version = s.Version
 	pool := s.Pools[c.pool]
-	regions := placement.ChooseRegions(c.hash(), c.s.cfg.Parts(c.pool), func(region string) bool {
+	parts := c.s.cfg.Parts(c.pool)
+	regions := placement.ChooseRegions(c.hash(), parts, func(region string) bool {
 		return c.allowed(region) && len(c.usable(pool[region])) > 0
 	})
+	if c.route.Bulky {
+		regions = placement.HomeFirst(regions, c.s.cfg.Region, parts)
+	}
 	for i, region := range regions {
 		if i > 0 && !c.s.spill.may(now) {
 			return nil
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -75,6 +75,21 @@
 	return order
 }
 
+// homePart is the least part of a region's requests that must run there for
+// bulky answers to stay: below, the region has no room.
+const homePart = 0.25
+
+// HomeFirst puts the caller's region first where it has room, as for bulky
+// answers, whose bytes cost more between regions than a cold run.
+func HomeFirst(order []string, home string, parts []Part) []string {
+	at := slices.Index(order, home)
+	room := slices.ContainsFunc(parts, func(p Part) bool { return p.Region == home && p.Fraction >= homePart })
+	if at <= 0 || !room {
+		return order
+	}
+	return slices.Insert(slices.Delete(slices.Clone(order), at, at+1), 0, home)
+}
+
 // Candidate is a target as the ranking sees it.
 type Candidate struct {
 	// ID is a hash of the target's identity.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
 )
 
 func pool(n int) []Candidate {
@@ -75,6 +76,24 @@
 	return Occupancy{Load: load, Slots: 9, Service: service, Usable: true}
 }
 
+func TestHomeFirst(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		order []string
+		parts []Part
+		want  []string
+	}{
+		{"room at home", []string{"b", "a", "c"}, []Part{{"a", 0.3}, {"b", 0.7}}, []string{"a", "b", "c"}},
+		{"no room at home", []string{"b", "a", "c"}, []Part{{"a", 0.2}, {"b", 0.8}}, []string{"b", "a", "c"}},
+		{"home first already", []string{"a", "b"}, []Part{{"a", 1}}, []string{"a", "b"}},
+		{"home not usable", []string{"b", "c"}, []Part{{"a", 1}}, []string{"b", "c"}},
+	} {
+		if diff := cmp.Diff(tt.want, HomeFirst(tt.order, "a", tt.parts)); diff != "" {
+			t.Errorf("%s: %s", tt.name, diff)
+		}
+	}
+}
+
 func TestChoose(t *testing.T) {
 	const (
 		objective = 250 * time.Millisecond
