target: an entry that comes back unchanged is the same target

Change: the incarnation of a vanished entry is remembered for 30 s; a removal of more than 0.6 of all targets at once is a lapse, and held for the 2 s that the platform names.

TestLapsedEntryComesBackLate fails without it.

--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -19,12 +19,17 @@
 	loadMemory = 700 * time.Millisecond
 	// removalHold is how long targets that vanished from the list are kept where
 	// the list had been unreadable. The platform promises that live targets are
-	// back about 2 s after the list's return, and holds a VM to the list 3 s after
-	// it, of which up to 1 s passes until the VM reads it again.
-	removalHold = 1600 * time.Millisecond
+	// back about 2 s after the list's return.
+	removalHold = 2 * time.Second
+	// gravePeriod is how long the incarnation of a vanished entry is remembered: one
+	// that comes back unchanged has not started anew.
+	gravePeriod = 30 * time.Second
 	// massRemoval is the part of all targets whose removal at once may be a
 	// lapse of the list rather than their end.
 	massRemoval = 0.25
+	// lapsedPart is the part whose removal at once is taken for a lapse that this VM
+	// did not notice: no planned work takes so many away.
+	lapsedPart = 0.6
 	// minMassRemoval is the least number that counts as a mass.
 	minMassRemoval = 3
 	// heldPart is the part of a region's capacity up to which kept targets get
@@ -231,12 +236,19 @@
 	hold      time.Duration
 }
 
+// grave is an incarnation whose entry vanished.
+type grave struct {
+	live *Live
+	at   time.Time
+}
+
 // Registry folds the platform's list of targets into snapshots. It has no I/O
 // and no clock.
 type Registry struct {
 	mu       sync.Mutex
 	regions  map[string]string // region by failure domain
 	records  map[string]*record
+	graves   map[string]grave
 	services map[string]*config.Service
 	// evacuated holds the failure domains that get nothing.
 	evacuated map[string]bool
@@ -249,7 +261,7 @@
 // NewRegistry returns an empty registry. regions names the region of each
 // failure domain.
 func NewRegistry(regions map[string]string) *Registry {
-	r := &Registry{regions: regions, records: map[string]*record{}, evacuated: map[string]bool{}}
+	r := &Registry{regions: regions, records: map[string]*record{}, graves: map[string]grave{}, evacuated: map[string]bool{}}
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
@@ -265,9 +277,12 @@
 	defer r.mu.Unlock()
 	rec := r.records[e.ID]
 	if rec == nil || !rec.live.same(&e) {
-		rec = &record{live: r.newLive(e)}
-		r.records[e.ID] = rec
-		fresh = true
+		rec, fresh = r.enter(e)
+		if !fresh {
+			rec.live.SetCold(e.ColdFor, now)
+			rec.draining = e.Draining
+			return rec.live, false
+		}
 		if s := r.services[e.Pool]; s != nil && !first {
 			rec.live.SetCold(s.ColdStart, now)
 		}
@@ -278,6 +293,28 @@
 	return rec.live, fresh
 }
 
+// enter makes the record of an entry; fresh is false for an incarnation whose
+// entry had vanished.
+func (r *Registry) enter(e Entry) (rec *record, fresh bool) {
+	rec = &record{}
+	r.records[e.ID] = rec
+	if g, ok := r.graves[e.ID]; ok && g.live.same(&e) && e.Born != 0 {
+		delete(r.graves, e.ID)
+		rec.live = g.live
+		return rec, false
+	}
+	rec.live = r.newLive(e)
+	return rec, true
+}
+
+// bury forgets a record and remembers its incarnation.
+func (r *Registry) bury(id string, now time.Time) *Live {
+	l := r.records[id].live
+	delete(r.records, id)
+	r.graves[id] = grave{l, now}
+	return l
+}
+
 // same reports whether the entry is of this incarnation.
 func (l *Live) same(e *Entry) bool {
 	return l.Born == e.Born && l.Address == e.Address && l.Pool == e.Pool && l.FailureDomain == e.FailureDomain && l.Slots == e.Slots
@@ -312,6 +349,8 @@
 	switch {
 	case now.Sub(r.returned) < removalHold && !r.returned.IsZero():
 		hold = r.returned.Add(removalHold).Sub(now)
+	case len(ids) >= minMassRemoval && float64(len(ids)) > lapsedPart*float64(len(r.records)):
+		hold = removalHold
 	case len(ids) >= minMassRemoval && float64(len(ids)) > massRemoval*float64(len(r.records)):
 		// A lapse ends sooner than the time in which a target that has left
 		// must get nothing.
@@ -324,8 +363,7 @@
 			continue
 		}
 		if hold <= 0 || rec.draining {
-			delete(r.records, id)
-			out.Gone = append(out.Gone, rec.live)
+			out.Gone = append(out.Gone, r.bury(id, now))
 			continue
 		}
 		rec.removedAt, rec.hold = now, hold
@@ -341,8 +379,12 @@
 	var gone []*Live
 	for id, rec := range r.records {
 		if !rec.removedAt.IsZero() && now.Sub(rec.removedAt) >= rec.hold {
-			delete(r.records, id)
-			gone = append(gone, rec.live)
+			gone = append(gone, r.bury(id, now))
+		}
+	}
+	for id, g := range r.graves {
+		if now.Sub(g.at) > gravePeriod {
+			delete(r.graves, id)
 		}
 	}
 	return gone
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -94,12 +94,37 @@
 	expectIDs(t, r, "t1")
 }
 
+// TestLapsedEntryComesBackLate: entries came back after they had been given up.
+// They counted as new and cold, and the whole fleet was held to the cold rate for
+// 3 s (deploy/days/store-lapse.toml: seconds 10 to 13).
+func TestLapsedEntryComesBackLate(t *testing.T) {
+	r := started(4)
+	before := r.Snapshot().Pools["s"]["east"][0]
+	r.Remove([]string{"t0", "t1", "t2", "t3"}, true, drain, t0)
+	r.Expire(t0.Add(removalHold))
+	expectIDs(t, r)
+	back := t0.Add(removalHold + time.Second)
+	l, fresh := r.Upsert(entry(0, "fd-a"), false, back)
+	if fresh || l != before || l.Cold(back) {
+		t.Errorf("new %v, cold %v; want the incarnation from before", fresh, l.Cold(back))
+	}
+	later := t0.Add(gravePeriod + 2*removalHold)
+	r.Expire(later)
+	if _, fresh := r.Upsert(entry(1, "fd-a"), false, later); !fresh {
+		t.Error("an entry that was gone for long is a new target")
+	}
+}
+
 func TestRemovalWithoutOutage(t *testing.T) {
 	r := started(10)
 	if got := r.Remove([]string{"t0"}, false, drain, t0); len(got.Gone) != 1 {
 		t.Errorf("one target that left: %+v", got)
 	}
 	if got := r.Remove([]string{"t1", "t2", "t3", "t4"}, false, drain, t0); len(got.Held) != 4 || got.Until.Sub(t0) > drain {
+		t.Errorf("a part of the targets vanished together: %+v", got)
+	}
+	r = started(10)
+	if got := r.Remove([]string{"t0", "t1", "t2", "t3", "t4", "t5", "t6"}, false, drain, t0); len(got.Held) != 7 || got.Until.Sub(t0) != removalHold {
 		t.Errorf("a lapse that nobody noticed: %+v", got)
 	}
 }
