edge: a VM that stops leaves its part of the limits to the others, and finds it again

Excluded: rates (the accounts were under theirs), the store (in force 0.3 s after each start).

Change: a stopping VM lends and extends no more from SIGTERM on, so that nothing is lent when it ends, and removes its row. Parts grow 4 s after a row is gone.

Left: the part of a VM that is lost without SIGTERM rests until it returns.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -23,6 +23,7 @@
 	defer ticker.Stop()
 	for {
 		d.rebalance(balancers, time.Now())
+		d.fleet.refresh(d.clock.Now())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -399,10 +399,10 @@
 			}
 			d.vms[c.Key] = v
 		}
-		if d.vms[d.fleet.self.ID] != d.fleet.self {
+		if d.vms[d.fleet.self.ID] != d.fleet.self && !d.leaving.Load() {
 			d.register(ctx)
 		}
-		d.fleet.set(sortedRegistrations(d.vms))
+		d.fleet.set(sortedRegistrations(d.vms), d.clock.Now())
 		if len(u.Changes) > 0 {
 			d.log.Info().Int("vms", len(d.vms)).Int64("row", u.Version).Msg("registered VMs")
 		}
@@ -422,7 +422,7 @@
 	started := time.Now()
 	vms, err := d.fleet.VMs(ctx)
 	settled := err == nil && d.limiter.AwaitSettled(ctx, vms)
-	d.fleet.endWait(settled)
+	d.fleet.endWait(settled, d.clock.Now())
 	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("own part of the limits")
 }
 
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -46,9 +46,12 @@
 	// an earlier process of the VM; waited, that this was asked for in vain.
 	settled, waited atomic.Bool
 	mu              sync.Mutex // serializes set
-	vms             atomic.Pointer[[]Registration]
-	holding         atomic.Pointer[lease.Holding]
-	settings        *atomic.Pointer[settings.Edge]
+	// shrunk is when fewer VMs were registered than the parts are made for; zero
+	// while they are as many.
+	shrunk   clock.Time
+	vms      atomic.Pointer[[]Registration]
+	holding  atomic.Pointer[lease.Holding]
+	settings *atomic.Pointer[settings.Edge]
 }
 
 func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
@@ -59,8 +62,31 @@
 	return r
 }
 
-// set takes over the registered VMs, in order of ID.
-func (r *registry) set(vms []Registration) {
+// shrinkDelay is how long the parts stay as they are after a VM has left: loans
+// of what it held may run that long.
+const shrinkDelay = 4 * time.Second
+
+// total is the number of parts that a bound is divided into at now. It follows a
+// VM that comes at once, and one that leaves after shrinkDelay.
+func (r *registry) total(vms int, now clock.Time) int {
+	old := r.holding.Load().Total
+	if vms >= old {
+		r.shrunk = 0
+		return max(1, vms)
+	}
+	if r.shrunk == 0 {
+		r.shrunk = now
+	}
+	if now.Sub(r.shrunk) < shrinkDelay {
+		return old
+	}
+	r.shrunk = 0
+	return max(1, vms)
+}
+
+// set takes over the registered VMs, in order of ID. It is called again now and
+// then while nothing changes.
+func (r *registry) set(vms []Registration, now clock.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.vms.Store(&vms)
@@ -68,22 +94,26 @@
 	old := r.holding.Load()
 	settled := r.settled.Load()
 	holds := at >= 0 && (settled || r.waited.Load())
-	if old.Total == max(1, len(vms)) && holds == (len(old.Slots) > 0) {
+	total := r.total(len(vms), now)
+	if old.Total == total && holds == (len(old.Slots) > 0) {
 		return
 	}
-	h := &lease.Holding{Total: max(1, len(vms)), Generation: old.Generation + 1}
+	h := &lease.Holding{Total: total, Generation: old.Generation + 1}
 	if holds {
 		h.Slots = []lease.Slot{{Index: at, Since: r.started, Until: farFuture, New: settled}}
 	}
 	r.holding.Store(h)
 }
 
+// refresh makes the parts follow VMs that left some time ago.
+func (r *registry) refresh(now clock.Time) { r.set(*r.vms.Load(), now) }
+
 // endWait lets this VM use its own part: at once where that is settled, else
 // when every loan of an earlier process has ended.
-func (r *registry) endWait(settled bool) {
+func (r *registry) endWait(settled bool, now clock.Time) {
 	r.settled.Store(settled)
 	r.waited.Store(true)
-	r.set(*r.vms.Load())
+	r.set(*r.vms.Load(), now)
 }
 
 // Holding returns this VM's part of the limits.
@@ -103,7 +133,7 @@
 }
 
 // count is the number of VMs that share the bounds.
-func (r *registry) count() int { return max(1, len(*r.vms.Load())) }
+func (r *registry) count() int { return max(1, r.holding.Load().Total) }
 
 // ColdInterval implements ingress.Fleet. A VM may send floor(1 s/interval)+1
 // requests within a second, so only as many VMs use a cold target as the bound
@@ -115,7 +145,7 @@
 		return 0, false
 	}
 	vms := *r.vms.Load()
-	users = min(users, max(1, len(vms)))
+	users = min(users, r.count())
 	if r.rankFor(l.Hash, vms) >= users {
 		return 0, false
 	}
--- /dev/null
+++ b/pkg/edge/fleet_test.go
@@ -0,0 +1,123 @@
+package edge
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+func registrations(n int) []Registration {
+	out := make([]Registration, n)
+	for i := range out {
+		out[i] = Registration{ID: fmt.Sprintf("vm-%02d", i), PeerAddress: fmt.Sprint("10.0.0.", i, ":1")}
+	}
+	return out
+}
+
+func newTestRegistry(id string, firstStart bool) *registry {
+	var s atomic.Pointer[settings.Edge]
+	s.Store(&settings.Edge{Bounds: settings.Bounds{ColdFactor: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatFloor: 60}})
+	return newRegistry(Registration{ID: id, PeerAddress: "10.0.0.0:1"}, 0, firstStart, &s)
+}
+
+// second is a second on the clock of leases.
+const second = clock.Time(time.Second)
+
+func TestPartsOfTheBounds(t *testing.T) {
+	r := newTestRegistry("vm-00", true)
+	if got := r.Holding(); len(got.Slots) != 0 {
+		t.Errorf("a VM that is not registered holds %+v", got)
+	}
+	expect := func(when string, total int) {
+		t.Helper()
+		if got := r.Holding(); got.Total != total || len(got.Slots) != 1 {
+			t.Errorf("%s: %d slots of %d, want 1 of %d", when, len(got.Slots), got.Total, total)
+		}
+	}
+	r.set(registrations(10), 0)
+	expect("ten VMs", 10)
+	r.set(registrations(11), second)
+	expect("one comes", 11)
+	// VMs that leave for good: their parts rested for ever
+	// (deploy/days/fleet-losses.toml: a third of all limits).
+	r.set(registrations(6), 2*second)
+	expect("five leave: what they lent may still be used", 11)
+	r.refresh(2*second + clock.Time(shrinkDelay))
+	expect("later", 6)
+	r.set(registrations(5), 20*second)
+	r.set(registrations(6), 21*second)
+	r.refresh(30 * second)
+	expect("one restarts", 6)
+}
+
+func TestRestartedVMHoldsNothingUntilItIsSettled(t *testing.T) {
+	r := newTestRegistry("vm-00", false)
+	r.set(registrations(3), 0)
+	if got := r.Holding(); len(got.Slots) != 0 {
+		t.Errorf("holds %+v while others may use what it lent", got.Slots)
+	}
+	r.endWait(true, second)
+	if got := r.Holding(); len(got.Slots) != 1 || !got.Slots[0].New {
+		t.Errorf("settled: %+v", got.Slots)
+	}
+}
+
+// TestColdBoundOverTheFleet: whatever VMs there are, and whenever each sends, a
+// cold target gets no more than its bound in any second.
+func TestColdBoundOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 100).Draw(t, "VMs")
+		rate := rapid.Float64Range(0.5, 60).Draw(t, "rate")
+		vms := registrations(n)
+		l := &target.Live{Hash: rapid.Uint64().Draw(t, "target")}
+		sent := 0
+		for i := range vms {
+			r := newTestRegistry(vms[i].ID, true)
+			r.set(vms, 0)
+			interval, ok := r.ColdInterval(l, rate)
+			if !ok {
+				continue
+			}
+			// The most that fits into a second that begins with a request.
+			sent += 1 + int(time.Second/interval)
+		}
+		if bound := rate*1.5 + 5; float64(sent) > bound {
+			t.Fatalf("%d requests in a second, bound %.1f", sent, bound)
+		}
+	})
+}
+
+func TestLocate(t *testing.T) {
+	peer := func(n int, region string, state member.State, missed int) member.Peer {
+		return member.Peer{ID: fmt.Sprint(n), Region: region, State: state, Missed: missed, CallerAddress: fmt.Sprint("vm-", n)}
+	}
+	self := peer(0, "east", member.Live, 0)
+	leaving := peer(0, "east", member.Leaving, 0)
+	for _, tt := range []struct {
+		name   string
+		view   member.View
+		region string
+		want   []string
+	}{
+		{"own region", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Live, 0), peer(2, "west", member.Live, 0)}}, "east", []string{"vm-0", "vm-1"}},
+		{"another region", member.View{Self: self, Peers: []member.Peer{peer(1, "west", member.Live, 0)}}, "west", []string{"vm-1"}},
+		{"nobody there", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Live, 0)}}, "south", []string{"vm-0", "vm-1"}},
+		{"one missed a heartbeat", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Live, 1)}}, "east", []string{"vm-0"}},
+		{"one is leaving, one is gone", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Leaving, 0), peer(2, "east", member.Gone, 2)}}, "east", []string{"vm-0"}},
+		{"this one is leaving", member.View{Self: leaving, Peers: []member.Peer{peer(1, "east", member.Live, 0)}}, "east", []string{"vm-1"}},
+		{"all others are silent", member.View{Self: leaving, Peers: []member.Peer{peer(1, "east", member.Silent, 3)}}, "east", []string{"vm-0"}},
+	} {
+		if diff := cmp.Diff(tt.want, locate(&tt.view, tt.region)); diff != "" {
+			t.Errorf("%s: %s", tt.name, diff)
+		}
+	}
+}
--- a/pkg/limit/exchange.go
+++ b/pkg/limit/exchange.go
@@ -158,7 +158,12 @@
 		return nil, twirp.NewError(twirp.AlreadyExists, "the request was answered before")
 	}
 	out := &peerpb.ExchangeResponse{}
+	stopping := v.s.stopping.Load()
 	for _, q := range r.Accounts {
+		if stopping {
+			// Loans may end early, but none begins or is extended.
+			q = &peerpb.AccountRequest{Account: q.Account, Returns: q.Returns}
+		}
 		if a, c := v.s.account(q.Account); a != nil {
 			out.Accounts = append(out.Accounts, v.s.serve(a, c, q, r.Borrower))
 		}
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -294,6 +294,11 @@
 	return shares
 }
 
+// StopLending neither lends nor extends any more, so that all that was lent has
+// ended settleTime later. A VM that stops calls it first: its next process can
+// then use its share at once.
+func (s *Service) StopLending() { s.stopping.Store(true) }
+
 // Release hands borrowed shares back and asks for no more. What was lent on
 // keeps a share for up to relendDuration; Release waits for it until ctx ends.
 // Loans of this VM's own share end by themselves.
--- a/pkg/limit/settle_test.go
+++ b/pkg/limit/settle_test.go
@@ -98,3 +98,37 @@
 		t.Error("a silent VM may hold a loan")
 	}
 }
+
+// TestStoppingVMLeavesNoLoan: what a stopping VM lent has ended when its next
+// process starts, so that this one need not wait for it.
+func TestStoppingVMLeavesNoLoan(t *testing.T) {
+	services, _, _ := startFleet(t, 3, accounts(accountOf10))
+	lends := func(s *Service) bool {
+		shares := s.Shares()
+		return len(shares) == 1 && shares[0].Lent > 0
+	}
+	var lender *Service
+	deadline := time.Now().Add(time.Minute)
+	for lender == nil {
+		if time.Now().After(deadline) {
+			t.Fatal("nobody lent anything in a minute")
+		}
+		for _, s := range services {
+			if lends(s) {
+				lender = s
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	lender.StopLending()
+	time.Sleep(settleTime)
+	if lends(lender) {
+		t.Error("a loan was extended or made after StopLending")
+	}
+	self := lender.cfg.Members.View().Self
+	for i, s := range services {
+		if s != lender && s.mayHold(self.ID, self.ID+"/2") {
+			t.Errorf("VM %d may still use what was lent", i)
+		}
+	}
+}
