--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -59,7 +59,7 @@
 	// freshIdle is how long a connection may have been idle that carries a
 	// request which must not run twice.
 	freshIdle = 3 * time.Second
-	// callersIdle is longer than the idle time that callers are promised.
+	// callersIdle bounds idle connections until a configuration is known.
 	callersIdle = 75 * time.Second
 	// headerTimeout bounds the time in which a caller sends its header.
 	headerTimeout = 10 * time.Second
@@ -95,11 +95,12 @@
 	leaving atomic.Bool
 	servers []*http.Server
 	callers *http.Server
+	idle    *idleConns
 }
 
 // New builds a VM's parts; Run starts them.
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{}, loop: control.NewLoop(), vms: map[string]Registration{}}
+	d := &Daemon{path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{}, loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns()}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
@@ -198,6 +199,7 @@
 	d.follow(background)
 	d.loop.Go(background, d.probeSuspects)
 	d.loop.Go(background, d.balance)
+	d.loop.Go(background, d.closeIdle)
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
 	d.log.Info().Str("incarnation", d.self.Incarnation).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).
@@ -246,6 +248,7 @@
 		}
 		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle}
 		if l.address == s.Listen.Callers {
+			server.ConnState = d.idle.track
 			d.callers = server
 		} else {
 			d.servers = append(d.servers, server)
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -115,6 +115,18 @@
 	return c.account == nil || len(c.account.Regions) == 0 || slices.Contains(c.account.Regions, region)
 }
 
+// headerBytes is the length of a request's line and header as the caller sent them.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // readBody reads the request's body as far as it is kept.
 func (c *call) readBody() *answer {
 	limit := c.state.CallerLimits.MaxBodyBytes
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -31,10 +30,6 @@
 const (
 	// maxPatience bounds a request whose caller names no deadline.
 	maxPatience = 5 * time.Minute
-	// rateRetryMin and rateRetrySpread are when a caller over its account's rate may
-	// come back at the earliest; the spread keeps callers from returning together.
-	rateRetryMin    = 150 * time.Millisecond
-	rateRetrySpread = 200 * time.Millisecond
 	// notReadyRetry is when a caller may come back to a VM that has just started.
 	notReadyRetry = 300 * time.Millisecond
 )
@@ -179,6 +174,9 @@
 	if c.state == nil {
 		return refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, notReadyRetry, "no configuration is known yet")
 	}
+	if limit := c.state.CallerLimits.MaxHeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		return refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonTooLarge, 0, "the header is longer than the limit")
+	}
 	c.route = c.state.Routes.Find(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		return refuse(http.StatusNotFound, outcome.ReasonNoRoute, 0, "no route matches host and path")
@@ -196,9 +194,7 @@
 	c.s.budget.Count(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
 	if c.account != nil && c.account.Rate > 0 {
 		if d := c.s.cfg.Limiter.Admit(ctx, c.account.Name); !d.Admitted {
-			// The next token is near, but many wait for it.
-			retry := max(d.RetryAfter, rateRetryMin) + rand.N(rateRetrySpread)
-			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, retry, "the client account is over its rate")
+			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
 		}
 	}
 	c.s.demand.count(c.pool, c.arrived)
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -56,6 +56,9 @@
 		{"unknown key", "/safe/x", nil, func(r *http.Request) { r.Header.Set(hKey, "k9") }, 401, false},
 		{"over the rate", "/safe/x", func(w *world) { w.limiter[testAccount] = true }, nil, 429, true},
 		{"no targets", "/safe/x", func(w *world) { w.targets.Evacuate("fd-e", true, time.Now()); w.targets.Publish(0) }, nil, 503, true},
+		{"header over the limit", "/safe/x", func(w *world) { w.state.CallerLimits.MaxHeaderBytes = 500 }, func(r *http.Request) {
+			r.Header.Set("Extra", strings.Repeat("x", 400))
+		}, 431, false},
 		{"body over the limit", "/safe/x", func(w *world) { w.state.CallerLimits.MaxBodyBytes = 3 }, func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("four")), 4
 		}, 413, false},
