--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -2,8 +2,9 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
+
+	"crocusramp.dev/crocusramp/pkg/forward"
 )
 
 // Headers of the callers' API and of the requests to targets.
@@ -23,12 +24,6 @@
 	headerDied     = headerInternal + "Target-Died"
 )
 
-// hopByHop are the headers that end at this hop.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // callerOnly are the headers that a target must not take from a caller: they
 // hold the key, are set by this VM, or would make the target treat the request
 // as another one than the one that was routed.
@@ -39,17 +34,9 @@
 	"X-Original-Url", "X-Rewrite-Url",
 }
 
-// removeHopByHop deletes the headers that end at this hop, those named by
-// Connection too.
+// removeHopByHop deletes the headers that end at this hop, those between VMs too.
 func removeHopByHop(h http.Header) {
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
+	forward.RemoveHopByHop(h)
 	for name := range h {
 		if strings.HasPrefix(name, headerInternal) {
 			delete(h, name)
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -166,23 +167,10 @@
 // repeatable reports whether the request can be sent again.
 func (c *call) repeatable() bool { return !c.streamed }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // endToEnd copies the headers that are passed on.
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	forward.RemoveHopByHop(out)
 	return out
 }
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -88,15 +88,7 @@
 	return fmt.Errorf("%w: %s: %s", ErrInvalid, field, fmt.Sprintf(format, args...))
 }
 
-// checkDurations reports the first duration that did not parse or is negative.
-func checkDurations(s *Settings) error {
-	return walkDurations(reflect.ValueOf(s).Elem(), "")
-}
-
-func checkEdgeDurations(s *Edge) error {
-	return walkDurations(reflect.ValueOf(s).Elem(), "")
-}
-
+// walkDurations reports the first duration that did not parse or is negative.
 func walkDurations(v reflect.Value, path string) error {
 	if d, ok := v.Interface().(Duration); ok {
 		if d.problem != "" {
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -1,13 +1,7 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net"
-	"os"
 	"time"
 )
 
@@ -85,34 +79,19 @@
 
 // LoadEdge reads, completes and checks the settings in a file. Every error in
 // the text wraps ErrInvalid and names the field.
-func LoadEdge(path string) (*Edge, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	s, err := ParseEdge(data)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
-}
+func LoadEdge(path string) (*Edge, error) { return load(path, ParseEdge) }
 
 // ParseEdge decodes, completes and checks settings.
 func ParseEdge(data []byte) (*Edge, error) {
 	s := &Edge{}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, explain(data, err))
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("%w: text after the end of the settings", ErrInvalid)
-	}
-	if err := checkEdgeDurations(s); err != nil {
+	if err := decode(data, s); err != nil {
 		return nil, err
 	}
 	s.complete()
-	return s, s.check()
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 func (s *Edge) complete() {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"time"
 )
 
@@ -226,37 +227,46 @@
 
 // Load reads, completes and checks the settings in a file. Every error in the
 // text wraps ErrInvalid and names the field.
-func Load(path string) (*Settings, error) {
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+// Parse decodes, completes and checks settings.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := decode(data, s); err != nil {
+		return nil, err
+	}
+	s.complete()
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// load reads a file and parses it.
+func load[T any](path string, parse func([]byte) (*T, error)) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	s, err := Parse(data)
+	s, err := parse(data)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return s, nil
 }
 
-// Parse decodes, completes and checks settings.
-func Parse(data []byte) (*Settings, error) {
-	s := &Settings{}
+// decode reads settings into the struct that s points to. Unknown fields, text
+// after the end and wrong durations are errors.
+func decode(data []byte, s any) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, explain(data, err))
+		return fmt.Errorf("%w: %w", ErrInvalid, explain(data, err))
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("%w: text after the end of the settings", ErrInvalid)
-	}
-	if err := checkDurations(s); err != nil {
-		return nil, err
+		return fmt.Errorf("%w: text after the end of the settings", ErrInvalid)
 	}
-	s.complete()
-	if err := s.Check(); err != nil {
-		return nil, err
-	}
-	return s, nil
+	return walkDurations(reflect.ValueOf(s).Elem(), "")
 }
 
 // explain adds the field or line to an error of the JSON decoder.
