limit: a restarted fleet admits a part of the quota's tolerance

Excluded: loans (own part usable 0.06 to 0.25 s after each start), the store.

Change: each VM starts with its part of 0.4 of what the platform allows an account beyond (rate x window + burst), once a process; two such starts fit one window. Where the settings allow nothing beyond, as in serve, the bucket starts empty as before.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -126,6 +126,7 @@
 	})
 	d.limiter = limit.NewService(limit.Config{
 		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: log, Metrics: d.metrics,
+		StartTokens: d.fleet.startTokens,
 	})
 	d.targets = target.NewRegistry(s.FailureDomains)
 	d.client = forward.NewClient(forward.Config{
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/lease"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/retry"
@@ -164,6 +165,18 @@
 	return rank
 }
 
+// startPart is the part of what an account may have beyond its limit that a
+// start of all VMs uses: two such starts fit into one window.
+const startPart = 0.4
+
+// startTokens is how many requests of an account are admitted beyond its limit when
+// all VMs start anew. Callers come back all at once then, and refusing them for
+// tokens that an earlier process may have used is a wrongful refusal for most.
+func (r *registry) startTokens(a *config.Account) float64 {
+	b := r.settings.Load().Bounds
+	return startPart * (b.QuotaOverage*(a.Rate*b.QuotaWindow.Seconds()+a.Burst) + b.QuotaSlack)
+}
+
 // RepeatLimit implements ingress.Fleet.
 func (r *registry) RepeatLimit() retry.PoolLimit {
 	b := r.settings.Load().Bounds
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -96,6 +97,24 @@
 	})
 }
 
+// TestStartTokensFitTheBound: two starts of the whole fleet in one window, with
+// nothing lost between, stay within what the platform allows an account.
+func TestStartTokensFitTheBound(t *testing.T) {
+	r := newTestRegistry("vm-00", false)
+	b := settings.Bounds{QuotaOverage: 0.1, QuotaSlack: 20, QuotaWindow: settings.Duration{Duration: 5 * time.Second}}
+	r.settings.Store(&settings.Edge{Bounds: b})
+	for _, a := range []config.Account{{Rate: 1, Burst: 1}, {Rate: 50, Burst: 500}, {Rate: 900, Burst: 900}} {
+		limit := a.Rate*5 + a.Burst
+		if got, allowed := limit+2*r.startTokens(&a), limit*1.1+20; got > allowed {
+			t.Errorf("rate %v, burst %v: %v of %v allowed", a.Rate, a.Burst, got, allowed)
+		}
+	}
+	r.settings.Store(&settings.Edge{})
+	if got := r.startTokens(&config.Account{Rate: 100, Burst: 100}); got != 0 {
+		t.Errorf("%v tokens where the platform allows nothing beyond the limit", got)
+	}
+}
+
 func TestLocate(t *testing.T) {
 	peer := func(n int, region string, state member.State, missed int) member.Peer {
 		return member.Peer{ID: fmt.Sprint(n), Region: region, State: state, Missed: missed, CallerAddress: fmt.Sprint("vm-", n)}
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -86,6 +86,8 @@
 	reports map[string]float64
 	// light says that load is low, and that every VM keeps a part of its share.
 	light bool
+	// begun says that the tokens of the start were given.
+	begun bool
 	// want is the share that the VM would best have for its own demand.
 	want   share
 	nextID func() uint64
@@ -125,6 +127,15 @@
 	b.setParts(parts, now)
 }
 
+// startWith gives a book that has its first share some tokens, once.
+func (b *book) startWith(tokens float64) {
+	if b.begun {
+		return
+	}
+	b.begun = true
+	b.tokens = min(b.net.capacity, b.tokens+finite(tokens))
+}
+
 // fillTime is how long an empty bucket takes to be full.
 func (b *book) fillTime() time.Duration {
 	if b.limit.rate == 0 {
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -41,6 +41,10 @@
 	Log     zerolog.Logger
 	// Metrics takes the service's counters; nil keeps them private.
 	Metrics metrics.Registry
+	// StartTokens is how many tokens the fleet may admit beyond an account's limit
+	// when all its VMs start anew; each starts with its part of them. Nil means none:
+	// a bucket that starts is empty, since an earlier process may have used it up.
+	StartTokens func(*config.Account) float64
 }
 
 // Share is this VM's part of one client account's limit.
@@ -208,6 +212,9 @@
 	}
 	a.config, a.holding = c, h
 	a.book.setShares(c, h, now)
+	if s.cfg.StartTokens != nil && c != nil && len(h.Slots) > 0 {
+		a.book.startWith(s.cfg.StartTokens(c) * float64(len(h.Slots)) / float64(max(1, h.Total)))
+	}
 }
 
 // ask requests tokens from the home, in the background. a is locked.
--- a/pkg/limit/settle_test.go
+++ b/pkg/limit/settle_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/lease"
 	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
@@ -132,3 +134,36 @@
 		}
 	}
 }
+
+// TestStartTokens: callers come back all at once when a fleet restarts. Each VM
+// admits its part of what is allowed beyond the limit, once.
+func TestStartTokens(t *testing.T) {
+	b := newBook("a", func() uint64 { return 0 })
+	held := func(slots int) *lease.Holding {
+		h := hold(10, 0, 10)
+		h.Slots = h.Slots[:slots]
+		return h
+	}
+	limit := &config.Account{Name: "a", Rate: 100, Burst: 100}
+	b.setShares(limit, held(0), 0)
+	b.setShares(limit, held(1), 0)
+	b.startWith(4)
+	b.startWith(4)
+	admitted := 0
+	for b.take(0) {
+		admitted++
+	}
+	if admitted != 4 {
+		t.Errorf("%d admitted at the start, want 4", admitted)
+	}
+	b.startWith(4)
+	if b.take(0) {
+		t.Error("the tokens of the start were given twice")
+	}
+	full := newBook("a", func() uint64 { return 0 })
+	full.setShares(limit, held(1), 0)
+	full.startWith(1000)
+	if full.tokens > 10 {
+		t.Errorf("%v tokens in a bucket of 10", full.tokens)
+	}
+}
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -59,6 +59,13 @@
 	RepeatRatio  float64  `json:"repeat_ratio"`
 	RepeatFloor  float64  `json:"repeat_floor"`
 	RepeatWindow Duration `json:"repeat_window"`
+	// QuotaWindow, QuotaOverage and QuotaSlack bound what an account gets: in any
+	// window at most (rate x window + burst) x (1 + overage) + slack. Overage and
+	// slack are used only for requests that come right after a restart. 5 s, 0
+	// and 0 by default.
+	QuotaWindow  Duration `json:"quota_window"`
+	QuotaOverage float64  `json:"quota_overage"`
+	QuotaSlack   float64  `json:"quota_slack"`
 	// ColdFactor and ColdSlack bound the requests to a cold target in a second:
 	// at most factor x its cold rate + slack. 1.5 and 5 by default.
 	ColdFactor float64 `json:"cold_factor"`
@@ -73,6 +80,7 @@
 	defaultRepeatRatio  = 0.2
 	defaultRepeatFloor  = 60
 	defaultRepeatWindow = 10 * time.Second
+	defaultQuotaWindow  = 5 * time.Second
 	defaultColdFactor   = 1.5
 	defaultColdSlack    = 5
 )
@@ -100,6 +108,7 @@
 	orDefault(&b.Grace, defaultEdgeGrace)
 	orDefault(&b.LocateTTL, defaultEdgeTTL)
 	orDefault(&b.RepeatWindow, defaultRepeatWindow)
+	orDefault(&b.QuotaWindow, defaultQuotaWindow)
 	for _, f := range []struct {
 		value *float64
 		or    float64
@@ -156,7 +165,7 @@
 	}{
 		{"store.reads_per_second", s.Store.ReadsPerSecond}, {"store.writes_per_second", s.Store.WritesPerSecond},
 		{"bounds.repeat_ratio", b.RepeatRatio}, {"bounds.repeat_floor", b.RepeatFloor},
-		{"bounds.cold_slack", b.ColdSlack},
+		{"bounds.cold_slack", b.ColdSlack}, {"bounds.quota_overage", b.QuotaOverage}, {"bounds.quota_slack", b.QuotaSlack},
 	} {
 		if f.value < 0 {
 			return invalid(f.name, "%v is negative", f.value)
