ingress: callers come back at once where a target refused although it had room

Excluded: full targets (they tell 2 to 6 requests of 9 slots).

Change: Retry-After is 10 to 30 ms where the target told that it had a free slot.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -48,9 +48,11 @@
 	sent       []*target.Live // in order
 	sentAt     time.Time      // of the last one
 	mayHaveRun bool
-	load       int // of the last target, when it was chosen
-	version    int64
-	note       string
+	// grey says that the last target refused the request although it had room.
+	grey    bool
+	load    int // of the last target, when it was chosen
+	version int64
+	note    string
 }
 
 // answer is what the caller gets.
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -35,6 +35,10 @@
 	// room may come back: a part of the mean time that a slot is taken.
 	fullRetryMin = 100 * time.Millisecond
 	fullRetryMax = 400 * time.Millisecond
+	// greyRetryMin and greyRetryMax are the same where a target refused although it
+	// had room: the next attempt may succeed at once.
+	greyRetryMin = 10 * time.Millisecond
+	greyRetryMax = 30 * time.Millisecond
 	// minAttempt is the least time in which a target can be expected to answer.
 	minAttempt = 20 * time.Millisecond
 )
@@ -125,6 +129,9 @@
 // refuseFull says when to come back. Callers are spread over a span, so that they do
 // not come back together.
 func (c *call) refuseFull(reason outcome.Reason, detail string) *answer {
+	if c.grey {
+		return refuse(http.StatusServiceUnavailable, reason, greyRetryMin+rand.N(greyRetryMax-greyRetryMin), detail)
+	}
 	return refuse(http.StatusServiceUnavailable, reason, fullRetryMin+rand.N(fullRetryMax-fullRetryMin), detail)
 }
 
@@ -280,6 +287,7 @@
 		return t
 	}
 	c.s.counters.sheds.Inc(1)
+	c.grey = info.LoadKnown && info.Load < l.Slots
 	if !info.LoadKnown {
 		// Its queue is full until an answer says otherwise.
 		l.Reported(2*l.Slots, time.Now())
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -234,6 +234,29 @@
 	}
 }
 
+// TestWhenToComeBack: a target that refuses with free slots may take the next
+// attempt at once; one that is full may not.
+func TestWhenToComeBack(t *testing.T) {
+	for load, want := range map[string]struct{ least, most time.Duration }{
+		"1":  {greyRetryMin, greyRetryMax},
+		"12": {fullRetryMin, fullRetryMax},
+		"":   {fullRetryMin, fullRetryMax},
+	} {
+		w := newWorld(t)
+		w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+			if load != "" {
+				rw.Header().Set(hLoad, load)
+			}
+			shed(rw, r)
+		})
+		resp, _ := w.expect(503, "GET", "/safe/x")
+		after, err := time.ParseDuration(resp.Header.Get(hRetryAfter))
+		if err != nil || after < want.least || after > want.most {
+			t.Errorf("load %q: come back after %v, %v; want %v to %v", load, after, err, want.least, want.most)
+		}
+	}
+}
+
 func TestRepeatsAreBounded(t *testing.T) {
 	w := newWorld(t)
 	w.fleet.repeats = retry.PoolLimit{Ratio: 0, Floor: 5, Window: 10 * time.Second, VMs: 1}
