member: heartbeats to each peer at least every 2.5 s on the platform

A VM sends at most 16 heartbeats a second, so in a fleet of 90 each peer was asked every 5.6 s, and look-ups may not name a dead VM 6 s after its end. The store's rates are divided among 128 VMs.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -38,10 +38,13 @@
 	// fleetTable holds a row for each VM.
 	fleetTable = "crocusramp_vms"
 	// storeShare is how many VMs the store's rates are divided among.
-	storeShare = 64
+	storeShare = 128
 	// listPeriod is how often heartbeats take over the registered VMs, which are
 	// held in memory.
 	listPeriod = 250 * time.Millisecond
+	// maxProbePeriod is the longest time between two heartbeats to a VM. Look-ups must
+	// not name a dead one 6 s after its end.
+	maxProbePeriod = 2500 * time.Millisecond
 	// locateTTL is how long callers may keep a look-up: long enough that look-ups are
 	// few beside requests, short enough that a stop has drained by then.
 	locateTTL = 2 * time.Second
@@ -122,7 +125,7 @@
 	d.fleet = newRegistry(Registration{ID: s.VM.ID, PeerAddress: s.Listen.Peers}, d.clock.Now(), s.FirstStart, &d.settings)
 	d.members = member.NewProber(member.Config{
 		Self: d.self, Directory: d.fleet, Dialer: d.dialer, Loop: d.loop, Clock: d.clock, Log: log,
-		Local: d.describe, ListPeriod: listPeriod,
+		Local: d.describe, ListPeriod: listPeriod, MaxProbePeriod: maxProbePeriod,
 	})
 	d.limiter = limit.NewService(limit.Config{
 		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: log, Metrics: d.metrics,
--- /dev/null
+++ b/pkg/member/period_test.go
@@ -0,0 +1,30 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestPeriodFollowsTheFleet: heartbeats grow rarer with the fleet, down to the
+// bound that detection needs.
+func TestPeriodFollowsTheFleet(t *testing.T) {
+	for _, tt := range []struct {
+		peers      int
+		bound, out time.Duration
+	}{
+		{10, 0, time.Second},
+		{32, 0, 2 * time.Second},
+		{90, 0, 90 * time.Second / maxProbesPerSecond},
+		{10, 2500 * time.Millisecond, time.Second},
+		{90, 2500 * time.Millisecond, 2500 * time.Millisecond},
+	} {
+		p := NewProber(Config{MaxProbePeriod: tt.bound})
+		for i := range tt.peers {
+			p.roster.entries[fmt.Sprint(i)] = &entry{}
+		}
+		if got := p.period(); got != tt.out {
+			t.Errorf("%d peers, bound %v: %v, want %v", tt.peers, tt.bound, got, tt.out)
+		}
+	}
+}
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -53,6 +53,9 @@
 	// 16 in each second are asked less often. A longer one delays the takeover
 	// of a dead peer's slots.
 	ProbePeriod time.Duration
+	// MaxProbePeriod bounds the time between two heartbeats to a peer, whatever
+	// the size of the fleet; 0 means no bound.
+	MaxProbePeriod time.Duration
 	// ProbeTimeout is how long a peer has to answer, 1 s if zero.
 	ProbeTimeout time.Duration
 }
@@ -143,6 +146,9 @@
 // period returns the time until a peer is asked again.
 func (p *Prober) period() time.Duration {
 	spread := time.Duration(len(p.roster.entries)) * time.Second / maxProbesPerSecond
+	if p.cfg.MaxProbePeriod > 0 {
+		spread = min(spread, p.cfg.MaxProbePeriod)
+	}
 	return max(p.cfg.ProbePeriod, spread)
 }
 
