--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -146,11 +146,20 @@
 
 func TestSuspicion(t *testing.T) {
 	l := &Live{}
-	if l.Failed(false) || l.Failed(false) {
+	lose := func(answers int) (suspect bool) {
+		for range answers {
+			suspect = l.Failed(false)
+		}
+		return suspect
+	}
+	if lose(2) {
 		t.Error("two lost answers are no suspicion")
 	}
 	l.Answered()
-	if l.Failed(false) || l.Failed(false) || !l.Failed(false) || !l.Suspect() {
+	if lose(2) {
+		t.Error("nor are two after an answer")
+	}
+	if !lose(1) || !l.Suspect() {
 		t.Error("three lost answers in a row are")
 	}
 	l.Cleared(time.Second, t0)
