--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,6 +192,11 @@
 	return v, err
 }
 
+// sorted returns registrations in order of ID.
+func sorted(vms map[string]Registration) []Registration {
+	return slices.SortedFunc(maps.Values(vms), func(a, b Registration) int { return strings.Compare(a.ID, b.ID) })
+}
+
 // maxLocated is how many VMs an answer names.
 const maxLocated = 64
 
--- /dev/null
+++ b/pkg/edge/follow.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/ingress"
+	"crocusramp.dev/crocusramp/pkg/target"
+	"crocusramp.dev/crocusramp/platform"
+)
+
+// follow keeps what the platform's tables say.
+func (d *Daemon) follow(ctx context.Context) {
+	watch := func(table string, apply func(platform.Update)) {
+		w := &platform.Watcher{Store: d.store, Table: table, Log: d.log, Apply: apply}
+		d.loop.Go(ctx, w.Run)
+	}
+	watch(platform.OperatorTable, d.applyOperator)
+	watch(platform.TargetTable, d.applyTargets(ctx))
+	watch(fleetTable, d.applyFleet(ctx))
+}
+
+// applyOperator takes in what operators wrote.
+func (d *Daemon) applyOperator(u platform.Update) {
+	changed := false
+	for _, c := range u.Changes {
+		if domain, ok := platform.EvacuatedDomain(c.Key); ok {
+			d.targets.Evacuate(domain, !c.Removed, time.Now())
+			d.log.Info().Str("failure_domain", domain).Bool("evacuated", !c.Removed).Int64("row", c.Version).Msg("evacuation")
+			changed = true
+			continue
+		}
+		if platform.IsConfig(c.Key) && !c.Removed {
+			changed = d.applyConfig(c) || changed
+		}
+	}
+	if changed {
+		d.targets.Publish(0)
+	}
+}
+
+// applyConfig puts a configuration in force. Versions never go back.
+func (d *Daemon) applyConfig(c platform.Change) bool {
+	next, err := platform.DecodeConfig(c.Value)
+	if err != nil {
+		d.log.Error().Err(err).Int64("row", c.Version).Msg("the configuration cannot be read; the one before stays in force")
+		return false
+	}
+	old := d.state.Load()
+	if old != nil && next.Version <= old.Version {
+		d.log.Warn().Int64("config", next.Version).Int64("in_force", old.Version).Msg("an older configuration is passed over")
+		return false
+	}
+	d.targets.SetServices(next.Services)
+	d.state.Store(ingress.NewState(next, old))
+	d.log.Info().Int64("config", next.Version).Int64("row", c.Version).Int("routes", len(next.Routes)).
+		Int("accounts", len(next.Accounts)).Msg("configuration in force")
+	d.logLimits(next, old)
+	return true
+}
+
+// logLimits tells which client accounts' limits a configuration changes.
+func (d *Daemon) logLimits(next *config.Config, old *ingress.State) {
+	for name, a := range next.Accounts {
+		if old != nil {
+			if b := old.Accounts[name]; b != nil && b.Rate == a.Rate && b.Burst == a.Burst {
+				continue
+			}
+		}
+		d.log.Info().Int64("config", next.Version).Str("account", name).Float64("rate", a.Rate).Float64("burst", a.Burst).Msg("limit in force")
+	}
+}
+
+// applyTargets takes in what targets wrote.
+func (d *Daemon) applyTargets(ctx context.Context) func(platform.Update) {
+	first := true
+	return func(u platform.Update) {
+		now := time.Now()
+		var removed []string
+		returned := false
+		for _, c := range u.Changes {
+			if c.Removed {
+				removed = append(removed, c.Key)
+				returned = returned || c.Returned
+				continue
+			}
+			d.applyTarget(c, first, now)
+		}
+		if len(removed) > 0 {
+			d.removeTargets(ctx, removed, returned, now)
+		}
+		if len(u.Changes) > 0 || first {
+			d.targets.Publish(u.Version)
+		}
+		first = false
+	}
+}
+
+func (d *Daemon) applyTarget(c platform.Change, first bool, now time.Time) {
+	e, err := platform.DecodeTarget(c.Key, c.Value)
+	if err != nil {
+		d.log.Warn().Err(err).Str("target", c.Key).Int64("row", c.Version).Msg("an entry is passed over")
+		return
+	}
+	l, fresh := d.targets.Upsert(e, first, now)
+	d.log.Info().Str("target", e.ID).Str("pool", e.Pool).Str("address", e.Address).Bool("draining", e.Draining).
+		Bool("new", fresh).Bool("cold", l.Cold(now)).Dur("cold_for_ms", e.ColdFor).Int64("row", c.Version).Msg("target")
+}
+
+func (d *Daemon) removeTargets(ctx context.Context, ids []string, returned bool, now time.Time) {
+	r := d.targets.Remove(ids, returned, d.settings.Load().Bounds.Drain.Duration, now)
+	for _, l := range r.Gone {
+		d.dropTarget(l)
+	}
+	if len(r.Held) == 0 {
+		return
+	}
+	d.log.Warn().Int("targets", len(r.Held)).Bool("store_was_away", returned).Dur("for_ms", r.Until.Sub(now)).
+		Msg("targets vanished from the list together; they are used for a while")
+	time.AfterFunc(time.Until(r.Until), func() {
+		if ctx.Err() != nil {
+			return
+		}
+		for _, l := range d.targets.Expire(time.Now()) {
+			d.dropTarget(l)
+		}
+		d.targets.Publish(0)
+	})
+}
+
+func (d *Daemon) dropTarget(l *target.Live) {
+	d.client.Drop(l.Address)
+	d.log.Info().Str("target", l.ID).Str("address", l.Address).Int("running", l.Running()).Msg("target gone")
+}
+
+// applyFleet takes in which VMs are registered, and registers this one.
+func (d *Daemon) applyFleet(ctx context.Context) func(platform.Update) {
+	first := true
+	return func(u platform.Update) {
+		for _, c := range u.Changes {
+			if c.Removed {
+				delete(d.vms, c.Key)
+				continue
+			}
+			v, err := decodeRegistration(c.Value)
+			if err != nil || v.ID != c.Key {
+				d.log.Warn().Err(err).Str("vm", c.Key).Msg("a registration is passed over")
+				continue
+			}
+			d.vms[c.Key] = v
+		}
+		if d.vms[d.fleet.self.ID] != d.fleet.self && !d.leaving.Load() {
+			d.register(ctx)
+		}
+		d.fleet.set(sorted(d.vms), d.clock.Now())
+		if len(u.Changes) > 0 {
+			d.log.Info().Int("vms", len(d.vms)).Int64("row", u.Version).Msg("registered VMs")
+		}
+		if first {
+			first = false
+			d.loop.Go(ctx, d.settle)
+		}
+	}
+}
+
+// settle waits until no other VM may use what an earlier process of this VM
+// lent.
+func (d *Daemon) settle(ctx context.Context) {
+	if d.fleet.settled.Load() {
+		return
+	}
+	started := time.Now()
+	vms, err := d.fleet.VMs(ctx)
+	settled := err == nil && d.limiter.AwaitSettled(ctx, vms)
+	d.fleet.endWait(settled, d.clock.Now())
+	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("own part of the limits")
+}
+
+// register writes this VM's row. A failure is settled by the next update.
+func (d *Daemon) register(ctx context.Context) {
+	value, err := json.Marshal(d.fleet.self)
+	if err != nil {
+		panic(fmt.Sprintf("edge: encode registration: %v", err))
+	}
+	row := platform.Row{Table: fleetTable, Key: d.fleet.self.ID, Value: value}
+	for attempt := 0; ctx.Err() == nil && attempt < registerAttempts; attempt++ {
+		_, err = d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{row}})
+		if err == nil {
+			d.vms[d.fleet.self.ID] = d.fleet.self
+			return
+		}
+		d.log.Warn().Err(err).Msg("registering this VM failed")
+		select {
+		case <-time.After(registerPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+const (
+	// registerAttempts and registerPause bound how long the fleet's table is not
+	// followed while this VM cannot register.
+	registerAttempts = 5
+	registerPause    = 200 * time.Millisecond
+)
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/forward"
@@ -71,28 +69,3 @@
 		d.log.Info().Str("target", l.ID).Dur("cold_for_ms", info.ColdFor).Msg("target is well again")
 	}
 }
-
-// watchSettings takes in changes of the settings file: after a signal, and at
-// the latest with the next look.
-func (d *Daemon) watchSettings(ctx context.Context, reload <-chan struct{}) {
-	last := fmt.Sprint(d.settings.Load())
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-		case <-time.After(settingsPeriod):
-		}
-		last = d.reloadSettings(last)
-	}
-}
-
-// settingsPeriod is how often the settings file is looked at without a signal.
-const settingsPeriod = time.Second
-
-// sortedLines is used to compare settings; it keeps errors out of the log while a
-// wrong file stays.
-func firstLine(err error) string {
-	line, _, _ := strings.Cut(err.Error(), "\n")
-	return line
-}
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -52,45 +48,3 @@
 		d.log.Warn().Err(err).Msg("this VM's row stays; its part of the limits rests until it returns")
 	}
 }
-
-// reloadSettings takes over the settings file where it differs from last, and
-// returns its text.
-func (d *Daemon) reloadSettings(last string) string {
-	next, err := settings.LoadEdge(d.path)
-	if err != nil {
-		if text := firstLine(err); text != last {
-			d.log.Error().Err(err).Msg("the changed settings are not taken over")
-			return text
-		}
-		return last
-	}
-	old := d.settings.Load()
-	text := settingsText(next)
-	if text == settingsText(old) {
-		return text
-	}
-	d.settings.Store(next)
-	d.store.SetAddress(next.Store.Address)
-	d.log.Info().Str("store", next.Store.Address).Msg("settings taken over")
-	if next.VM != old.VM || next.Listen != old.Listen {
-		d.log.Warn().Msg("the changed identity or addresses take effect at the next start")
-	}
-	return text
-}
-
-func settingsText(s *settings.Edge) string {
-	text, err := json.Marshal(s)
-	if err != nil {
-		return err.Error()
-	}
-	return string(text)
-}
-
-func sortedRegistrations(vms map[string]Registration) []Registration {
-	out := make([]Registration, 0, len(vms))
-	for _, v := range vms {
-		out = append(out, v)
-	}
-	slices.SortFunc(out, func(a, b Registration) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
--- /dev/null
+++ b/pkg/ingress/choose.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"slices"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// warmCandidates is how many targets keep an object warm. With three or
+	// more, targets hold more objects than they keep (docs/DESIGN.md).
+	warmCandidates = 2
+	// rankedCandidates is how many are looked at, since cold targets among them
+	// take only a part of their requests.
+	rankedCandidates = 5
+)
+
+// choose returns the target that takes the request, or nil.
+func (c *call) choose(now time.Time) *target.Live {
+	s := c.s.cfg.Targets.Snapshot()
+	c.version = s.Version
+	pool := s.Pools[c.pool]
+	parts := c.s.cfg.Parts(c.pool)
+	regions := placement.ChooseRegions(c.hash(), parts, func(region string) bool {
+		return c.allowed(region) && len(c.usable(pool[region])) > 0
+	})
+	if c.route.Bulky {
+		regions = placement.HomeFirst(regions, c.s.cfg.Region, parts)
+	}
+	for i, region := range regions {
+		if i > 0 && !c.s.spill.may(now) {
+			return nil
+		}
+		if l := c.chooseIn(c.usable(pool[region]), i > 0, now); l != nil {
+			if i > 0 {
+				c.s.spill.took(now)
+			}
+			return l
+		}
+	}
+	return nil
+}
+
+// usable leaves out targets that failed or were tried.
+func (c *call) usable(list []*target.Live) []*target.Live {
+	var out []*target.Live
+	for _, l := range list {
+		if !l.Suspect() && !l.Replaced() && !slices.Contains(c.sent, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// chooseIn chooses among the targets of a region. Requests that spill over from
+// another region take only what is well free.
+func (c *call) chooseIn(list []*target.Live, spilled bool, now time.Time) *target.Live {
+	candidates := c.candidates(list, now)
+	occupancy := make([]placement.Occupancy, len(candidates))
+	for i, l := range candidates {
+		load := l.Load(now)
+		occupancy[i] = placement.Occupancy{
+			Load: load, Slots: l.Slots, Service: l.Service(),
+			Usable: !spilled || float64(load) < spillLoad*float64(l.Slots),
+		}
+	}
+	for {
+		chosen := placement.Choose(occupancy, c.objective())
+		if chosen < 0 {
+			return nil
+		}
+		l := candidates[chosen]
+		if !l.Cold(now) || c.takeCold(l, now) {
+			c.load = occupancy[chosen].Load
+			return l
+		}
+		occupancy[chosen].Usable = false
+	}
+}
+
+// candidates returns the object's targets, best first: as many as keep it warm,
+// and the cold ones that rank before them.
+func (c *call) candidates(list []*target.Live, now time.Time) []*target.Live {
+	ranked := make([]placement.Candidate, len(list))
+	for i, l := range list {
+		ranked[i] = placement.Candidate{ID: l.Hash, Slots: l.Slots}
+	}
+	var out []*target.Live
+	warm := 0
+	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
+		out = append(out, list[i])
+		if !list[i].Cold(now) {
+			if warm++; warm == warmCandidates {
+				break
+			}
+		}
+	}
+	return out
+}
+
+// takeCold takes this VM's part of what a cold target bears.
+func (c *call) takeCold(l *target.Live, now time.Time) bool {
+	service := c.state.Services[l.Pool]
+	if service == nil || l.Load(now) >= l.Slots {
+		return false
+	}
+	interval, ok := c.s.cfg.Fleet.ColdInterval(l, service.ColdRate)
+	return ok && l.TakeCold(interval, now)
+}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -17,17 +16,10 @@
 
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
-	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
 const (
-	// warmCandidates is how many targets keep an object warm. With three or
-	// more, targets hold more objects than they keep (docs/DESIGN.md).
-	warmCandidates = 2
-	// rankedCandidates is how many are looked at, since cold targets among them
-	// take only a part of their requests.
-	rankedCandidates = 5
 	// maxKeptAnswer is the longest answer that is read whole before the caller
 	// gets its first byte, so that one that breaks off can be had again.
 	maxKeptAnswer = 1 << 20
@@ -59,7 +51,7 @@
 	for {
 		l := c.choose(time.Now())
 		if l == nil {
-			return c.noTarget()
+			return c.giveUp("no target has room")
 		}
 		t := c.send(ctx, l)
 		if t.answer != nil {
@@ -73,7 +65,7 @@
 			return a
 		}
 		if len(c.sent) >= attempts || !c.mayRepeat(t) {
-			return c.giveUp(t)
+			return c.giveUp("the targets refused the request; it has not run")
 		}
 		c.s.counters.repeats.Inc(1)
 	}
@@ -111,19 +103,13 @@
 // reasonCallerLeft is logged for requests whose caller closed its connection.
 const reasonCallerLeft outcome.Reason = "caller_left"
 
-// giveUp answers a request that is not sent again.
-func (c *call) giveUp(t *try) *answer {
+// giveUp answers a request that is not sent again. notRun is the reason where no
+// target has run it.
+func (c *call) giveUp(notRun string) *answer {
 	if c.mayHaveRun {
 		return refuse(http.StatusBadGateway, outcome.ReasonTargetFailed, 0, "the target failed; the request may have run")
 	}
-	return c.refuseFull(outcome.ReasonNoCapacity, "the targets refused the request; it has not run")
-}
-
-func (c *call) noTarget() *answer {
-	if c.mayHaveRun {
-		return refuse(http.StatusBadGateway, outcome.ReasonTargetFailed, 0, "the target failed; the request may have run")
-	}
-	return c.refuseFull(outcome.ReasonNoCapacity, "no target has room")
+	return c.refuseFull(outcome.ReasonNoCapacity, notRun)
 }
 
 // refuseFull says when to come back. Callers are spread over a span, so that they do
@@ -135,84 +121,6 @@
 	return refuse(http.StatusServiceUnavailable, reason, fullRetryMin+rand.N(fullRetryMax-fullRetryMin), detail)
 }
 
-// choose returns the target that takes the request, or nil.
-func (c *call) choose(now time.Time) *target.Live {
-	s := c.s.cfg.Targets.Snapshot()
-	c.version = s.Version
-	pool := s.Pools[c.pool]
-	parts := c.s.cfg.Parts(c.pool)
-	regions := placement.ChooseRegions(c.hash(), parts, func(region string) bool {
-		return c.allowed(region) && len(c.usable(pool[region])) > 0
-	})
-	if c.route.Bulky {
-		regions = placement.HomeFirst(regions, c.s.cfg.Region, parts)
-	}
-	for i, region := range regions {
-		if i > 0 && !c.s.spill.may(now) {
-			return nil
-		}
-		if l := c.chooseIn(c.usable(pool[region]), i > 0, now); l != nil {
-			if i > 0 {
-				c.s.spill.took(now)
-			}
-			return l
-		}
-	}
-	return nil
-}
-
-// usable leaves out targets that failed or were tried.
-func (c *call) usable(list []*target.Live) []*target.Live {
-	var out []*target.Live
-	for _, l := range list {
-		if !l.Suspect() && !l.Replaced() && !slices.Contains(c.sent, l) {
-			out = append(out, l)
-		}
-	}
-	return out
-}
-
-// chooseIn chooses among the targets of a region. Requests that spill over from
-// another region take only what is well free.
-func (c *call) chooseIn(list []*target.Live, spilled bool, now time.Time) *target.Live {
-	ranked := make([]placement.Candidate, len(list))
-	for i, l := range list {
-		ranked[i] = placement.Candidate{ID: l.Hash, Slots: l.Slots}
-	}
-	var candidates []*target.Live
-	var occupancy []placement.Occupancy
-	warm := 0
-	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
-		l := list[i]
-		cold := l.Cold(now)
-		candidates = append(candidates, l)
-		load := l.Load(now)
-		usable := !spilled || float64(load) < spillLoad*float64(l.Slots)
-		occupancy = append(occupancy, placement.Occupancy{Load: load, Slots: l.Slots, Service: l.Service(), Usable: usable && (!cold || c.mayUseCold(l, now))})
-		if !cold {
-			if warm++; warm == warmCandidates {
-				break
-			}
-		}
-	}
-	chosen := placement.Choose(occupancy, c.objective())
-	if chosen < 0 {
-		return nil
-	}
-	c.load = occupancy[chosen].Load
-	return candidates[chosen]
-}
-
-// mayUseCold takes this VM's part of what a cold target bears.
-func (c *call) mayUseCold(l *target.Live, now time.Time) bool {
-	service := c.state.Services[l.Pool]
-	if service == nil || l.Load(now) >= l.Slots {
-		return false
-	}
-	interval, ok := c.s.cfg.Fleet.ColdInterval(l, service.ColdRate)
-	return ok && l.TakeCold(interval, now)
-}
-
 // send sends the request to one target and reads its answer.
 func (c *call) send(ctx context.Context, l *target.Live) *try {
 	ctx, span := c.s.cfg.Tracer.Start(ctx, "ingress.target", trace.WithSpanKind(trace.SpanKindClient))
@@ -245,7 +153,6 @@
 	if l.Failed(unreachable) {
 		c.s.cfg.Log.Warn().Str("request", c.info.ID).Str("target", l.ID).Str("address", l.Address).
 			Err(f.Err).Bool("unreachable", unreachable).Msg("target is suspect")
-		c.s.cfg.Suspects(l)
 	}
 	return t
 }
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -76,16 +76,15 @@
 	State   func() *State
 	Targets *target.Registry
 	// Parts says in which regions the requests to a pool run.
-	Parts    func(pool string) []placement.Part
-	Limiter  limit.Limiter
-	Fleet    Fleet
-	Client   *forward.Client
-	Clock    clock.Clock
-	Log      zerolog.Logger
-	Metrics  metrics.Registry
-	Latency  func(time.Duration)
-	Tracer   trace.Tracer
-	Suspects func(*target.Live)
+	Parts   func(pool string) []placement.Part
+	Limiter limit.Limiter
+	Fleet   Fleet
+	Client  *forward.Client
+	Clock   clock.Clock
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+	Latency func(time.Duration)
+	Tracer  trace.Tracer
 }
 
 // Server answers callers' requests.
@@ -114,9 +113,6 @@
 	if c.Tracer == nil {
 		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
 	}
-	if c.Suspects == nil {
-		c.Suspects = func(*target.Live) {}
-	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
 	return &Server{cfg: c, budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
--- /dev/null
+++ b/pkg/target/live.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// loadMemory is how long a reported load is believed. Requests take tenths
+	// of a second, so an older report says little.
+	loadMemory = 700 * time.Millisecond
+)
+
+// Live is one incarnation of a target with what this VM knows of it. Its fields
+// are immutable but for the counters, which are safe for concurrent use.
+type Live struct {
+	Target
+	Pool string
+	Born int64
+	// Hash is a hash of the ID, for rendezvous hashing.
+	Hash uint64
+
+	running   atomic.Int32
+	others    atomic.Int32 // requests of other VMs, as of the last report
+	reportAt  atomic.Int64 // Unix nanoseconds of the report, 0 for none
+	service   atomic.Int64 // mean service time in nanoseconds
+	coldUntil atomic.Int64 // Unix nanoseconds
+	suspect   atomic.Bool
+	replaced  atomic.Bool
+	nextCold  atomic.Int64 // Unix nanoseconds from which the next cold request may go
+	failures  atomic.Int32
+}
+
+// Begin counts a request that is sent to the target, End one that ended there.
+func (l *Live) Begin() { l.running.Add(1) }
+
+// End counts a request that ended.
+func (l *Live) End() { l.running.Add(-1) }
+
+// Running is how many requests of this VM the target has.
+func (l *Live) Running() int { return int(l.running.Load()) }
+
+// Reported takes in the load that an answer told, while the request that was
+// answered still counts as running.
+func (l *Live) Reported(load int, now time.Time) {
+	others := max(0, min(load, math.MaxInt32)-max(0, l.Running()-1))
+	l.others.Store(int32(others))
+	l.reportAt.Store(now.UnixNano())
+}
+
+// Load is the number of requests that run or wait there: this VM's own, and
+// those of other VMs as of the last report.
+func (l *Live) Load(now time.Time) int {
+	own := l.Running()
+	if at := l.reportAt.Load(); at != 0 && now.UnixNano()-at < int64(loadMemory) {
+		return own + int(l.others.Load())
+	}
+	return own
+}
+
+// serviceWeight is the weight of one request in a target's mean service time.
+const serviceWeight = 0.05
+
+// Served notes how long a request took, with the load that it met there.
+func (l *Live) Served(took time.Duration, load int) {
+	queued := max(0, load+1-l.Slots)
+	service := float64(took) / (1 + float64(queued)/float64(l.Slots))
+	for {
+		old := l.service.Load()
+		mean := service
+		if old != 0 {
+			mean = float64(old) + serviceWeight*(service-float64(old))
+		}
+		if l.service.CompareAndSwap(old, int64(mean)) {
+			return
+		}
+	}
+}
+
+// Service is the mean time that a request keeps a slot; 0 is unknown.
+func (l *Live) Service() time.Duration { return time.Duration(l.service.Load()) }
+
+// Cold reports whether the target may not take its usual rate yet.
+func (l *Live) Cold(now time.Time) bool { return now.UnixNano() < l.coldUntil.Load() }
+
+// SetCold marks the target cold for at least d from now.
+func (l *Live) SetCold(d time.Duration, now time.Time) {
+	until := now.Add(d).UnixNano()
+	for {
+		old := l.coldUntil.Load()
+		if until <= old || l.coldUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// Suspect reports whether the target failed and has not shown since that it
+// is well.
+func (l *Live) Suspect() bool { return l.suspect.Load() }
+
+// Replaced reports whether another incarnation answers at the address.
+func (l *Live) Replaced() bool { return l.replaced.Load() }
+
+// SetReplaced takes the target out of use.
+func (l *Live) SetReplaced() { l.replaced.Store(true) }
+
+// Failed notes a request that the target did not answer. It reports whether
+// the target became suspect by it.
+func (l *Live) Failed(unreachable bool) bool {
+	if n := l.failures.Add(1); !unreachable && n < failuresToSuspect {
+		return false
+	}
+	return !l.suspect.Swap(true)
+}
+
+// failuresToSuspect is the number of lost answers in a row that make a target
+// suspect: single answers are lost on sound targets too.
+const failuresToSuspect = 3
+
+// Answered notes that the target answered.
+func (l *Live) Answered() { l.failures.Store(0) }
+
+// Cleared ends the suspicion. The target may have restarted meanwhile, so it
+// counts as cold for the given time.
+func (l *Live) Cleared(cold time.Duration, now time.Time) {
+	l.failures.Store(0)
+	l.SetCold(cold, now)
+	l.suspect.Store(false)
+}
+
+// TakeCold uses this VM's part of the requests that a cold target bears, or
+// reports false where it is used up. interval is the time between two of them.
+func (l *Live) TakeCold(interval time.Duration, now time.Time) bool {
+	at := now.UnixNano()
+	for {
+		next := l.nextCold.Load()
+		if at < next {
+			return false
+		}
+		if l.nextCold.CompareAndSwap(next, at+int64(interval)) {
+			return true
+		}
+	}
+}
