--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -123,3 +123,14 @@
 		}
 	}
 }
+
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := pool(n)
+			for i := range b.N {
+				Rank(uint64(i), c, 5)
+			}
+		})
+	}
+}
