--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -47,17 +47,6 @@
 	ended     chan error
 }
 
-// calls are the calls to the store.
-type calls struct{ reads, writes int }
-
-func (f *fleet) calls() calls {
-	n := f.store.Counts()
-	return calls{
-		reads:  n["rows-get"] + n["rows-feed"] + n["blob-get"],
-		writes: n["rows-tx"] + n["blob-put"],
-	}
-}
-
 func startFleet(b *testing.B, n int) *fleet {
 	b.Helper()
 	f := &fleet{store: standin.New(), operators: freeAddress(b), ended: make(chan error, n)}
@@ -177,12 +166,12 @@
 			f := startFleet(b, n)
 			f.createAccounts(b)
 			time.Sleep(settle)
-			before := f.calls()
+			before := f.store.Counts()
 			bytes, loans, used := f.peerBytes(), f.count("limit.collections"), cpu(b)
 			time.Sleep(measured)
 			used = cpu(b) - used
 			bytes, loans = f.peerBytes()-bytes, f.count("limit.collections")-loans
-			after := f.calls()
+			after := f.store.Counts()
 			var memory runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&memory)
@@ -193,8 +182,8 @@
 			b.ReportMetric(bytes/seconds/vms, "peer-B/s/VM")
 			b.ReportMetric(loans/seconds, "loans/s")
 			b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/vms/(1<<20), "MiB/VM")
-			b.ReportMetric(float64(after.reads-before.reads)/seconds, "reads/s")
-			b.ReportMetric(float64(after.writes-before.writes)/seconds, "writes/s")
+			b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
+			b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
 		})
 	}
 }
