target: cold times and reports are counted on the steady clock

Cause (found by reading): the end of a target's cold time, the next request to a cold target and the age of a load report were kept as Unix nanoseconds. The time of day may jump by seconds on this platform: ahead, a cold target gets its usual rate too early (FAILBACK); back, it rests for too long.

Change: instants are counted from the start of the process on the steady clock. TestInstantsAreOfTheSteadyClock fails with the time of day.

--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -23,15 +23,22 @@
 
 	running   atomic.Int32
 	others    atomic.Int32 // requests of other VMs, as of the last report
-	reportAt  atomic.Int64 // Unix nanoseconds of the report, 0 for none
+	reportAt  atomic.Int64 // instant of the report, 0 for none
 	service   atomic.Int64 // mean service time in nanoseconds
-	coldUntil atomic.Int64 // Unix nanoseconds
+	coldUntil atomic.Int64 // instant, 0 for none
 	suspect   atomic.Bool
 	replaced  atomic.Bool
-	nextCold  atomic.Int64 // Unix nanoseconds from which the next cold request may go
+	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
 }
 
+// epoch is where instants are counted from.
+var epoch = time.Now()
+
+// instant counts nanoseconds on the steady clock: the time of day may jump, and
+// a cold target would count as warm too early.
+func instant(t time.Time) int64 { return int64(t.Sub(epoch)) }
+
 // Begin counts a request that is sent to the target, End one that ended there.
 func (l *Live) Begin() { l.running.Add(1) }
 
@@ -46,14 +53,14 @@
 func (l *Live) Reported(load int, now time.Time) {
 	others := max(0, min(load, math.MaxInt32)-max(0, l.Running()-1))
 	l.others.Store(int32(others))
-	l.reportAt.Store(now.UnixNano())
+	l.reportAt.Store(instant(now))
 }
 
 // Load is the number of requests that run or wait there: this VM's own, and
 // those of other VMs as of the last report.
 func (l *Live) Load(now time.Time) int {
 	own := l.Running()
-	if at := l.reportAt.Load(); at != 0 && now.UnixNano()-at < int64(loadMemory) {
+	if at := l.reportAt.Load(); at != 0 && instant(now)-at < int64(loadMemory) {
 		return own + int(l.others.Load())
 	}
 	return own
@@ -82,14 +89,17 @@
 func (l *Live) Service() time.Duration { return time.Duration(l.service.Load()) }
 
 // Cold reports whether the target may not take its usual rate yet.
-func (l *Live) Cold(now time.Time) bool { return now.UnixNano() < l.coldUntil.Load() }
+func (l *Live) Cold(now time.Time) bool {
+	until := l.coldUntil.Load()
+	return until != 0 && instant(now) < until
+}
 
 // SetCold marks the target cold for at least d from now.
 func (l *Live) SetCold(d time.Duration, now time.Time) {
-	until := now.Add(d).UnixNano()
+	until := instant(now.Add(d))
 	for {
 		old := l.coldUntil.Load()
-		if until <= old || l.coldUntil.CompareAndSwap(old, until) {
+		if (old != 0 && until <= old) || l.coldUntil.CompareAndSwap(old, until) {
 			return
 		}
 	}
@@ -132,10 +142,10 @@
 // TakeCold uses this VM's part of the requests that a cold target bears, or
 // reports false where it is used up. interval is the time between two of them.
 func (l *Live) TakeCold(interval time.Duration, now time.Time) bool {
-	at := now.UnixNano()
+	at := instant(now)
 	for {
 		next := l.nextCold.Load()
-		if at < next {
+		if next != 0 && at < next {
 			return false
 		}
 		if l.nextCold.CompareAndSwap(next, at+int64(interval)) {
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -180,3 +180,16 @@
 		t.Errorf("%d requests in a second, want 4", n)
 	}
 }
+
+// TestInstantsAreOfTheSteadyClock: the time of day jumped ahead by 4 s, and cold
+// targets got their usual rate too early.
+func TestInstantsAreOfTheSteadyClock(t *testing.T) {
+	for range 100 {
+		a := time.Now()
+		time.Sleep(time.Microsecond)
+		b := time.Now()
+		if got := instant(b) - instant(a); got != int64(b.Sub(a)) {
+			t.Fatalf("%d ns between two instants, %d on the steady clock", got, b.Sub(a))
+		}
+	}
+}
