platform: a call that a silent store has taken does not hold a VM back

Heartbeats carry the version of the newest change of the list beside the configuration's; a VM that is behind a live peer for 1.5 s ends its call and reads the table anew.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -98,6 +98,9 @@
 	servers []*http.Server
 	callers *http.Server
 	idle    *idleConns
+	// listKnown is the store's version up to which the list of targets is known,
+	// listNewest the version of its newest change.
+	listKnown, listNewest atomic.Int64
 }
 
 // New builds a VM's parts; Run starts them.
@@ -168,6 +171,7 @@
 	if s := d.state.Load(); s != nil {
 		p.ConfigVersion = s.Version
 	}
+	p.ListVersion = d.listNewest.Load()
 	for pool, slots := range d.ingress.Demand() {
 		p.Pools = append(p.Pools, member.PoolLoad{Pool: pool, Demand: slots})
 	}
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -140,3 +140,38 @@
 		}
 	}
 }
+
+func TestBehind(t *testing.T) {
+	var b behind
+	at := func(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
+	for _, tt := range []struct {
+		ms          int
+		own, newest int64
+		want        bool
+	}{
+		{0, 5, 5, false},
+		{500, 5, 6, false},
+		{1000, 5, 6, false},
+		{1500, 6, 6, false}, // caught up
+		{2000, 6, 7, false},
+		{3500, 6, 7, false},
+		{3600, 6, 7, true},
+		{4000, 6, 7, false}, // begins anew
+		{5600, 6, 8, true},
+	} {
+		if got := b.kick(tt.own, tt.newest, at(tt.ms)); got != tt.want {
+			t.Errorf("at %d ms, own %d, newest %d: %v", tt.ms, tt.own, tt.newest, got)
+		}
+	}
+}
+
+func TestNewestIsOfLivePeers(t *testing.T) {
+	v := &member.View{Peers: []member.Peer{
+		{State: member.Live, ConfigVersion: 3, ListVersion: 9},
+		{State: member.Live, ConfigVersion: 4, ListVersion: 8},
+		{State: member.Silent, ConfigVersion: 99, ListVersion: 99},
+	}}
+	if config, list := newest(v); config != 4 || list != 9 {
+		t.Errorf("config %d, list %d", config, list)
+	}
+}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -8,19 +8,81 @@
 
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/ingress"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/platform"
 )
 
 // follow keeps what the platform's tables say.
 func (d *Daemon) follow(ctx context.Context) {
-	watch := func(table string, apply func(platform.Update)) {
-		w := &platform.Watcher{Store: d.store, Table: table, Log: d.log, Apply: apply}
+	watch := func(table string, apply func(platform.Update)) *platform.Watcher {
+		w := platform.NewWatcher(d.store, table, d.log, apply)
 		d.loop.Go(ctx, w.Run)
+		return w
 	}
-	watch(platform.OperatorTable, d.applyOperator)
-	watch(platform.TargetTable, d.applyTargets(ctx))
+	operators := watch(platform.OperatorTable, d.applyOperator)
+	targets := watch(platform.TargetTable, d.applyTargets(ctx))
 	watch(fleetTable, d.applyFleet(ctx))
+	d.loop.Go(ctx, func(ctx context.Context) { d.compare(ctx, operators, targets) })
+}
+
+const (
+	// comparePeriod is how often this VM's versions are compared with its peers'.
+	comparePeriod = 500 * time.Millisecond
+	// behindFor is how long a peer may know more before this VM asks the store anew:
+	// longer than feeds gather changes.
+	behindFor = 1500 * time.Millisecond
+)
+
+// behind tells for how long another VM has known more.
+type behind struct{ since time.Time }
+
+// kick reports whether that is long enough; it then begins anew.
+func (b *behind) kick(own, newest int64, now time.Time) bool {
+	switch {
+	case own >= newest:
+		b.since = time.Time{}
+	case b.since.IsZero():
+		b.since = now
+	case now.Sub(b.since) > behindFor:
+		b.since = time.Time{}
+		return true
+	}
+	return false
+}
+
+// compare kicks a feed where a live peer knows more for some time: the store may have
+// taken this VM's call and never answer it.
+func (d *Daemon) compare(ctx context.Context, operators, targets *platform.Watcher) {
+	var config, list behind
+	ticker := time.NewTicker(comparePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		newestConfig, newestList := newest(d.members.View())
+		if config.kick(d.Snapshot().Version, newestConfig, time.Now()) {
+			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; the store is asked anew")
+			operators.Kick()
+		}
+		if known := d.listKnown.Load(); list.kick(known, newestList, time.Now()) {
+			d.log.Warn().Int64("list", known).Int64("peers", newestList).Msg("a peer has a newer list of targets; the store is asked anew")
+			targets.Kick()
+		}
+	}
+}
+
+// newest returns the newest versions that live peers told.
+func newest(view *member.View) (config, list int64) {
+	for i := range view.Peers {
+		if p := &view.Peers[i]; p.State == member.Live {
+			config, list = max(config, p.ConfigVersion), max(list, p.ListVersion)
+		}
+	}
+	return config, list
 }
 
 // applyOperator takes in what operators wrote.
@@ -95,10 +157,22 @@
 		if len(u.Changes) > 0 || first {
 			d.targets.Publish(u.Version)
 		}
+		d.noteList(u)
 		first = false
 	}
 }
 
+// noteList keeps up to which version the list is known, and its newest change.
+func (d *Daemon) noteList(u platform.Update) {
+	for _, c := range u.Changes {
+		// A removal that was found by reading the whole table has no version.
+		if !c.Removed || !u.Full {
+			d.listNewest.Store(max(d.listNewest.Load(), c.Version))
+		}
+	}
+	d.listKnown.Store(u.Version)
+}
+
 func (d *Daemon) applyTarget(c platform.Change, first bool, now time.Time) {
 	e, err := platform.DecodeTarget(c.Key, c.Value)
 	if err != nil {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -45,6 +45,9 @@
 	State         State
 	// ConfigVersion is the configuration in force there at the last heartbeat.
 	ConfigVersion int64
+	// ListVersion is the version of the newest change of the list of targets that it
+	// knew then.
+	ListVersion int64
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
 	// SlotsHeld is its number of slots at the last heartbeat.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -217,6 +217,7 @@
 		ConfigVersion: p.ConfigVersion,
 		FreePermits:   int32(p.FreePermits),
 		SlotsHeld:     int32(p.SlotsHeld),
+		ListVersion:   p.ListVersion,
 	}
 	for _, l := range p.Pools {
 		info.Pools = append(info.Pools, &peerpb.PoolLoad{
@@ -237,6 +238,7 @@
 		ConfigVersion: i.GetConfigVersion(),
 		FreePermits:   int(i.GetFreePermits()),
 		SlotsHeld:     int(i.GetSlotsHeld()),
+		ListVersion:   i.GetListVersion(),
 	}
 	if i.GetLeaving() {
 		p.State = Leaving
