--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -11,13 +11,12 @@
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
+	"go.opentelemetry.io/otel/trace"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
@@ -105,7 +104,10 @@
 
 // New builds a VM's parts; Run starts them.
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{}, loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns()}
+	d := &Daemon{
+		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
+		loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns(),
+	}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
@@ -119,6 +121,14 @@
 		ID: s.VM.ID, Incarnation: uuid.NewString(), Region: s.VM.Region, FailureDomain: s.VM.FailureDomain,
 		PeerAddress: s.Listen.Peers, CallerAddress: s.Listen.Callers,
 	}
+	d.buildControl()
+	d.buildTraffic(tracer)
+	return d, nil
+}
+
+// buildControl builds what follows the platform and the other VMs.
+func (d *Daemon) buildControl() {
+	s := d.settings.Load()
 	d.store = platform.NewStore(platform.StoreConfig{
 		Address: s.Store.Address, ReadsPerSecond: s.Store.ReadsPerSecond / storeShare,
 		WritesPerSecond: s.Store.WritesPerSecond / storeShare, Metrics: d.metrics,
@@ -126,41 +136,29 @@
 	d.dialer = peer.NewDialer(nil)
 	d.fleet = newRegistry(Registration{ID: s.VM.ID, PeerAddress: s.Listen.Peers}, d.clock.Now(), s.FirstStart, &d.settings)
 	d.members = member.NewProber(member.Config{
-		Self: d.self, Directory: d.fleet, Dialer: d.dialer, Loop: d.loop, Clock: d.clock, Log: log,
+		Self: d.self, Directory: d.fleet, Dialer: d.dialer, Loop: d.loop, Clock: d.clock, Log: d.log,
 		Local: d.describe, ListPeriod: listPeriod, MaxProbePeriod: maxProbePeriod,
 	})
 	d.limiter = limit.NewService(limit.Config{
-		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: log, Metrics: d.metrics,
+		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: d.log, Metrics: d.metrics,
 		StartTokens: d.fleet.startTokens,
 	})
 	d.targets = target.NewRegistry(s.FailureDomains)
+}
+
+// buildTraffic builds what a request passes.
+func (d *Daemon) buildTraffic(tracer trace.Tracer) {
 	d.client = forward.NewClient(forward.Config{
 		DialTimeout: targetDialTimeout, IdleTimeout: targetIdle, FreshIdle: freshIdle, BufferBytes: targetBuffer,
-		EchoHeader: platform.Headers{}.EchoHeader(), SkipCrossed: true, AllowUnframed: true, Dial: dialTarget,
+		EchoHeader: platform.Headers{}.EchoHeader(), SkipCrossed: true, AllowUnframed: true,
+		Dial: forward.WatchfulDialer(targetDialTimeout, targetUnacknowledged).DialContext,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
-		Wire: platform.Headers{}, Region: s.VM.Region, State: d.state.Load, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
-		Fleet: d.fleet, Client: d.client, Clock: d.clock, Log: log, Metrics: d.metrics, Tracer: tracer,
+		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
+		Fleet: d.fleet, Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
-	return d, nil
-}
-
-// dialTarget connects to a target. A target that falls silent is found out by
-// bytes that stay unacknowledged and by keep-alive probes.
-func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var failed error
-			err := c.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(targetUnacknowledged.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
-	}
-	return d.DialContext(ctx, network, address)
 }
 
 // describe completes what heartbeats say of this VM.
