edge, ingress, target: one periodic loop, one word for a sound target, dead code out

registry.Usable was called by nobody; three loops in pkg/edge were the same; the targets of a region were filtered into a new slice only to ask whether there is one. Behaviour stays: the loops' first turn comes at once, when there is nothing to do.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -19,11 +19,18 @@
 // balance keeps the parts until ctx ends.
 func (d *Daemon) balance(ctx context.Context) {
 	balancers := map[string]*placement.Balancer{}
-	ticker := time.NewTicker(balancePeriod)
-	defer ticker.Stop()
-	for {
+	every(ctx, balancePeriod, func() {
 		d.rebalance(balancers, time.Now())
 		d.fleet.refresh(d.clock.Now())
+	})
+}
+
+// every calls f now and each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		f()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -55,14 +55,7 @@
 // taken this VM's call and never answer it.
 func (d *Daemon) compare(ctx context.Context, operators, targets *platform.Watcher) {
 	var config, list behind
-	ticker := time.NewTicker(comparePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	every(ctx, comparePeriod, func() {
 		newestConfig, newestList := newest(d.members.View())
 		if config.kick(d.Snapshot().Version, newestConfig, time.Now()) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; the store is asked anew")
@@ -72,7 +65,7 @@
 			d.log.Warn().Int64("list", known).Int64("peers", newestList).Msg("a peer has a newer list of targets; the store is asked anew")
 			targets.Kick()
 		}
-	}
+	})
 }
 
 // newest returns the newest versions that live peers told.
--- a/pkg/edge/idle.go
+++ b/pkg/edge/idle.go
@@ -45,16 +45,9 @@
 
 // closeIdle closes callers' idle connections until ctx ends.
 func (d *Daemon) closeIdle(ctx context.Context) {
-	ticker := time.NewTicker(idlePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	every(ctx, idlePeriod, func() {
 		if limit := d.Snapshot().CallerLimits.IdleTimeout; limit > 0 {
 			d.idle.closeOlder(limit, time.Now())
 		}
-	}
+	})
 }
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -24,7 +24,7 @@
 	pool := s.Pools[c.pool]
 	parts := c.s.cfg.Parts(c.pool)
 	regions := placement.ChooseRegions(c.hash(), parts, func(region string) bool {
-		return c.allowed(region) && len(c.usable(pool[region])) > 0
+		return c.allowed(region) && slices.ContainsFunc(pool[region], c.canUse)
 	})
 	if c.route.Bulky {
 		regions = placement.HomeFirst(regions, c.s.cfg.Region, parts)
@@ -43,11 +43,13 @@
 	return nil
 }
 
-// usable leaves out targets that failed or were tried.
+// canUse reports whether a target has neither failed nor been tried.
+func (c *call) canUse(l *target.Live) bool { return l.Sound() && !slices.Contains(c.sent, l) }
+
 func (c *call) usable(list []*target.Live) []*target.Live {
 	var out []*target.Live
 	for _, l := range list {
-		if !l.Suspect() && !l.Replaced() && !slices.Contains(c.sent, l) {
+		if c.canUse(l) {
 			out = append(out, l)
 		}
 	}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -112,6 +112,9 @@
 // Replaced reports whether another incarnation answers at the address.
 func (l *Live) Replaced() bool { return l.replaced.Load() }
 
+// Sound reports whether the target is neither suspect nor replaced.
+func (l *Live) Sound() bool { return !l.Suspect() && !l.Replaced() }
+
 // SetReplaced takes the target out of use.
 func (l *Live) SetReplaced() { l.replaced.Store(true) }
 
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -302,7 +302,7 @@
 func UsableSlots(list []*Live) int {
 	n := 0
 	for _, l := range list {
-		if !l.Suspect() && !l.Replaced() {
+		if l.Sound() {
 			n += l.Slots
 		}
 	}
@@ -321,14 +321,3 @@
 	}
 	return out
 }
-
-// Usable reports whether the target may still get requests. It is asked just
-// before the first byte of a request is sent.
-func (r *Registry) Usable(l *Live) bool {
-	for _, other := range r.Snapshot().Pools[l.Pool][l.Region] {
-		if other == l {
-			return !l.Replaced()
-		}
-	}
-	return false
-}
