placement: an object has one target; a second one only where the first is cold

Change: the first target that is not cold is the only candidate; one bound of the queue, 0.7 of the objective.

--- a/pkg/feed/fake_fleet_test.go
+++ b/pkg/feed/fake_fleet_test.go
@@ -94,9 +94,23 @@
 		f.add(d)
 	}
 	f.start()
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.describe()
+		}
+	})
 	return f
 }
 
+// describe logs what each VM knows of its configuration.
+func (f *fleet) describe() {
+	for _, v := range f.vms {
+		s := v.Status()
+		f.t.Logf("%s: version %d, age %s, store reachable %t, %s ago, table read %d times",
+			v.peer.ID, s.Version, s.Age, s.StoreReachable, s.SinceStore, v.table.reads.Load())
+	}
+}
+
 // add makes a VM that is not yet started.
 func (f *fleet) add(domain string) *vm {
 	v := &vm{table: &vmTable{fakeStore: f.store}}
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -8,14 +8,9 @@
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
-const (
-	// warmCandidates is how many targets keep an object warm. With three or
-	// more, targets hold more objects than they keep (docs/DESIGN.md).
-	warmCandidates = 2
-	// rankedCandidates is how many are looked at, since cold targets among them
-	// take only a part of their requests.
-	rankedCandidates = 5
-)
+// rankedCandidates is how many targets are looked at, since cold ones among them
+// take only a part of their requests.
+const rankedCandidates = 4
 
 // choose returns the target that takes the request, or nil.
 func (c *call) choose(now time.Time) *target.Live {
@@ -82,21 +77,18 @@
 	}
 }
 
-// candidates returns the object's targets, best first: as many as keep it warm,
-// and the cold ones that rank before them.
+// candidates returns the target that keeps the object warm, after the cold ones that
+// rank before it.
 func (c *call) candidates(list []*target.Live, now time.Time) []*target.Live {
 	ranked := make([]placement.Candidate, len(list))
 	for i, l := range list {
 		ranked[i] = placement.Candidate{ID: l.Hash, Slots: l.Slots}
 	}
 	var out []*target.Live
-	warm := 0
 	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
 		out = append(out, list[i])
 		if !list[i].Cold(now) {
-			if warm++; warm == warmCandidates {
-				break
-			}
+			break
 		}
 	}
 	return out
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -4,9 +4,10 @@
 //
 // An object's hash decides which region it goes to, by the parts that a Balancer
 // keeps; rendezvous hashing (Thaler and Ravishankar, 1998) then orders the
-// region's targets. Only the first few of them are
-// candidates: under load, a request on any other target runs cold, takes several
-// times as long and displaces other objects.
+// region's targets. Only the first of them that is not cold is a
+// candidate, with the cold ones before it: on any other target a request runs cold, takes
+// several times as long and misses its objective, and keeps a slot from those that
+// would be warm.
 package placement
 
 import (
@@ -147,18 +148,11 @@
 	return time.Duration(float64(queued) / float64(o.Slots) * float64(o.Service))
 }
 
-// A warm run takes a third of a cold one, so a short queue at the first
-// candidate ends sooner than a cold run elsewhere, and costs the fleet less. How
-// long a queue is depends on whether the target runs its objects warm.
+// How long a queue is depends on whether the target runs its objects warm.
 const (
-	// firstWait and fullWait are how long a request may wait for a slot, relative to
-	// its latency objective: at the first candidate before another is
-	// considered, and at any before it is refused.
-	firstWait = 0.45
-	fullWait  = 0.7
-	// otherLoad is the load, relative to the slots, up to which another candidate is
-	// considered.
-	otherLoad = 0.9
+	// fullWait is how long a request may wait for a slot, relative to its latency
+	// objective.
+	fullWait = 0.7
 	// minQueue and maxQueue bound the load, relative to the slots, where requests
 	// queue whatever the prediction says.
 	minQueue = 1.3
@@ -174,27 +168,9 @@
 	return load < minQueue*float64(o.Slots) || o.wait() <= longest
 }
 
-// Choose returns the index of the candidate that takes a request with a latency
-// objective: the first unless its queue is long, else another with a free slot,
-// else the first whose queue is bearable; -1 where there is none.
+// Choose returns the index of the first candidate whose queue a request with a
+// latency objective can bear; -1 where there is none.
 func Choose(candidates []Occupancy, objective time.Duration) int {
-	first := true
-	for i, c := range candidates {
-		if !c.Usable {
-			continue
-		}
-		if first && c.queues(time.Duration(firstWait*float64(objective))) {
-			return i
-		}
-		if !first && float64(c.Load) < otherLoad*float64(c.Slots) {
-			return i
-		}
-		first = false
-	}
-	for i, c := range candidates {
-		if c.Usable && c.queues(time.Duration(fullWait*float64(objective))) {
-			return i
-		}
-	}
-	return -1
+	longest := time.Duration(fullWait * float64(objective))
+	return slices.IndexFunc(candidates, func(c Occupancy) bool { return c.Usable && c.queues(longest) })
 }
