edge, limit: a VM that starts admits from a slot that it never lends, and holds requests at first

The log of the restart: processes start 0 to 0.2 s after the power, know the configuration 60 to 250 ms later, and refuse everything for 55 to 650 ms more, until every other VM has said that it holds no loan of the earlier process; VMs that start first wait for those that are not up yet. Callers come back once, so most of them were lost. Excluded: the time to start (50 ms) and to read the store (two round trips). Change: a VM's part of each limit is two slots. One is never lent, so that nobody else can use it and the next process may at once; the other waits as before.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,10 +88,16 @@
 	client  *forward.Client
 	ingress *ingress.Server
 	state   atomic.Pointer[ingress.State]
-	parts   atomic.Pointer[parts]
-	self    member.Peer
-	regions []string
-	tracing func(context.Context) error
+	// known is closed when the first configuration, list of targets and list of VMs have
+	// been read.
+	known   chan struct{}
+	knownAs sync.Once
+	// targetsRead and fleetRead say that these lists have been read.
+	targetsRead, fleetRead atomic.Bool
+	parts                  atomic.Pointer[parts]
+	self                   member.Peer
+	regions                []string
+	tracing                func(context.Context) error
 
 	vms     map[string]Registration // owned by the fleet table's watcher
 	leaving atomic.Bool
@@ -106,7 +113,7 @@
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
-		loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns(),
+		loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns(), known: make(chan struct{}),
 	}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
@@ -154,7 +161,7 @@
 		Dial: forward.WatchfulDialer(targetDialTimeout, targetUnacknowledged).DialContext,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
-		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
+		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Known: d.known, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
 		Fleet: d.fleet, Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -38,6 +38,10 @@
 	PeerAddress string `json:"peer_address"`
 }
 
+// slotsPerVM is how many numbered slots a VM's part of the limits has: one that it
+// keeps, so that it admits requests as soon as it has started, and one that it lends.
+const slotsPerVM = 2
+
 // registry knows which VMs are registered. Each has a fixed and equal part of
 // every bound that holds for the fleet, whether it runs or not, so that a VM that
 // is cut off from the others never uses more than its own. It implements
@@ -45,8 +49,8 @@
 type registry struct {
 	self    Registration
 	started clock.Time
-	// settled says that nothing of what this process holds can still be lent by
-	// an earlier process of the VM; waited, that this was asked for in vain.
+	// settled says that nothing of the slot that is lent can still be lent by an
+	// earlier process of the VM; waited, that this was asked for in vain.
 	settled, waited atomic.Bool
 	mu              sync.Mutex // serializes set
 	// shrunk is when fewer VMs were registered than the parts are made for; zero
@@ -60,7 +64,7 @@
 func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
 	r := &registry{self: self, started: started, settings: s}
 	r.settled.Store(firstStart)
-	r.holding.Store(&lease.Holding{Total: 1})
+	r.holding.Store(&lease.Holding{Total: slotsPerVM})
 	r.vms.Store(&[]Registration{})
 	return r
 }
@@ -72,7 +76,7 @@
 // total is the number of parts that a bound is divided into at now. It follows a
 // VM that comes at once, and one that leaves after shrinkDelay.
 func (r *registry) total(vms int, now clock.Time) int {
-	old := r.holding.Load().Total
+	old := r.count()
 	if vms >= old {
 		r.shrunk = 0
 		return max(1, vms)
@@ -96,16 +100,18 @@
 	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
 	settled := r.settled.Load()
-	holds := at >= 0 && (settled || r.waited.Load())
-	total := r.total(len(vms), now)
-	if old.Total == total && holds == (len(old.Slots) > 0) {
-		return
+	var slots []lease.Slot
+	if at >= 0 {
+		slots = append(slots, lease.Slot{Index: slotsPerVM * at, Since: r.started, Until: farFuture, New: true, Kept: true})
+		if settled || r.waited.Load() {
+			slots = append(slots, lease.Slot{Index: slotsPerVM*at + 1, Since: r.started, Until: farFuture, New: settled})
+		}
 	}
-	h := &lease.Holding{Total: total, Generation: old.Generation + 1}
-	if holds {
-		h.Slots = []lease.Slot{{Index: at, Since: r.started, Until: farFuture, New: settled}}
+	total := slotsPerVM * r.total(len(vms), now)
+	if old.Total == total && len(slots) == len(old.Slots) {
+		return
 	}
-	r.holding.Store(h)
+	r.holding.Store(&lease.Holding{Total: total, Slots: slots, Generation: old.Generation + 1})
 }
 
 // refresh makes the parts follow VMs that left some time ago.
@@ -136,7 +142,7 @@
 }
 
 // count is the number of VMs that share the bounds.
-func (r *registry) count() int { return max(1, r.holding.Load().Total) }
+func (r *registry) count() int { return max(1, r.holding.Load().Total/slotsPerVM) }
 
 // ColdInterval implements ingress.Fleet. A VM may send floor(1 s/interval)+1
 // requests within a second, so only as many VMs use a cold target as the bound
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -40,8 +40,8 @@
 	}
 	expect := func(when string, total int) {
 		t.Helper()
-		if got := r.Holding(); got.Total != total || len(got.Slots) != 1 {
-			t.Errorf("%s: %d slots of %d, want 1 of %d", when, len(got.Slots), got.Total, total)
+		if got := r.Holding(); got.Total != slotsPerVM*total || len(got.Slots) != slotsPerVM {
+			t.Errorf("%s: %d slots of %d, want a VM's part of %d", when, len(got.Slots), got.Total, total)
 		}
 	}
 	r.set(registrations(10), 0)
@@ -60,14 +60,16 @@
 	expect("one restarts", 6)
 }
 
-func TestRestartedVMHoldsNothingUntilItIsSettled(t *testing.T) {
+// TestRestartedVMHoldsWhatItKeepsUntilItIsSettled: a VM that starts anew may use at once
+// what no process of it has ever lent, and nothing else.
+func TestRestartedVMHoldsWhatItKeepsUntilItIsSettled(t *testing.T) {
 	r := newTestRegistry("vm-00", false)
 	r.set(registrations(3), 0)
-	if got := r.Holding(); len(got.Slots) != 0 {
+	if got := r.Holding(); len(got.Slots) != 1 || !got.Slots[0].Kept || !got.Slots[0].New {
 		t.Errorf("holds %+v while others may use what it lent", got.Slots)
 	}
 	r.endWait(true, second)
-	if got := r.Holding(); len(got.Slots) != 1 || !got.Slots[0].New {
+	if got := r.Holding(); len(got.Slots) != slotsPerVM || !got.Slots[1].New || got.Slots[1].Kept {
 		t.Errorf("settled: %+v", got.Slots)
 	}
 }
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -95,6 +95,14 @@
 	if changed {
 		d.targets.Publish(0)
 	}
+	d.learn()
+}
+
+// learn closes known where all that requests need has been read.
+func (d *Daemon) learn() {
+	if d.state.Load() != nil && d.targetsRead.Load() && d.fleetRead.Load() {
+		d.knownAs.Do(func() { close(d.known) })
+	}
 }
 
 // applyConfig puts a configuration in force. Versions never go back.
@@ -151,7 +159,11 @@
 			d.targets.Publish(u.Version)
 		}
 		d.noteList(u)
-		first = false
+		if first {
+			first = false
+			d.targetsRead.Store(true)
+			d.learn()
+		}
 	}
 }
 
@@ -228,6 +240,8 @@
 		}
 		if first {
 			first = false
+			d.fleetRead.Store(true)
+			d.learn()
 			d.loop.Go(ctx, d.settle)
 		}
 	}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -76,11 +76,12 @@
 }
 func (f *fakeFleet) RepeatLimit() retry.PoolLimit { return f.repeats }
 
-// fakeLimiter refuses the accounts that it names.
-type fakeLimiter map[string]bool
+// fakeLimiter refuses the accounts that it names, until a time where that is set.
+type fakeLimiter map[string]time.Time
 
 func (f fakeLimiter) Admit(_ context.Context, account string) limit.Decision {
-	return limit.Decision{Admitted: !f[account], RetryAfter: time.Second}
+	until, refused := f[account]
+	return limit.Decision{Admitted: !refused || (!until.IsZero() && time.Now().After(until)), RetryAfter: time.Second}
 }
 
 // fakeTarget counts what reaches it.
@@ -158,6 +159,7 @@
 		},
 		Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
 	})
+	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewServer(w.server)
 	t.Cleanup(w.front.Close)
 	return w
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -73,7 +73,10 @@
 	Wire   Wire
 	Region string
 	// State returns the configuration in force, or nil before the first.
-	State   func() *State
+	State func() *State
+	// Known is closed once a configuration, the targets and the VMs are known; nil says
+	// that they are.
+	Known   <-chan struct{}
 	Targets *target.Registry
 	// Parts says in which regions the requests to a pool run.
 	Parts   func(pool string) []placement.Part
@@ -95,18 +98,29 @@
 	spill    *spill
 	counters counters
 	running  atomic.Int64
+	started  time.Time
 	closing  atomic.Bool
 }
 
 type counters struct {
-	requests, answered, refused, failed, repeats, sheds metrics.Counter
+	requests, answered, refused, failed, repeats, sheds, held metrics.Counter
 }
 
+// closed is a channel that is closed.
+var closed = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // NewServer returns a Server.
 func NewServer(c Config) *Server {
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Known == nil {
+		c.Known = closed
+	}
 	if c.Latency == nil {
 		c.Latency = func(time.Duration) {}
 	}
@@ -114,9 +128,9 @@
 		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
-	return &Server{cfg: c, budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, counters: counters{
+	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
-		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"),
+		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"), held: counter("held"),
 	}}
 }
 
@@ -166,7 +180,7 @@
 
 // admit finds the route and the client account and counts the request.
 func (c *call) admit(ctx context.Context) *answer {
-	c.state = c.s.cfg.State()
+	c.state = c.s.awaitState(ctx)
 	if c.state == nil {
 		return refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, notReadyRetry, "no configuration is known yet")
 	}
@@ -189,7 +203,7 @@
 	}
 	c.s.budget.Count(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
 	if c.account != nil && c.account.Rate > 0 {
-		if d := c.s.cfg.Limiter.Admit(ctx, c.account.Name); !d.Admitted {
+		if d := c.s.admitAccount(ctx, c.account.Name); !d.Admitted {
 			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
 		}
 	}
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -54,7 +54,7 @@
 		{"another host", "/safe/x", nil, func(r *http.Request) { r.Host = "other.example" }, 404, false},
 		{"no key", "/safe/x", nil, func(r *http.Request) { r.Header.Del(hKey) }, 401, false},
 		{"unknown key", "/safe/x", nil, func(r *http.Request) { r.Header.Set(hKey, "k9") }, 401, false},
-		{"over the rate", "/safe/x", func(w *world) { w.limiter[testAccount] = true }, nil, 429, true},
+		{"over the rate", "/safe/x", func(w *world) { w.limiter[testAccount] = time.Time{} }, nil, 429, true},
 		{"no targets", "/safe/x", func(w *world) { w.targets.Evacuate("fd-e", true, time.Now()); w.targets.Publish(0) }, nil, 503, true},
 		{"header over the limit", "/safe/x", func(w *world) { w.state.CallerLimits.MaxHeaderBytes = 500 }, func(r *http.Request) {
 			r.Header.Set("Extra", strings.Repeat("x", 400))
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -23,6 +23,9 @@
 	// Idle reports that the last holder had no request running under the slot
 	// when it released it.
 	Idle bool
+	// Kept slots are never lent. So nobody else can use a part of one, and the
+	// next process of its VM may use it at once.
+	Kept bool
 }
 
 // Valid reports whether the slot may be used at now.
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -119,7 +119,7 @@
 	each := share{b.limit.rate / n, b.limit.capacity / n}
 	parts := make([]part, len(h.Slots))
 	for i, s := range h.Slots {
-		parts[i] = part{share: each, from: s.Since, until: s.Until}
+		parts[i] = part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
 		if !s.New {
 			parts[i].from = s.Since.Add(settleTime)
 		}
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -54,6 +54,8 @@
 type part struct {
 	share
 	from, until clock.Time
+	// kept parts are never lent.
+	kept bool
 }
 
 // loan is a share that was lent or borrowed, until an end on this VM's clock.
@@ -157,11 +159,14 @@
 	}
 }
 
+// valid reports whether the part may be used at t.
+func (p part) valid(t clock.Time) bool { return !t.Before(p.from) && t.Before(p.until) }
+
 // own is the share of the slots that are valid at t.
 func (l *ledger) own(t clock.Time) share {
 	var sum share
 	for _, p := range l.parts {
-		if !t.Before(p.from) && t.Before(p.until) {
+		if p.valid(t) {
 			sum = sum.plus(p.share)
 		}
 	}
@@ -217,10 +222,15 @@
 }
 
 // certain is the share that this VM may lend until t. Slots count whose lease
-// runs now, even if it ends before t: their next holder waits settleTime. Loans
-// that it borrowed and that end before t do not count.
+// runs now, even if it ends before t: their next holder waits settleTime. Kept
+// slots and loans that it borrowed and that end before t do not count.
 func (l *ledger) certain(t clock.Time) share {
-	sum := l.own(l.last)
+	var sum share
+	for _, p := range l.parts {
+		if !p.kept && p.valid(l.last) {
+			sum = sum.plus(p.share)
+		}
+	}
 	for _, x := range l.borrowed {
 		if !x.end.Before(t) {
 			sum = sum.plus(x.share)
--- a/pkg/limit/settle.go
+++ b/pkg/limit/settle.go
@@ -17,7 +17,7 @@
 	// farthest regions.
 	holdsTimeout = 300 * time.Millisecond
 	// holdsPause is the time between two questions to a peer.
-	holdsPause = 100 * time.Millisecond
+	holdsPause = 50 * time.Millisecond
 	// refusalsOfDead is how many refused connections in a row prove that no process
 	// runs at an address.
 	refusalsOfDead = 2
--- a/pkg/limit/world_test.go
+++ b/pkg/limit/world_test.go
@@ -29,6 +29,8 @@
 	// noSettle lets the taker of a slot use it before the former holder's
 	// loans have ended.
 	noSettle
+	// lendsKept lets a VM lend the slots that it is to keep.
+	lendsKept
 	// fastClocks lets clocks differ by more than the margin covers.
 	fastClocks
 )
@@ -159,8 +161,9 @@
 func (w *world) take(k int, v *worldVM) {
 	s := &w.slots[k]
 	now := w.clock(v)
-	fresh := !s.used || w.mutation == noSettle
-	v.slots[k] = lease.Slot{Index: k, Since: now, Until: never, New: fresh}
+	kept := k%2 == 0
+	fresh := !s.used || kept || w.mutation == noSettle
+	v.slots[k] = lease.Slot{Index: k, Since: now, Until: never, New: fresh, Kept: kept && w.mutation != lendsKept}
 	if s.used && w.mutation == fullOnTakeover {
 		v.slots[k] = lease.Slot{Index: k, Since: now.Add(-settleTime), Until: never}
 		w.sync(v)
@@ -442,11 +445,11 @@
 	names := map[mutation]string{
 		lenderKeeps: "lender keeps using what it lent", countFromAnswer: "borrower counts from the answer",
 		fullOnTakeover: "full buckets after a takeover", noSettle: "no wait after a takeover",
-		fastClocks: "clocks drift beyond the margin",
+		lendsKept: "a slot that may be used at once was lent", fastClocks: "clocks drift beyond the margin",
 	}
 	for m, name := range names {
 		t.Run(name, func(t *testing.T) {
-			for seed := range 2000 {
+			for seed := range 20000 {
 				if broken := runMutated(m, seed); broken != "" {
 					t.Logf("seed %d: %s", seed, broken)
 					return
