edge: of several changes of an entry in one answer of the store, the last holds

Ends were taken in after all returns, so the list was held for 2 s and then empty for good. Excluded: a lapse (the entries were back 2 s after the store's return at 11 s), the compaction at 24 s (the answer came before it). Change: the last change of each key counts. Test: TestEntriesThatLapsedAndCameBackInOneAnswer, a whole VM against the store's stand-in; 503 before, 200 after.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -144,7 +144,7 @@
 		now := time.Now()
 		var removed []string
 		returned := false
-		for _, c := range u.Changes {
+		for _, c := range latest(u.Changes) {
 			if c.Removed {
 				removed = append(removed, c.Key)
 				returned = returned || c.Returned
@@ -167,6 +167,22 @@
 	}
 }
 
+// latest returns the last change of each key. An entry that lapsed and came back while
+// the store could not be asked arrives as both, in one answer.
+func latest(changes []platform.Change) []platform.Change {
+	last := map[string]int{}
+	for i, c := range changes {
+		last[c.Key] = i
+	}
+	out := make([]platform.Change, 0, len(last))
+	for i, c := range changes {
+		if last[c.Key] == i {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // noteList keeps up to which version the list is known, and its newest change.
 func (d *Daemon) noteList(u platform.Update) {
 	for _, c := range u.Changes {
