placement: requests that may run in one region only go before those that may run elsewhere

Change: heartbeats tell the demand that is bound to a region apart; what it needs is taken from the region's slots before they are divided among the others. Demand is counted with the time that a request keeps a slot, without its wait.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -56,21 +56,29 @@
 // regionsOf describes the regions for a pool: the capacity that this VM may use,
 // and the demand of the live VMs' callers.
 func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View) []placement.Region {
-	work := map[string]float64{d.self.Region: d.ingress.Demand()[pool]}
-	for i := range view.Peers {
-		p := &view.Peers[i]
-		if p.State != member.Live {
-			continue
-		}
-		for _, l := range p.Pools {
-			if l.Pool == pool {
-				work[p.Region] += l.Demand
+	work, bound := map[string]float64{}, map[string]float64{}
+	add := func(region string, loads []member.PoolLoad) {
+		for _, l := range loads {
+			switch {
+			case l.Pool != pool:
+			case l.BoundTo != "":
+				bound[l.BoundTo] += l.Demand
+			default:
+				work[region] += l.Demand
 			}
 		}
 	}
+	add(d.self.Region, d.ingress.Demand())
+	for i := range view.Peers {
+		if p := &view.Peers[i]; p.State == member.Live {
+			add(p.Region, p.Pools)
+		}
+	}
 	var regions []placement.Region
 	for _, name := range d.regions {
-		regions = append(regions, placement.Region{Name: name, Slots: float64(target.UsableSlots(byRegion[name])), Work: work[name]})
+		regions = append(regions, placement.Region{
+			Name: name, Slots: float64(target.UsableSlots(byRegion[name])), Work: work[name], Bound: bound[name],
+		})
 	}
 	return regions
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -177,9 +177,7 @@
 		p.ConfigVersion = s.Version
 	}
 	p.ListVersion = d.listNewest.Load()
-	for pool, slots := range d.ingress.Demand() {
-		p.Pools = append(p.Pools, member.PoolLoad{Pool: pool, Demand: slots})
-	}
+	p.Pools = append(p.Pools, d.ingress.Demand()...)
 }
 
 // ready reports whether this VM takes callers.
--- a/pkg/ingress/demand.go
+++ b/pkg/ingress/demand.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/member"
 )
 
 const (
@@ -18,7 +20,27 @@
 // times their mean duration (Little's law). Refused requests count too.
 type demand struct {
 	mu    sync.Mutex
-	pools map[string]*poolDemand
+	pools map[demandKey]*poolDemand
+}
+
+// demandKey names requests to a pool that may run in the same regions: boundTo alone, or
+// anywhere where it is empty.
+type demandKey struct{ pool, boundTo string }
+
+// demandKey returns what the request counts to. Requests that may run in several regions
+// count as those that may run anywhere.
+func (c *call) demandKey() demandKey {
+	k := demandKey{pool: c.pool}
+	var accounts []string
+	if c.account != nil {
+		accounts = c.account.Regions
+	}
+	for _, regions := range [][]string{accounts, c.route.Regions} {
+		if len(regions) == 1 {
+			k.boundTo = regions[0]
+		}
+	}
+	return k
 }
 
 type poolDemand struct {
@@ -27,13 +49,13 @@
 	duration float64 // seconds
 }
 
-func newDemand() *demand { return &demand{pools: map[string]*poolDemand{}} }
+func newDemand() *demand { return &demand{pools: map[demandKey]*poolDemand{}} }
 
-func (d *demand) pool(name string) *poolDemand {
-	p := d.pools[name]
+func (d *demand) pool(key demandKey) *poolDemand {
+	p := d.pools[key]
 	if p == nil {
 		p = &poolDemand{}
-		d.pools[name] = p
+		d.pools[key] = p
 	}
 	return p
 }
@@ -46,19 +68,19 @@
 }
 
 // count notes a request to a pool.
-func (d *demand) count(pool string, now time.Time) {
+func (d *demand) count(key demandKey, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pool(pool)
+	p := d.pool(key)
 	p.decay(now)
 	p.arrivals++
 }
 
 // took notes how long a request kept a slot of a target.
-func (d *demand) took(pool string, t time.Duration) {
+func (d *demand) took(key demandKey, t time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pool(pool)
+	p := d.pool(key)
 	if p.duration == 0 {
 		p.duration = t.Seconds()
 		return
@@ -66,14 +88,14 @@
 	p.duration += durationWeight * (t.Seconds() - p.duration)
 }
 
-// slots returns the demand of each pool.
-func (d *demand) slots(now time.Time) map[string]float64 {
+// loads returns the demand of each pool.
+func (d *demand) loads(now time.Time) []member.PoolLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string]float64, len(d.pools))
-	for name, p := range d.pools {
+	out := make([]member.PoolLoad, 0, len(d.pools))
+	for key, p := range d.pools {
 		p.decay(now)
-		out[name] = p.arrivals / rateMemory.Seconds() * p.duration
+		out = append(out, member.PoolLoad{Pool: key.pool, BoundTo: key.boundTo, Demand: p.arrivals / rateMemory.Seconds() * p.duration})
 	}
 	return out
 }
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -228,9 +228,7 @@
 		l.Failed(false)
 		return &try{arrived: true, err: fmt.Errorf("target %s: answer broke off: %w", l.ID, err)}
 	}
-	took := time.Since(c.sentAt)
-	c.s.demand.took(c.pool, took)
-	l.Served(took, c.load)
+	c.s.demand.took(c.demandKey(), l.Served(time.Since(c.sentAt), c.load))
 	a.body = body.Bytes()
 	c.soften(a)
 	return &try{answer: a}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -20,6 +20,7 @@
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/retry"
@@ -134,8 +135,9 @@
 	}}
 }
 
-// Demand returns how many slots the requests to each pool need.
-func (s *Server) Demand() map[string]float64 { return s.demand.slots(time.Now()) }
+// Demand returns how many slots the requests to each pool need, those apart that may run
+// in one region only.
+func (s *Server) Demand() []member.PoolLoad { return s.demand.loads(time.Now()) }
 
 // Running is how many requests are being served.
 func (s *Server) Running() int64 { return s.running.Load() }
@@ -207,7 +209,7 @@
 			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
 		}
 	}
-	c.s.demand.count(c.pool, c.arrived)
+	c.s.demand.count(c.demandKey(), c.arrived)
 	c.s.spill.count(c.arrived)
 	return nil
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -70,6 +70,9 @@
 	// Demand is how many slots the requests of its callers need, wherever they
 	// run.
 	Demand float64
+	// BoundTo is the only region where those requests may run; empty means that they
+	// may run anywhere.
+	BoundTo string
 }
 
 // View is an immutable picture of the fleet. Readers never change it.
--- a/pkg/placement/balance.go
+++ b/pkg/placement/balance.go
@@ -24,8 +24,12 @@
 	Name string
 	// Slots is how many requests its usable targets run at once.
 	Slots float64
-	// Work is how many slots the requests of its callers need.
+	// Work is how many slots the requests of its callers need that may run in any
+	// region.
 	Work float64
+	// Bound is how many slots the requests need that may run nowhere else, from
+	// whatever region they come.
+	Bound float64
 }
 
 // Part is the part of a region's requests that run in a region.
@@ -40,7 +44,7 @@
 // fills a region beyond the comfortable utilization, or the fleet's if that is
 // higher, the excess goes to those with room.
 func Split(home string, regions []Region) []Part {
-	regions = slices.Clone(regions)
+	regions = free(regions)
 	slices.SortFunc(regions, func(a, b Region) int { return cmp.Compare(a.Name, b.Name) })
 	flows := byCapacity(regions)
 	if flows == nil {
@@ -60,6 +64,21 @@
 	return nil
 }
 
+// free returns the regions with the slots that are left beside the requests that may
+// run nowhere else.
+func free(regions []Region) []Region {
+	out := slices.Clone(regions)
+	left := 0.0
+	for i, r := range out {
+		out[i].Slots = max(0, r.Slots-r.Bound)
+		left += out[i].Slots
+	}
+	if left == 0 {
+		return slices.Clone(regions)
+	}
+	return out
+}
+
 // byCapacity returns, for each region, the fractions of its requests that run in
 // each region; nil where there is no capacity.
 func byCapacity(regions []Region) [][]float64 {
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -69,8 +69,9 @@
 // serviceWeight is the weight of one request in a target's mean service time.
 const serviceWeight = 0.05
 
-// Served notes how long a request took, with the load that it met there.
-func (l *Live) Served(took time.Duration, load int) {
+// Served notes how long a request took, with the load that it met there. It returns how
+// long the request kept a slot, as far as that can be told.
+func (l *Live) Served(took time.Duration, load int) time.Duration {
 	queued := max(0, load+1-l.Slots)
 	service := float64(took) / (1 + float64(queued)/float64(l.Slots))
 	for {
@@ -80,7 +81,7 @@
 			mean = float64(old) + serviceWeight*(service-float64(old))
 		}
 		if l.service.CompareAndSwap(old, int64(mean)) {
-			return
+			return time.Duration(service)
 		}
 	}
 }
