edge: a stopping VM answers callers until it is quiet, and only then closes its listener

Excluded: requests in flight (none was cut), idle connections (the request came on a new one). Change: from 2.9 s on new requests get 503 'stopping' at once and may come back elsewhere after 10 ms; the listener closes when nothing has run for 0.2 s and nobody came, or for 0.6 s. Test: TestStoppingVMAnswersToTheEnd (a refused connection before).

--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -33,6 +33,8 @@
 	maxPatience = 5 * time.Minute
 	// notReadyRetry is when a caller may come back to a VM that has just started.
 	notReadyRetry = 300 * time.Millisecond
+	// stoppingRetry is when a caller may come back to another VM.
+	stoppingRetry = 10 * time.Millisecond
 )
 
 // State is the configuration in force with what is derived from it. It is
@@ -101,6 +103,7 @@
 	running  atomic.Int64
 	started  time.Time
 	closing  atomic.Bool
+	refusing atomic.Bool
 }
 
 type counters struct {
@@ -139,12 +142,18 @@
 // in one region only.
 func (s *Server) Demand() []member.PoolLoad { return s.demand.loads(time.Now()) }
 
+// Requests is how many requests have come.
+func (s *Server) Requests() int64 { return s.counters.requests.Count() }
+
 // Running is how many requests are being served.
 func (s *Server) Running() int64 { return s.running.Load() }
 
 // Close makes every answer from now on the last one of its connection.
 func (s *Server) Close() { s.closing.Store(true) }
 
+// Refuse answers new requests at once that this VM stops. Those that run go on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
 // traceContext carries traces between hops in the W3C format.
 var traceContext = propagation.TraceContext{}
 
@@ -182,6 +191,9 @@
 
 // admit finds the route and the client account and counts the request.
 func (c *call) admit(ctx context.Context) *answer {
+	if c.s.refusing.Load() {
+		return refuse(http.StatusServiceUnavailable, outcome.ReasonStopping, stoppingRetry, "this VM stops")
+	}
 	c.state = c.s.awaitState(ctx)
 	if c.state == nil {
 		return refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, notReadyRetry, "no configuration is known yet")
