ingress: a request that waits for a target that got out of reach goes elsewhere

Other requests to the target find it out of reach after 0.35 to 0.9 s. Change: where the request may run twice and has an attempt left, its wait ends when the target becomes unreachable; the retry budget holds. Test: TestTargetLostPower (504 before).

--- a/pkg/feed/fake_fleet_test.go
+++ b/pkg/feed/fake_fleet_test.go
@@ -25,9 +25,10 @@
 	delay atomic.Int64
 }
 
-// wait reports whether the answer comes before the caller gives up.
+// wait reports whether the answer comes before the caller gives up. On a busy machine
+// both may be found to be over at once; then the caller gave up first.
 func (v *vmTable) wait(ctx context.Context) bool {
-	return sleep(ctx, time.Duration(v.delay.Load()))
+	return sleep(ctx, time.Duration(v.delay.Load())) && ctx.Err() == nil
 }
 
 func (v *vmTable) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -61,7 +61,7 @@
 	header http.Header
 	body   []byte
 	// stream, where set, follows body.
-	stream io.ReadCloser
+	stream *passedOn
 	reason outcome.Reason
 	detail string
 	retry  time.Duration
@@ -248,7 +248,7 @@
 
 // copyStream passes on an answer that is too long to be kept. One that breaks
 // off must look so to the caller.
-func (c *call) copyStream(stream io.ReadCloser) {
+func (c *call) copyStream(stream *passedOn) {
 	defer stream.Close()
 	// A caller that is being answered waits on beyond the route's timeout.
 	patience := maxPatience
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -132,12 +132,37 @@
 	if span.SpanContext().IsSampled() {
 		traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
 	}
-	resp, failure := c.s.cfg.Client.Do(ctx, out, forward.Options{Address: l.Address, Once: !c.idempotent()})
+	waiting, stop := c.waitFor(ctx, l)
+	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{Address: l.Address, Once: !c.idempotent()})
 	if failure != nil {
+		stop()
 		l.End()
+		if failure.Ended && ctx.Err() == nil {
+			return &try{arrived: failure.Wrote, notRun: !failure.Wrote, err: fmt.Errorf("target %s: %w", l.ID, errLost)}
+		}
 		return c.failed(l, failure)
 	}
-	return c.received(l, resp)
+	t := c.received(l, resp)
+	if t.answer != nil && t.answer.stream != nil {
+		t.answer.stream.stop = stop
+		return t
+	}
+	stop()
+	return t
+}
+
+var errLost = errors.New("the target got out of reach meanwhile")
+
+// waitFor returns the context in which a target's answer is waited for. Where the
+// request may go to another target, it ends when this one gets out of reach: a target
+// that lost power never answers, and says nothing either.
+func (c *call) waitFor(ctx context.Context, l *target.Live) (waiting context.Context, stop func()) {
+	if !c.idempotent() || !c.repeatable() || len(c.sent) >= max(1, c.route.MaxAttempts) {
+		return ctx, func() {}
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	end := context.AfterFunc(l.Lost(), cancel)
+	return waiting, func() { end(); cancel() }
 }
 
 // failed takes in a sending without an answer.
@@ -212,7 +237,7 @@
 	_, err := io.Copy(&body, io.LimitReader(resp, maxKeptAnswer))
 	if err == nil && body.Len() == maxKeptAnswer && !resp.Whole() {
 		a.body = body.Bytes()
-		a.stream = &passedOn{resp, l}
+		a.stream = &passedOn{Response: resp, l: l}
 		return &try{answer: a}
 	}
 	// A read of zero bytes tells the end of a body whose length was known.
@@ -248,11 +273,14 @@
 type passedOn struct {
 	*forward.Response
 	l *target.Live
+	// stop ends the wait for the target.
+	stop func()
 }
 
 // Close ends the answer.
 func (p *passedOn) Close() error {
 	p.l.End()
 	p.Response.Close()
+	p.stop()
 	return nil
 }
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -174,6 +174,26 @@
 	return ""
 }
 
+// TestTargetLostPower: a target that is gone without a word is found to be out of reach by
+// others; a request that waits for its answer goes elsewhere then, if it may run twice.
+func TestTargetLostPower(t *testing.T) {
+	for path, want := range map[string]int{"/safe/a": http.StatusOK, "/short/a": http.StatusGatewayTimeout} {
+		w := newWorld(t)
+		reached := make(chan struct{}, 1)
+		w.raw("dark", "fd-e", func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 4096))
+			reached <- struct{}{}
+			<-t.Context().Done()
+		})
+		go func() {
+			<-reached
+			w.add("t2", "fd-e", good)
+			w.targets.Snapshot().Pools[testPool]["east"][0].Failed(true)
+		}()
+		w.expect(want, http.MethodGet, path)
+	}
+}
+
 func TestTimeout(t *testing.T) {
 	w := newWorld(t)
 	left := make(chan struct{})
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"math"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,13 @@
 	replaced  atomic.Bool
 	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
+	lost      atomic.Pointer[loss]
+}
+
+// loss ends when the target is found to be out of reach.
+type loss struct {
+	ctx context.Context
+	end context.CancelFunc
 }
 
 // epoch is where instants are counted from.
@@ -125,9 +133,29 @@
 	if n := l.failures.Add(1); !unreachable && n < failuresToSuspect {
 		return false
 	}
+	if unreachable {
+		if x := l.lost.Swap(nil); x != nil {
+			x.end()
+		}
+	}
 	return !l.suspect.Swap(true)
 }
 
+// Lost returns a context that ends when the target is found to be out of reach, so that
+// those who wait for its answer need not wait in vain.
+func (l *Live) Lost() context.Context {
+	if x := l.lost.Load(); x != nil {
+		return x.ctx
+	}
+	x := &loss{}
+	x.ctx, x.end = context.WithCancel(context.Background())
+	if l.lost.CompareAndSwap(nil, x) {
+		return x.ctx
+	}
+	x.end()
+	return l.Lost()
+}
+
 // failuresToSuspect is the number of lost answers in a row that make a target
 // suspect: single answers are lost on sound targets too.
 const failuresToSuspect = 3
