feed: the tests' slow store decides at the start of a call whether its answer comes in time

Cause of the red TestSlowStore: the fake waited for the read's deadline and for its own delay in one select. After a stall of the process both timers are due; where the delay won, the read was answered, the VM counted the store as reachable again, and 1.8 s without an answer never came about.

--- a/pkg/feed/fake_fleet_test.go
+++ b/pkg/feed/fake_fleet_test.go
@@ -25,10 +25,15 @@
 	delay atomic.Int64
 }
 
-// wait reports whether the answer comes before the caller gives up. On a busy machine
-// both may be found to be over at once; then the caller gave up first.
+// wait reports whether the answer comes before the caller gives up. That is decided at the
+// start: after a stall of the process both timers are due, and either may fire first.
 func (v *vmTable) wait(ctx context.Context) bool {
-	return sleep(ctx, time.Duration(v.delay.Load())) && ctx.Err() == nil
+	delay := time.Duration(v.delay.Load())
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < delay {
+		<-ctx.Done()
+		return false
+	}
+	return sleep(ctx, delay)
 }
 
 func (v *vmTable) Get(ctx context.Context, key storage.Key) (storage.Item, error) {
