limit: a VM keeps a part for itself only where it holds some tokens

Half of each VM's part is kept since: of a burst of 100 that is 0.8 of a token on each of 62 VMs, which admits nothing and is lent to nobody, so half of the limit lay idle. Change: a kept slot counts as kept for an account only where its part of the burst is 3 tokens or more; else it is lent, and waits for the loans of an earlier process, like the other. The tokens of a start come with each part as it is first held. Tests: TestSmallPartsAreNotKept; TestLimitHolds passes with both kinds; TestStartTokens also demands those of the second part.

--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -57,6 +57,10 @@
 	lightLoad  = 0.4
 	heavyLoad  = 0.5
 	lightShare = 0.5
+	// minKeptBurst is the least part of a burst that a VM keeps for itself. Smaller
+	// ones hold a token or two, or none, on every VM of a large fleet, and serve better
+	// together at the home.
+	minKeptBurst = 3.0
 	// hysteresis is the change of demand that moves shares.
 	hysteresis = 0.25
 	// homeReserve and homeBurst are the parts of the limit that the home does
@@ -86,8 +90,8 @@
 	reports map[string]float64
 	// light says that load is low, and that every VM keeps a part of its share.
 	light bool
-	// begun says that the tokens of the start were given.
-	begun bool
+	// begun is for how many parts the tokens of the start were given.
+	begun int
 	// want is the share that the VM would best have for its own demand.
 	want   share
 	nextID func() uint64
@@ -117,23 +121,42 @@
 	}
 	n := float64(max(1, h.Total))
 	each := share{b.limit.rate / n, b.limit.capacity / n}
-	parts := make([]part, len(h.Slots))
-	for i, s := range h.Slots {
-		parts[i] = part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
-		if !s.New {
-			parts[i].from = s.Since.Add(settleTime)
+	var parts []part
+	for _, s := range h.Slots {
+		p := part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
+		fresh := s.New
+		if s.Kept && each.capacity < minKeptBurst {
+			var held bool
+			if held, fresh = lendable(h); !held {
+				continue
+			}
+			p.kept = false
 		}
+		if !fresh {
+			p.from = s.Since.Add(settleTime)
+		}
+		parts = append(parts, p)
 	}
 	b.setParts(parts, now)
 }
 
-// startWith gives a book that has its first share some tokens, once.
-func (b *book) startWith(tokens float64) {
-	if b.begun {
-		return
+// lendable reports whether a slot is held that is not kept, and whether it is new.
+func lendable(h *lease.Holding) (held, fresh bool) {
+	fresh = true
+	for _, s := range h.Slots {
+		if !s.Kept {
+			held, fresh = true, fresh && s.New
+		}
+	}
+	return held, held && fresh
+}
+
+// startWith gives a book that starts some tokens for each part that it holds, once.
+func (b *book) startWith(each float64) {
+	if more := len(b.parts) - b.begun; more > 0 {
+		b.begun = len(b.parts)
+		b.tokens = min(b.net.capacity, b.tokens+float64(more)*finite(each))
 	}
-	b.begun = true
-	b.tokens = min(b.net.capacity, b.tokens+finite(tokens))
 }
 
 // fillTime is how long an empty bucket takes to be full.
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -212,8 +212,8 @@
 	}
 	a.config, a.holding = c, h
 	a.book.setShares(c, h, now)
-	if s.cfg.StartTokens != nil && c != nil && len(h.Slots) > 0 {
-		a.book.startWith(s.cfg.StartTokens(c) * float64(len(h.Slots)) / float64(max(1, h.Total)))
+	if s.cfg.StartTokens != nil && c != nil {
+		a.book.startWith(s.cfg.StartTokens(c) / float64(max(1, h.Total)))
 	}
 }
 
--- a/pkg/limit/settle_test.go
+++ b/pkg/limit/settle_test.go
@@ -160,6 +160,13 @@
 	if b.take(0) {
 		t.Error("the tokens of the start were given twice")
 	}
+	two := held(1)
+	two.Slots = append(two.Slots, lease.Slot{Index: 1, Until: never, New: true})
+	b.setShares(limit, two, 0)
+	b.startWith(4)
+	if !b.take(0) {
+		t.Error("the second part got no tokens")
+	}
 	full := newBook("a", func() uint64 { return 0 })
 	full.setShares(limit, held(1), 0)
 	full.startWith(1000)
