limit, ingress: a kept slot that is lent is described once; no channel made to be closed

A server without Known knows everything: a nil check says so in place of a second copy of limit's closed channel.

--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -110,21 +110,11 @@
 	requests, answered, refused, failed, repeats, sheds, held metrics.Counter
 }
 
-// closed is a channel that is closed.
-var closed = func() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
 // NewServer returns a Server.
 func NewServer(c Config) *Server {
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
-	if c.Known == nil {
-		c.Known = closed
-	}
 	if c.Latency == nil {
 		c.Latency = func(time.Duration) {}
 	}
--- a/pkg/ingress/start.go
+++ b/pkg/ingress/start.go
@@ -32,6 +32,9 @@
 
 // known reports whether the VM knows all that requests need.
 func (s *Server) known() bool {
+	if s.cfg.Known == nil {
+		return true
+	}
 	select {
 	case <-s.cfg.Known:
 		return true
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -123,16 +123,14 @@
 	each := share{b.limit.rate / n, b.limit.capacity / n}
 	var parts []part
 	for _, s := range h.Slots {
-		p := part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
-		fresh := s.New
 		if s.Kept && each.capacity < minKeptBurst {
-			var held bool
-			if held, fresh = lendable(h); !held {
+			var ok bool
+			if s, ok = asLent(s, h); !ok {
 				continue
 			}
-			p.kept = false
 		}
-		if !fresh {
+		p := part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
+		if !s.New {
 			p.from = s.Since.Add(settleTime)
 		}
 		parts = append(parts, p)
@@ -140,15 +138,19 @@
 	b.setParts(parts, now)
 }
 
-// lendable reports whether a slot is held that is not kept, and whether it is new.
-func lendable(h *lease.Holding) (held, fresh bool) {
-	fresh = true
-	for _, s := range h.Slots {
-		if !s.Kept {
-			held, fresh = true, fresh && s.New
+// asLent returns a kept slot as one that is lent like the others that are held. An earlier
+// process may have lent a part of it then, so it counts as new only where they are; ok is
+// false where there is none, as nothing is known of loans yet.
+func asLent(kept lease.Slot, h *lease.Holding) (s lease.Slot, ok bool) {
+	s = kept
+	s.Kept = false
+	for _, other := range h.Slots {
+		if !other.Kept {
+			ok = true
+			s.New = s.New && other.New
 		}
 	}
-	return held, held && fresh
+	return s, ok
 }
 
 // startWith gives a book that starts some tokens for each part that it holds, once.
