limit, edge: a lost slot takes its tokens along; keeping a slot follows the fleet's size

Causes: (1) a VM that loses a slot and takes over a raised burst in one step kept the lost slot's tokens, as the larger capacity hid the loss: 24 admitted of 20. (3) by reading: whether a part is kept followed the account's burst, so one raised before a restart would be used twice.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -38,9 +38,16 @@
 	PeerAddress string `json:"peer_address"`
 }
 
-// slotsPerVM is how many numbered slots a VM's part of the limits has: one that it
-// keeps, so that it admits requests as soon as it has started, and one that it lends.
-const slotsPerVM = 2
+const (
+	// slotsPerVM is how many numbered slots a VM's part of the limits has: one that it
+	// keeps, so that it admits requests as soon as it has started, and one that it lends.
+	slotsPerVM = 2
+	// maxKeepers is the size of the fleet up to which VMs keep one. In larger ones half of
+	// a part is less than a token of many accounts' bursts: kept, it admits nothing on any
+	// VM and helps no other. What operators change must not decide this, since the next
+	// process of a VM must not use at once what the one before may have lent.
+	maxKeepers = 32
+)
 
 // registry knows which VMs are registered. Each has a fixed and equal part of
 // every bound that holds for the fleet, whether it runs or not, so that a VM that
@@ -100,14 +107,17 @@
 	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
 	settled := r.settled.Load()
+	parts := r.total(len(vms), now)
+	keeps := parts <= maxKeepers
+	lends := settled || r.waited.Load()
 	var slots []lease.Slot
-	if at >= 0 {
-		slots = append(slots, lease.Slot{Index: slotsPerVM * at, Since: r.started, Until: farFuture, New: true, Kept: true})
-		if settled || r.waited.Load() {
-			slots = append(slots, lease.Slot{Index: slotsPerVM*at + 1, Since: r.started, Until: farFuture, New: settled})
-		}
+	if at >= 0 && (keeps || lends) {
+		slots = append(slots, lease.Slot{Index: slotsPerVM * at, Since: r.started, Until: farFuture, New: keeps || settled, Kept: keeps})
+	}
+	if at >= 0 && lends {
+		slots = append(slots, lease.Slot{Index: slotsPerVM*at + 1, Since: r.started, Until: farFuture, New: settled})
 	}
-	total := slotsPerVM * r.total(len(vms), now)
+	total := slotsPerVM * parts
 	if old.Total == total && len(slots) == len(old.Slots) {
 		return
 	}
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -74,6 +74,34 @@
 	}
 }
 
+// TestLargeFleetKeepsNothing: in a large fleet the part of a small account that each VM
+// would keep is less than a token, which admits nothing anywhere (62 VMs: 24,157 refusals of
+// one day). There both slots are lent, and both wait for the loans of an earlier process.
+func TestLargeFleetKeepsNothing(t *testing.T) {
+	for _, tt := range []struct {
+		vms, unsettled, kept int
+	}{{10, 1, 1}, {maxKeepers, 1, 1}, {maxKeepers + 1, 0, 0}, {62, 0, 0}} {
+		r := newTestRegistry("vm-00", false)
+		r.set(registrations(tt.vms), 0)
+		if got := len(r.Holding().Slots); got != tt.unsettled {
+			t.Errorf("%d VMs: %d slots before it is settled, want %d", tt.vms, got, tt.unsettled)
+		}
+		r.endWait(true, second)
+		kept := 0
+		for _, s := range r.Holding().Slots {
+			if s.Kept {
+				kept++
+			}
+			if !s.New {
+				t.Errorf("%d VMs: settled, but slot %d waits", tt.vms, s.Index)
+			}
+		}
+		if got := len(r.Holding().Slots); got != slotsPerVM || kept != tt.kept {
+			t.Errorf("%d VMs: %d slots, %d kept, want %d and %d", tt.vms, got, kept, slotsPerVM, tt.kept)
+		}
+	}
+}
+
 // TestColdBoundOverTheFleet: whatever VMs there are, and whenever each sends, a
 // cold target gets no more than its bound in any second.
 func TestColdBoundOverTheFleet(t *testing.T) {
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -57,10 +57,6 @@
 	lightLoad  = 0.4
 	heavyLoad  = 0.5
 	lightShare = 0.5
-	// minKeptBurst is the least part of a burst that a VM keeps for itself. Smaller
-	// ones hold a token or two, or none, on every VM of a large fleet, and serve better
-	// together at the home.
-	minKeptBurst = 3.0
 	// hysteresis is the change of demand that moves shares.
 	hysteresis = 0.25
 	// homeReserve and homeBurst are the parts of the limit that the home does
@@ -112,45 +108,34 @@
 	stepWaitAsk             // the caller waits for the ask under way
 )
 
-// setShares makes the book follow the held slots and the account's limit. A
-// slot that had a holder before counts only once that holder's loans ended.
+// setShares makes the book follow the held slots and the account's limit. Slots that are
+// lost take their tokens along under the limit before: a larger capacity of the others would
+// hide the loss.
 func (b *book) setShares(a *config.Account, h *lease.Holding, now clock.Time) {
-	b.limit = share{}
+	next := share{}
 	if a != nil {
-		b.limit = share{finite(a.Rate), finite(a.Burst)}
+		next = share{finite(a.Rate), finite(a.Burst)}
 	}
-	n := float64(max(1, h.Total))
-	each := share{b.limit.rate / n, b.limit.capacity / n}
-	var parts []part
-	for _, s := range h.Slots {
-		if s.Kept && each.capacity < minKeptBurst {
-			var ok bool
-			if s, ok = asLent(s, h); !ok {
-				continue
-			}
-		}
-		p := part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
-		if !s.New {
-			p.from = s.Since.Add(settleTime)
-		}
-		parts = append(parts, p)
+	if b.started && next != b.limit {
+		b.setParts(partsOf(b.limit, h), now)
 	}
-	b.setParts(parts, now)
+	b.limit = next
+	b.setParts(partsOf(next, h), now)
 }
 
-// asLent returns a kept slot as one that is lent like the others that are held. An earlier
-// process may have lent a part of it then, so it counts as new only where they are; ok is
-// false where there is none, as nothing is known of loans yet.
-func asLent(kept lease.Slot, h *lease.Holding) (s lease.Slot, ok bool) {
-	s = kept
-	s.Kept = false
-	for _, other := range h.Slots {
-		if !other.Kept {
-			ok = true
-			s.New = s.New && other.New
+// partsOf returns the held slots' parts of a limit. A slot that had a holder before counts
+// only once that holder's loans ended.
+func partsOf(limit share, h *lease.Holding) []part {
+	n := float64(max(1, h.Total))
+	each := share{limit.rate / n, limit.capacity / n}
+	parts := make([]part, len(h.Slots))
+	for i, s := range h.Slots {
+		parts[i] = part{share: each, from: s.Since, until: s.Until, kept: s.Kept}
+		if !s.New {
+			parts[i].from = s.Since.Add(settleTime)
 		}
 	}
-	return s, ok
+	return parts
 }
 
 // startWith gives a book that starts some tokens for each part that it holds, once.
