ingress: a stopping VM logs each request that its grace cuts

Cause: a request has one log line, written with its answer.

Change: the server keeps the requests that run, each with its stage, the target that it was sent to last and the time since which it is there. A stop writes a line for each one at the end of the grace. No decision depends on it.

TestRunningRequestsAreLogged.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -222,7 +222,7 @@
 		d.log.Error().Err(err).Msg("a listener failed")
 	}
 	_ = d.tracing(background)
-	d.log.Info().Int64("running", d.ingress.Running()).Msg("stopped")
+	d.log.Info().Int("running", d.ingress.Running()).Msg("stopped")
 	return err
 }
 
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -31,14 +31,15 @@
 	d.leaving.Store(true)
 	d.limiter.StopLending()
 	d.ingress.Close()
-	d.log.Info().Int64("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
+	d.log.Info().Int("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
 	time.Sleep(min(stopNotice, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopReserve))
 	defer cancel()
 	d.ingress.Refuse()
 	d.awaitQuiet(ctx)
 	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.Warn().Err(err).Int64("running", d.ingress.Running()).Msg("requests were still running at the end of the grace")
+		d.log.Warn().Err(err).Int("running", d.ingress.Running()).Msg("requests were still running at the end of the grace")
+		d.ingress.LogRunning("still running at the end of the grace")
 	}
 	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancelRelease()
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -49,10 +49,11 @@
 	sentAt     time.Time      // of the last one
 	mayHaveRun bool
 	// grey says that the last target refused the request although it had room.
-	grey    bool
-	load    int // of the last target, when it was chosen
-	version int64
-	note    string
+	grey     bool
+	load     int // of the last target, when it was chosen
+	progress progress
+	version  int64
+	note     string
 }
 
 // answer is what the caller gets.
@@ -132,6 +133,7 @@
 
 // readBody reads the request's body as far as it is kept.
 func (c *call) readBody() *answer {
+	c.progress.enter(stageBody, "")
 	limit := c.state.CallerLimits.MaxBodyBytes
 	if limit > 0 && c.r.ContentLength > limit {
 		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
@@ -215,6 +217,7 @@
 // deliver writes the answer and the request's log line.
 func (c *call) deliver(a *answer) {
 	defer c.end()
+	c.progress.enter(stageAnswer, "")
 	h := c.w.Header()
 	for k, v := range a.header {
 		h[k] = v
--- /dev/null
+++ b/pkg/ingress/inflight.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+)
+
+// stage is how far a request has come.
+type stage string
+
+// The stages of a request.
+const (
+	stageAdmission stage = "admission"
+	stageBody      stage = "reading_body"
+	stagePlacement stage = "placement"
+	stageTarget    stage = "awaiting_target"
+	stageAnswer    stage = "delivering"
+)
+
+// progress is a request's stage, readable while the request runs.
+type progress struct {
+	mu     sync.Mutex
+	stage  stage
+	since  time.Time
+	target string // the last one that it was sent to
+}
+
+// enter notes that the request has come to a stage; target is empty where it was sent to
+// none.
+func (p *progress) enter(s stage, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stage, p.since = s, time.Now()
+	if target != "" {
+		p.target = target
+	}
+}
+
+// inflight holds the requests that run.
+type inflight struct {
+	mu    sync.Mutex
+	calls map[*call]struct{}
+}
+
+func newInflight() *inflight { return &inflight{calls: map[*call]struct{}{}} }
+
+func (i *inflight) add(c *call) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.calls[c] = struct{}{}
+}
+
+func (i *inflight) remove(c *call) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.calls, c)
+}
+
+// count is how many requests run.
+func (i *inflight) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.calls)
+}
+
+// LogRunning writes a line for each request that runs: what it waits for and since when.
+func (s *Server) LogRunning(message string) {
+	now := time.Now()
+	s.inflight.mu.Lock()
+	defer s.inflight.mu.Unlock()
+	for c := range s.inflight.calls {
+		c.progress.mu.Lock()
+		s.cfg.Log.Warn().Str("request", c.info.ID).Str("path", c.r.URL.Path).Str("stage", string(c.progress.stage)).
+			Str("target", c.progress.target).Dur("stage_ms", now.Sub(c.progress.since)).Dur("ms", now.Sub(c.arrived)).Msg(message)
+		c.progress.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/pkg/ingress/inflight_test.go
@@ -0,0 +1,41 @@
+package ingress
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+// TestRunningRequestsAreLogged: a request that has not ended has no line of its own, so a
+// stop that cuts it must tell what it waited for.
+func TestRunningRequestsAreLogged(t *testing.T) {
+	w := newWorld(t)
+	var out bytes.Buffer
+	w.server.cfg.Log = zerolog.New(&out)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-release
+		good(rw, r)
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _, _ = w.send(http.MethodGet, "/safe/x", "")
+	}()
+	<-arrived
+	if got := w.server.Running(); got != 1 {
+		t.Errorf("%d requests run, want 1", got)
+	}
+	w.server.LogRunning("cut")
+	close(release)
+	<-ended
+	for _, want := range []string{`"stage":"awaiting_target"`, `"target":"i-1"`, `"path":"/safe/x"`, `"message":"cut"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s lacks %s", out.String(), want)
+		}
+	}
+}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -49,6 +49,7 @@
 func (c *call) run(ctx context.Context) *answer {
 	attempts := max(1, c.route.MaxAttempts)
 	for {
+		c.progress.enter(stagePlacement, "")
 		l := c.choose(time.Now())
 		if l == nil {
 			return c.giveUp("no target has room")
@@ -127,6 +128,7 @@
 	defer span.End()
 	c.sent = append(c.sent, l)
 	c.sentAt = time.Now()
+	c.progress.enter(stageTarget, l.ID)
 	l.Begin()
 	out := c.outgoing(l)
 	if span.SpanContext().IsSampled() {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -100,7 +100,7 @@
 	demand   *demand
 	spill    *spill
 	counters counters
-	running  atomic.Int64
+	inflight *inflight
 	started  time.Time
 	closing  atomic.Bool
 	refusing atomic.Bool
@@ -122,7 +122,7 @@
 		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
-	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, counters: counters{
+	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, inflight: newInflight(), counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"), held: counter("held"),
 	}}
@@ -136,7 +136,7 @@
 func (s *Server) Requests() int64 { return s.counters.requests.Count() }
 
 // Running is how many requests are being served.
-func (s *Server) Running() int64 { return s.running.Load() }
+func (s *Server) Running() int { return s.inflight.count() }
 
 // Close makes every answer from now on the last one of its connection.
 func (s *Server) Close() { s.closing.Store(true) }
@@ -149,10 +149,11 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
 	s.counters.requests.Inc(1)
 	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header)}
+	c.progress.enter(stageAdmission, "")
+	s.inflight.add(c)
+	defer s.inflight.remove(c)
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.cfg.Tracer.Start(ctx, "ingress.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
