edge, ingress: a VM that stops answers what outlasts its grace

Cause: a stop waited for the requests that run and had no answer for those that remained when its time was over; http.Server.Shutdown returned, the process exited and the kernel closed the connections. Where requests take longer than the grace, as on the grown deployments, every stop cuts some. The class: an owner that ends without settling what it has accepted.

Excluded: admission and bodies (no request in those stages), delivery (none in that stage).

Change: 0.9 of the grace after SIGTERM each request that still runs gets its final answer: 502 where a target may have run it, 503 with Retry-After where none has it. The VM refuses new requests to its exit instead of calling Shutdown, which closes connections whose request it reads meanwhile without an answer. It exits when the last answer has left, at 0.95 of the grace at the latest. Both are parts of the grace: with the fixed reserve of 0.9 s a shorter grace than 5.4 s cut requests before its last sixth. What was borrowed of limits goes back as soon as nothing is admitted any more, so that the end is short.

--- a/pkg/edge/idle_test.go
+++ b/pkg/edge/conns_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	idle := newIdleConns()
+	idle := newCallerConns()
 	release := make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
@@ -57,8 +57,8 @@
 	}
 }
 
-func (i *idleConns) count() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.since)
+func (cc *callerConns) count() int {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return len(cc.idleSince)
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -103,7 +103,7 @@
 	leaving atomic.Bool
 	servers []*http.Server
 	callers *http.Server
-	idle    *idleConns
+	conns   *callerConns
 	// listKnown is the store's version up to which the list of targets is known,
 	// listNewest the version of its newest change.
 	listKnown, listNewest atomic.Int64
@@ -113,7 +113,7 @@
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
-		loop: control.NewLoop(), vms: map[string]Registration{}, idle: newIdleConns(), known: make(chan struct{}),
+		loop: control.NewLoop(), vms: map[string]Registration{}, conns: newCallerConns(), known: make(chan struct{}),
 	}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
@@ -258,7 +258,7 @@
 		}
 		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle}
 		if l.address == s.Listen.Callers {
-			server.ConnState = d.idle.track
+			server.ConnState = d.conns.track
 			d.callers = server
 		} else {
 			d.servers = append(d.servers, server)
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -11,40 +11,53 @@
 	// stopNotice is how long a stopping VM still takes requests: callers keep
 	// look-ups and connections for locateTTL, some for longer.
 	stopNotice = 2900 * time.Millisecond
-	// stopReserve is the part of the grace that is left for closing. A process that
-	// is killed at the end of the grace has stopped ungracefully.
-	stopReserve = 900 * time.Millisecond
+	// abandonAfter is the part of the grace after which requests that still run get a
+	// final answer. The platform excuses what is cut in the last sixth.
+	abandonAfter = 0.9
+	// exitAfter is the part of the grace after which the process exits whatever is still
+	// being delivered. One that is killed at the end of the grace has stopped ungracefully.
+	exitAfter = 0.95
 	// quietPeriod is how long a stopping VM that runs nothing waits for callers that are
 	// still on their way.
 	quietPeriod = 200 * time.Millisecond
 	// maxQuietPeriods bounds that wait where callers keep coming; they are answered at
 	// once, so that none waits long to be accepted.
 	maxQuietPeriods = 3
+	// deliveryPoll is how often a VM that exits looks whether all answers are delivered.
+	deliveryPoll = 5 * time.Millisecond
 	// releaseTimeout bounds handing back borrowed parts of limits and the VM's row.
 	releaseTimeout = 400 * time.Millisecond
 )
 
-// stop lets every request in flight end.
+// stop answers every request that has come, and takes new ones to the end only to refuse
+// them: http.Server.Shutdown would drop those that it reads meanwhile.
 func (d *Daemon) stop() {
 	started := time.Now()
 	grace := d.settings.Load().Bounds.Grace.Duration
+	after := func(part float64) time.Time { return started.Add(time.Duration(part * float64(grace))) }
 	d.leaving.Store(true)
 	d.limiter.StopLending()
 	d.ingress.Close()
 	d.log.Info().Int("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
 	time.Sleep(min(stopNotice, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopReserve))
-	defer cancel()
 	d.ingress.Refuse()
-	d.awaitQuiet(ctx)
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.Warn().Err(err).Int("running", d.ingress.Running()).Msg("requests were still running at the end of the grace")
-		d.ingress.LogRunning("still running at the end of the grace")
+
+	running, cancelRunning := context.WithDeadline(context.Background(), after(abandonAfter))
+	defer cancelRunning()
+	d.releaseLimits(running)
+	d.awaitQuiet(running)
+	if n := d.ingress.Running(); n > 0 {
+		d.log.Warn().Int("running", n).Msg("requests outlast the grace: they get their final answer")
+		d.ingress.Abandon()
+	}
+	delivery, cancelDelivery := context.WithDeadline(context.Background(), after(exitAfter))
+	defer cancelDelivery()
+	d.unregister(delivery)
+	d.awaitDelivery(delivery)
+	d.ingress.LogRunning("cut at the end of the grace")
+	if err := d.callers.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("closing the callers' connections failed")
 	}
-	release, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancelRelease()
-	d.limiter.Release(release)
-	d.unregister(release)
 	d.client.Close()
 	d.store.Close()
 }
@@ -73,9 +86,31 @@
 	}
 }
 
+// awaitDelivery waits until every answer has left.
+func (d *Daemon) awaitDelivery(ctx context.Context) {
+	ticker := time.NewTicker(deliveryPoll)
+	defer ticker.Stop()
+	for d.conns.busy() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// releaseLimits hands back what this VM borrowed of limits. It admits nothing any more.
+func (d *Daemon) releaseLimits(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	d.limiter.Release(ctx)
+}
+
 // unregister removes this VM's row, so that a VM that does not come back leaves
 // its part of the bounds to the others.
 func (d *Daemon) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	row := platform.Row{Table: fleetTable, Key: d.fleet.self.ID}
 	if _, err := d.store.Transact(ctx, platform.Transaction{Remove: []platform.Row{row}}); err != nil {
 		d.log.Warn().Err(err).Msg("this VM's row stays; its part of the limits rests until it returns")
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -42,7 +42,7 @@
 	stream   io.ReadCloser
 	streamed bool
 
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	timer  *time.Timer
 
 	sent       []*target.Live // in order
@@ -132,7 +132,7 @@
 }
 
 // readBody reads the request's body as far as it is kept.
-func (c *call) readBody() *answer {
+func (c *call) readBody(ctx context.Context) *answer {
 	c.progress.enter(stageBody, "")
 	limit := c.state.CallerLimits.MaxBodyBytes
 	if limit > 0 && c.r.ContentLength > limit {
@@ -148,9 +148,13 @@
 		c.stream = c.r.Body
 		return nil
 	}
+	stop := context.AfterFunc(ctx, c.stopReading)
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxKeptBody+1))
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return c.refuseStopping()
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
 	case err != nil:
@@ -163,6 +167,13 @@
 	return nil
 }
 
+// stopReading makes a blocked read of the caller's body return. The caller's connection
+// cannot carry another request afterwards.
+func (c *call) stopReading() {
+	// Fails only where the connection is gone, which ends the read too.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+}
+
 type readCloser struct {
 	io.Reader
 	io.Closer
@@ -269,7 +280,6 @@
 func (c *call) end() {
 	if c.timer != nil {
 		c.timer.Stop()
-		c.cancel()
 	}
 }
 
--- a/pkg/ingress/inflight.go
+++ b/pkg/ingress/inflight.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,6 +38,13 @@
 	}
 }
 
+// delivering reports whether the request's answer is being written.
+func (c *call) delivering() bool {
+	c.progress.mu.Lock()
+	defer c.progress.mu.Unlock()
+	return c.progress.stage == stageAnswer
+}
+
 // inflight holds the requests that run.
 type inflight struct {
 	mu    sync.Mutex
@@ -56,6 +65,13 @@
 	delete(i.calls, c)
 }
 
+// list returns the requests that run.
+func (i *inflight) list() []*call {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Collect(maps.Keys(i.calls))
+}
+
 // count is how many requests run.
 func (i *inflight) count() int {
 	i.mu.Lock()
@@ -66,9 +82,7 @@
 // LogRunning writes a line for each request that runs: what it waits for and since when.
 func (s *Server) LogRunning(message string) {
 	now := time.Now()
-	s.inflight.mu.Lock()
-	defer s.inflight.mu.Unlock()
-	for c := range s.inflight.calls {
+	for _, c := range s.inflight.list() {
 		c.progress.mu.Lock()
 		s.cfg.Log.Warn().Str("request", c.info.ID).Str("path", c.r.URL.Path).Str("stage", string(c.progress.stage)).
 			Str("target", c.progress.target).Dur("stage_ms", now.Sub(c.progress.since)).Dur("ms", now.Sub(c.arrived)).Msg(message)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -86,16 +86,29 @@
 	return c.s.budget.Take(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
 }
 
-// ended returns the final answer where the request's time is over or its caller
-// has left.
+// errStopping is the cause that ends requests which outlast this VM's stop.
+var errStopping = errors.New("this VM stops")
+
+// refuseStopping answers a request that has not run while this VM stops.
+func (c *call) refuseStopping() *answer {
+	return refuse(http.StatusServiceUnavailable, outcome.ReasonStopping, stoppingRetry, errStopping.Error())
+}
+
+// ended returns the final answer where the request's time is over, this VM stops or the
+// caller has left. The cause of ctx tells these apart, and net/http's context does not: it
+// ends too where this VM stops reading a body.
 func (c *call) ended(ctx context.Context) *answer {
-	if c.r.Context().Err() != nil {
-		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, own: true, drop: true, detail: "the caller has left"}
-	}
-	if ctx.Err() == nil {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
 		return nil
-	}
-	if !c.mayHaveRun {
+	case errors.Is(cause, errStopping) && !c.mayHaveRun:
+		return c.refuseStopping()
+	case errors.Is(cause, errStopping):
+		return refuse(http.StatusBadGateway, outcome.ReasonStopping, 0, "this VM stops; the request may have run")
+	case !errors.Is(cause, context.DeadlineExceeded):
+		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, own: true, drop: true, detail: "the caller has left"}
+	case !c.mayHaveRun:
 		return c.refuseFull(outcome.ReasonDeadline, "the time is over and the request has not run")
 	}
 	return refuse(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the target did not answer in time")
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -144,6 +144,16 @@
 // Refuse answers new requests at once that this VM stops. Those that run go on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// Abandon ends the work on every request that runs: each gets its final answer at once. An
+// answer that is being delivered goes on.
+func (s *Server) Abandon() {
+	for _, c := range s.inflight.list() {
+		if !c.delivering() {
+			c.cancel(errStopping)
+		}
+	}
+}
+
 // traceContext carries traces between hops in the W3C format.
 var traceContext = propagation.TraceContext{}
 
@@ -151,15 +161,17 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.counters.requests.Inc(1)
 	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header)}
-	c.progress.enter(stageAdmission, "")
-	s.inflight.add(c)
-	defer s.inflight.remove(c)
-	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, cancel := context.WithCancelCause(traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header)))
+	defer cancel(nil)
+	c.cancel = cancel
 	ctx, span := s.cfg.Tracer.Start(ctx, "ingress.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	c.progress.enter(stageAdmission, "")
+	s.inflight.add(c)
+	defer s.inflight.remove(c)
 	a := s.serve(ctx, c)
 	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
 	c.deliver(a)
@@ -171,19 +183,18 @@
 	if a := c.admit(ctx); a != nil {
 		return a
 	}
-	if a := c.readBody(); a != nil {
+	if a := c.readBody(ctx); a != nil {
 		return a
 	}
 	deadline := c.arrived.Add(c.patience())
-	ctx, c.cancel = context.WithCancel(ctx)
-	c.timer = time.AfterFunc(time.Until(deadline), c.cancel)
+	c.timer = time.AfterFunc(time.Until(deadline), func() { c.cancel(context.DeadlineExceeded) })
 	return c.run(ctx)
 }
 
 // admit finds the route and the client account and counts the request.
 func (c *call) admit(ctx context.Context) *answer {
 	if c.s.refusing.Load() {
-		return refuse(http.StatusServiceUnavailable, outcome.ReasonStopping, stoppingRetry, "this VM stops")
+		return c.refuseStopping()
 	}
 	c.state = c.awaitState(ctx)
 	if c.state == nil {
--- /dev/null
+++ b/pkg/ingress/stop_test.go
@@ -0,0 +1,107 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// stalledUpload begins a request and sends only a part of its body.
+func (w *world) stalledUpload(path string, sent, length int) *bufio.Reader {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
+		w.t.Fatal(err)
+	}
+	ids++
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: host.example\r\n%s: id-%d\r\n%s: %s\r\n%s: 5000\r\nContent-Length: %d\r\n\r\n%s",
+		path, hID, ids, hKey, testKey, hPatience, length, strings.Repeat("x", sent))
+	return bufio.NewReader(c)
+}
+
+// TestAbandonedRequestsAreAnswered: every request that a stop finds running gets an answer,
+// wherever it waits. "Not run" is said only of one that no target has.
+func TestAbandonedRequestsAreAnswered(t *testing.T) {
+	half := strings.Repeat("x", maxKeptAnswer/2)
+	for _, tt := range []struct {
+		name   string
+		stage  stage
+		path   string
+		target func(net.Conn) // how the target treats a connection
+		sent   int            // bytes of the body that the caller sends
+		length int
+		want   int
+	}{
+		{"the target is silent", stageTarget, "/safe/a", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, 0, 0, http.StatusBadGateway},
+		{"it must run at most once", stageTarget, "/once/a", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, 0, 0, http.StatusBadGateway},
+		{"the answer stalls", stageTarget, "/safe/a", func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 4096))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", hSeal, len(half)*2, half)
+		}, 0, 0, http.StatusBadGateway},
+		{"a short body stalls", stageBody, "/safe/a", func(net.Conn) {}, 10, 20, http.StatusServiceUnavailable},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.raw("i-1", "fd-e", tt.target)
+			in := w.stalledUpload(tt.path, tt.sent, tt.length)
+			for !w.reached(tt.stage) {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(50 * time.Millisecond) // it waits
+			w.server.Close()
+			w.server.Refuse()
+			w.server.Abandon()
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != tt.want {
+				t.Fatalf("%v %v, want %d", resp, err, tt.want)
+			}
+			if retry := resp.Header.Get(hRetryAfter); (retry != "") != (tt.want == http.StatusServiceUnavailable) {
+				t.Errorf("retry after %q", retry)
+			}
+		})
+	}
+}
+
+// reached reports whether some request has come to a stage.
+func (w *world) reached(s stage) bool {
+	for _, c := range w.server.inflight.list() {
+		c.progress.mu.Lock()
+		now := c.progress.stage
+		c.progress.mu.Unlock()
+		if now == s {
+			return true
+		}
+	}
+	return false
+}
+
+// TestDeliveryOutlastsAStop: an answer that is on its way to the caller is not broken off.
+func TestDeliveryOutlastsAStop(t *testing.T) {
+	w := newWorld(t)
+	long := strings.Repeat("x", 4*maxKeptAnswer)
+	w.add("i-1", "fd-e", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(hSeal, "seal")
+		fmt.Fprint(rw, long)
+	})
+	in := w.stalledUpload("/safe/a", 0, 0)
+	for !w.reached(stageAnswer) {
+		time.Sleep(time.Millisecond)
+	}
+	w.server.Abandon()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != int64(len(long)) {
+		t.Errorf("%d bytes of %d: %v", n, len(long), err)
+	}
+}
