ingress: answers to requests that came before a stop end their connection too

What callers saw: a caller whose request was in flight at SIGTERM kept its connection, sent the next request on it, and was refused or met the exit of the process.

Cause: "Connection: close" was decided when a request came and not when it is answered.

TestAbandonedRequestsAreAnswered asks for a closed connection; red before in its three cases whose request ran at the time of the stop.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -233,6 +233,9 @@
 	for k, v := range a.header {
 		h[k] = v
 	}
+	if c.s.closing.Load() {
+		h.Set("Connection", "close")
+	}
 	if a.own {
 		c.s.cfg.Wire.Refusal(h, c.info.ID)
 		if a.retry > 0 {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -166,9 +166,6 @@
 	c.cancel = cancel
 	ctx, span := s.cfg.Tracer.Start(ctx, "ingress.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c.progress.enter(stageAdmission, "")
 	s.inflight.add(c)
 	defer s.inflight.remove(c)
--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -61,8 +61,8 @@
 			w.server.Refuse()
 			w.server.Abandon()
 			resp, err := http.ReadResponse(in, nil)
-			if err != nil || resp.StatusCode != tt.want {
-				t.Fatalf("%v %v, want %d", resp, err, tt.want)
+			if err != nil || resp.StatusCode != tt.want || !resp.Close {
+				t.Fatalf("%v %v, want %d and a closed connection", resp, err, tt.want)
 			}
 			if retry := resp.Header.Get(hRetryAfter); (retry != "") != (tt.want == http.StatusServiceUnavailable) {
 				t.Errorf("retry after %q", retry)
