ingress: a final answer does not wait for the rest of a stalled body

What callers saw: a request with a long body whose caller sends no more of it got no answer at its timeout, nor when this VM stops, until the caller went on or left.

Cause: the body's reader is joined before an exchange ends, and nothing made its read return.

TestTimeoutWhileTheBodyStalls and the case "a long body stalls" of TestAbandonedRequestsAreAnswered: no answer within 4 s before, green after. The case "the answer stalls" keeps its connection referenced: a collected one closed it now and then.

--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -148,7 +148,7 @@
 		traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
 	}
 	waiting, stop := c.waitFor(ctx, l)
-	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{Address: l.Address, Once: !c.idempotent()})
+	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{Address: l.Address, Once: !c.idempotent(), Abort: c.stopReading})
 	if failure != nil {
 		stop()
 		l.End()
--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -28,6 +28,17 @@
 	return bufio.NewReader(c)
 }
 
+// TestTimeoutWhileTheBodyStalls: the final answer to a request whose time is over was held
+// back for as long as its caller sent no more of a long body.
+func TestTimeoutWhileTheBodyStalls(t *testing.T) {
+	w := newWorld(t)
+	w.raw("i-1", "fd-e", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	resp, err := http.ReadResponse(w.stalledUpload("/short/a", maxKeptBody, 4*maxKeptBody), nil)
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("%v %v, want 504", resp, err)
+	}
+}
+
 // TestAbandonedRequestsAreAnswered: every request that a stop finds running gets an answer,
 // wherever it waits. "Not run" is said only of one that no target has.
 func TestAbandonedRequestsAreAnswered(t *testing.T) {
@@ -46,8 +57,10 @@
 		{"the answer stalls", stageTarget, "/safe/a", func(c net.Conn) {
 			_, _ = c.Read(make([]byte, 4096))
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", hSeal, len(half)*2, half)
+			_, _ = io.Copy(io.Discard, c) // keeps it open
 		}, 0, 0, http.StatusBadGateway},
 		{"a short body stalls", stageBody, "/safe/a", func(net.Conn) {}, 10, 20, http.StatusServiceUnavailable},
+		{"a long body stalls", stageTarget, "/once/a", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, maxKeptBody, 4 * maxKeptBody, http.StatusBadGateway},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t)
