edge: the exit of a VM does not wait for a silent collector of spans

Cause: the last spans were sent without a time limit. With a collector that accepts and does not answer, a VM ended 32.2 s after SIGTERM with a grace of 4 s: the platform kills it, and what it still had to hand back is lost. Found while looking for other ways in which a stop outlasts its grace.

The flush now ends with the time that a stop has. TestStopDoesNotWaitForSpans: "ended after 32.201810421s of a grace of 4s" before, green after.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -97,7 +97,8 @@
 	parts                  atomic.Pointer[parts]
 	self                   member.Peer
 	regions                []string
-	tracing                func(context.Context) error
+	// shutdownTracer sends the spans that wait for the collector.
+	shutdownTracer func(context.Context) error
 
 	vms     map[string]Registration // owned by the fleet table's watcher
 	leaving atomic.Bool
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: traces.endpoint: %w", settings.ErrInvalid, err)
 	}
-	d.tracing = flush
+	d.shutdownTracer = flush
 	d.self = member.Peer{
 		ID: s.VM.ID, Incarnation: uuid.NewString(), Region: s.VM.Region, FailureDomain: s.VM.FailureDomain,
 		PeerAddress: s.Listen.Peers, CallerAddress: s.Listen.Callers,
@@ -220,8 +221,10 @@
 		d.stop()
 	case err = <-failed:
 		d.log.Error().Err(err).Msg("a listener failed")
+		flush, cancelFlush := context.WithTimeout(background, releaseTimeout)
+		defer cancelFlush()
+		d.sendSpans(flush)
 	}
-	_ = d.tracing(background)
 	d.log.Info().Int("running", d.ingress.Running()).Msg("stopped")
 	return err
 }
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -60,6 +60,7 @@
 	}
 	d.client.Close()
 	d.store.Close()
+	d.sendSpans(delivery)
 }
 
 // awaitQuiet waits until no request runs and none has come for quietPeriod, or until the
@@ -99,6 +100,13 @@
 	}
 }
 
+// sendSpans sends the last spans to the collector.
+func (d *Daemon) sendSpans(ctx context.Context) {
+	if err := d.shutdownTracer(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("spans are lost")
+	}
+}
+
 // releaseLimits hands back what this VM borrowed of limits. It admits nothing any more.
 func (d *Daemon) releaseLimits(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
