edge: settings that change while a VM stops do not kill it

A request that a stopping VM was serving ended with a closed connection and no answer.

Cause: the handler of SIGHUP was taken away when SIGTERM came, so that the default action applied: a SIGHUP during the stop ended the process at once, with all that it still served, without a log line. Found by asking what else ends a VM during its stop.

Change: the handler is set before anything is served and stays until the process exits.

--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -24,7 +24,10 @@
 		return nil
 	}
 	reload := make(chan struct{}, 1)
-	go notifyReload(ctx, reload)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go passOn(ctx, hangups, reload)
 	out := telemetry.NewAsyncWriter(stdout)
 	defer out.Close()
 	log, err := telemetry.NewDecisionLogger(out, telemetry.LogConfig{Level: s.Log.Level, Text: s.Log.Format == "text", VM: s.VM.ID})
@@ -38,11 +41,8 @@
 	return d.Run(ctx, reload)
 }
 
-// notifyReload passes on the signal that the settings have changed.
-func notifyReload(ctx context.Context, reload chan<- struct{}) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// passOn tells of signals that the settings have changed.
+func passOn(ctx context.Context, hangups <-chan os.Signal, reload chan<- struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
