--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -48,6 +48,7 @@
 	d.awaitQuiet(running)
 	if n := d.ingress.Running(); n > 0 {
 		d.log.Warn().Int("running", n).Msg("requests outlast the grace: they get their final answer")
+		d.ingress.LogRunning("outlasts the grace")
 		d.ingress.Abandon()
 	}
 	delivery, cancelDelivery := context.WithDeadline(context.Background(), after(exitAfter))
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -149,17 +149,17 @@
 }
 
 // get returns an idle connection or dials one.
-func (c *Client) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (c *Client) get(ctx context.Context, address string, maxIdle time.Duration) (t *conn, reused bool, err error) {
 	if t := c.reuse(address, maxIdle); t != nil {
-		return t, nil
+		return t, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
-	t, err := c.config.Dial(ctx, "tcp", address)
+	dialed, err := c.config.Dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return newConn(t, c.config.BufferBytes), nil
+	return newConn(dialed, c.config.BufferBytes), false, nil
 }
 
 // reuse takes the connection that was used last, so that those beyond the
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -35,6 +35,9 @@
 	// Abort, where set, makes a blocked Read of the request's body return. It
 	// is called when the exchange ends before the body was sent.
 	Abort func()
+	// Connected, where set, is told when the exchange has its connection, before anything
+	// is sent on it.
+	Connected func(reused bool)
 }
 
 // Response is an answer whose header has arrived. Close must be called.
@@ -66,10 +69,13 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Ended: true, Err: err}
 	}
-	t, err := c.get(ctx, o.Address, c.idleLimit(o.Once))
+	t, reused, err := c.get(ctx, o.Address, c.idleLimit(o.Once))
 	if err != nil {
 		return nil, &Error{Ended: ctx.Err() != nil, Err: fmt.Errorf("connect to target: %w", err)}
 	}
+	if o.Connected != nil {
+		o.Connected(reused)
+	}
 	x := c.start(ctx, t, req, o)
 	resp, err := x.readOwn(req, o.RequireEcho)
 	if err != nil {
--- a/pkg/ingress/inflight.go
+++ b/pkg/ingress/inflight.go
@@ -15,6 +15,7 @@
 	stageAdmission stage = "admission"
 	stageBody      stage = "reading_body"
 	stagePlacement stage = "placement"
+	stageConnect   stage = "connecting"
 	stageTarget    stage = "awaiting_target"
 	stageAnswer    stage = "delivering"
 )
@@ -25,6 +26,15 @@
 	stage  stage
 	since  time.Time
 	target string // the last one that it was sent to
+	reused bool   // it was sent on a connection that had carried others
+}
+
+// sending notes that the request is sent to its target.
+func (p *progress) sending(reused bool) {
+	p.enter(stageTarget, "")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reused = reused
 }
 
 // enter notes that the request has come to a stage; target is empty where it was sent to
@@ -85,7 +95,7 @@
 	for _, c := range s.inflight.list() {
 		c.progress.mu.Lock()
 		s.cfg.Log.Warn().Str("request", c.info.ID).Str("path", c.r.URL.Path).Str("stage", string(c.progress.stage)).
-			Str("target", c.progress.target).Dur("stage_ms", now.Sub(c.progress.since)).Dur("ms", now.Sub(c.arrived)).Msg(message)
+			Str("target", c.progress.target).Bool("reused", c.progress.reused).Dur("stage_ms", now.Sub(c.progress.since)).Dur("ms", now.Sub(c.arrived)).Msg(message)
 		c.progress.mu.Unlock()
 	}
 }
--- a/pkg/ingress/inflight_test.go
+++ b/pkg/ingress/inflight_test.go
@@ -33,7 +33,7 @@
 	w.server.LogRunning("cut")
 	close(release)
 	<-ended
-	for _, want := range []string{`"stage":"awaiting_target"`, `"target":"i-1"`, `"path":"/safe/x"`, `"message":"cut"`} {
+	for _, want := range []string{`"stage":"awaiting_target"`, `"target":"i-1"`, `"reused":false`, `"path":"/safe/x"`, `"message":"cut"`} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%s lacks %s", out.String(), want)
 		}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -141,14 +141,16 @@
 	defer span.End()
 	c.sent = append(c.sent, l)
 	c.sentAt = time.Now()
-	c.progress.enter(stageTarget, l.ID)
+	c.progress.enter(stageConnect, l.ID)
 	l.Begin()
 	out := c.outgoing(l)
 	if span.SpanContext().IsSampled() {
 		traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
 	}
 	waiting, stop := c.waitFor(ctx, l)
-	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{Address: l.Address, Once: !c.idempotent(), Abort: c.stopReading})
+	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{
+		Address: l.Address, Once: !c.idempotent(), Abort: c.stopReading, Connected: c.progress.sending,
+	})
 	if failure != nil {
 		stop()
 		l.End()
