entry, daemon: a VM that holds its configuration answers what outlasts its stop, too

A request that still ran when stop.grace was over ended with a closed connection and no answer. (It had been documented as "cut".)

Closing the server used the context that had just ended.

Change: Shutdown ends the context of what still runs, so that each request gets its final answer: 503 "stopping" where no target has it, else 502 with outcome unknown. Results of at-most-once requests are recorded; the last answers have 0.5 s to leave.

TestShutdownAnswersWhatOutlastsIt: no answer within 20 s before, green after.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -40,6 +40,8 @@
 	idleTimeout = 2 * time.Minute
 	// quietPeriod without a new request ends the notice of a stop early.
 	quietPeriod = time.Second
+	// deliveryTimeout bounds sending the last answers while stopping.
+	deliveryTimeout = 500 * time.Millisecond
 	// releaseTimeout bounds giving slots back while stopping; those that were
 	// not given back are freed by their refused peer port.
 	releaseTimeout = 3 * time.Second
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -103,7 +103,10 @@
 	if err := d.entry.Shutdown(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("requests were still running at the end of stop.grace")
 	}
-	if err := d.servers.callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	// The last answers leave although ctx may have ended.
+	delivery, cancelDelivery := context.WithTimeout(context.Background(), deliveryTimeout)
+	defer cancelDelivery()
+	if err := d.servers.callers.Shutdown(delivery); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		d.log.Warn().Err(err).Msg("closing the callers' listener failed")
 	}
 	_ = d.servers.callers.Close()
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -64,6 +64,15 @@
 		stoppingRetryAfter, "This VM is stopping; ask another one.")
 }
 
+// outlasted is the final answer to a request that was given up because this VM stops.
+func outlasted(r *outcome.Refusal) *outcome.Refusal {
+	if r.Outcome == outcome.NotRun {
+		return stopping()
+	}
+	return &outcome.Refusal{Outcome: r.Outcome, Status: http.StatusBadGateway, Reason: outcome.ReasonStopping,
+		Detail: "This VM is stopping; the request may have run."}
+}
+
 func notReady() *outcome.Refusal {
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady,
 		stoppingRetryAfter, "This VM has not started up yet.")
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -63,12 +63,17 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.abandoned, cancel)()
 	c.body.limit(c.deadline)
+	run := s.run
 	if c.key != "" {
-		s.deliver(c, s.runOnce(ctx, c))
-		return
+		run = s.runOnce
+	}
+	a := run(ctx, c)
+	if a.refusal != nil && ctx.Err() != nil && s.abandoned.Err() != nil {
+		a.refusal = outlasted(a.refusal)
 	}
-	s.deliver(c, s.run(ctx, c))
+	s.deliver(c, a)
 }
 
 // run sends the call until it has an answer that may go to the caller.
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -95,6 +96,9 @@
 	// peerClient keeps the connections to other VMs.
 	peerClient *forward.Client
 	running    *gate
+	// abandoned ends when requests that still run get their final answer.
+	abandoned  context.Context
+	abandon    context.CancelFunc
 	ready      atomic.Bool
 	callers    http.Handler
 	peers      http.Handler
@@ -117,6 +121,7 @@
 		meters:     newMeters(c.Metrics, c.Latency),
 		budget:     retry.NewBudget(c.Retry),
 	}
+	s.abandoned, s.abandon = context.WithCancel(context.Background())
 	c.Quarantine.Clock = c.Clock
 	s.quarantine = quarantine.NewList(c.Quarantine)
 	self := c.Members.View().Self
@@ -179,15 +184,23 @@
 // Ready reports whether the server takes requests.
 func (s *Server) Ready() bool { return s.ready.Load() && !s.running.closed() }
 
-// Shutdown refuses new requests and waits for those that run. It returns
-// ctx's error where ctx ends first.
+// finalAnswersTime bounds delivering the final answers of requests that outlast a
+// shutdown.
+const finalAnswersTime = 500 * time.Millisecond
+
+// Shutdown refuses new requests and waits for those that run. Where ctx ends first, they
+// get their final answer and ctx's error is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.client.Close()
 	defer s.peerClient.Close()
-	if err := s.running.close(ctx); err != nil {
-		return err
+	err := s.running.close(ctx)
+	if err == nil {
+		return s.recordClaims(ctx)
 	}
-	return s.recordClaims(ctx)
+	s.abandon()
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswersTime)
+	defer cancel()
+	return errors.Join(err, s.running.close(final), s.recordClaims(final))
 }
 
 // recordClaims waits until the results of at-most-once requests are recorded.
--- a/pkg/entry/server_test.go
+++ b/pkg/entry/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -214,6 +215,29 @@
 	}
 }
 
+// TestShutdownAnswersWhatOutlastsIt: a request that still ran when the time of a shutdown was
+// over got no answer: its connection was closed with the server.
+func TestShutdownAnswersWhatOutlastsIt(t *testing.T) {
+	v := startVM(t, "vm-1", nil)
+	arrived := make(chan struct{})
+	v.addTarget(t, "t1", func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	replies := make(chan reply, 1)
+	go func() { replies <- v.send(t, "GET", "/lookup/x", "") }()
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := v.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Shutdown returned %v with a request running", err)
+	}
+	got := <-replies
+	if r := got.refusal(t); got.status != http.StatusBadGateway || r.Outcome != "unknown" || r.Reason != "stopping" {
+		t.Errorf("got status %d, %+v", got.status, r)
+	}
+}
+
 func TestNotRunWhereConnectionIsRefused(t *testing.T) {
 	v := startVM(t, "vm-1", nil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -221,7 +221,7 @@
 	// ends early once no request has come for a second.
 	Notice Duration `json:"notice"`
 	// Grace bounds the wait for running requests after Notice, 30 s by default.
-	// Requests that run longer are cut.
+	// Requests that run longer get a final answer; delivering it takes up to 1 s more.
 	Grace Duration `json:"grace"`
 }
 
