ingress: ending the read of a body is not the caller's leaving

What callers saw: an early end of an exchange whose body had not left yet (a target that sheds or resets before it has read it) closed the caller's connection without an answer.

Cause: ends the caller's read with a deadline whenever an exchange ends before its request was sent, also where the body is read whole. From then on net/http watches the connection, the deadline ends that watch and with it the request's context, and the call took this for its caller's leaving. Found by review; the code before answered, but for bodies that stall.

Change: only a body that is still being read is ended, the call has a context of its own, and the caller's leaving is a cause of its own beside the deadline and the stop. An answer ahead of an unfinished body ends the connection, so that net/http does not hold it back.

On red, now green, also with GOMAXPROCS=2 five times: TestWholeBodyWhoseTargetsEndEarly, TestStalledBodyWhoseTargetEndsEarly, TestSmallBodiesAreNeverDropped. TestConnectionAfterAnEarlyAnswer guards the kept connection (red in the review's run, green in ours on the same code).

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,6 +45,12 @@
 
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	// bodyRead says that the caller's body was read to its end; net/http watches the
+	// connection from then on.
+	bodyRead atomic.Bool
+	// readStopped says that this VM ended reading the body. net/http takes that for the
+	// caller's leaving.
+	readStopped atomic.Bool
 
 	sent       []*target.Live // in order
 	sentAt     time.Time      // of the last one
@@ -139,11 +146,13 @@
 		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
 	}
 	if c.r.Body == nil || c.r.Body == http.NoBody {
+		c.bodyRead.Store(true)
 		return nil
 	}
 	if limit > 0 {
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
+	c.r.Body = endNoter{c.r.Body, &c.bodyRead}
 	if c.r.ContentLength > maxKeptBody {
 		c.stream = c.r.Body
 		return nil
@@ -170,10 +179,28 @@
 // stopReading makes a blocked read of the caller's body return. The caller's connection
 // cannot carry another request afterwards.
 func (c *call) stopReading() {
+	if c.bodyRead.Load() {
+		return // the deadline would end net/http's watch of the connection
+	}
+	c.readStopped.Store(true)
 	// Fails only where the connection is gone, which ends the read too.
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
 }
 
+// endNoter notes that a body was read to its end.
+type endNoter struct {
+	io.ReadCloser
+	end *atomic.Bool
+}
+
+func (n endNoter) Read(p []byte) (int, error) {
+	size, err := n.ReadCloser.Read(p)
+	if err == io.EOF {
+		n.end.Store(true)
+	}
+	return size, err
+}
+
 type readCloser struct {
 	io.Reader
 	io.Closer
@@ -233,7 +260,8 @@
 	for k, v := range a.header {
 		h[k] = v
 	}
-	if c.s.closing.Load() {
+	if c.s.closing.Load() || c.readStopped.Load() || (c.streamed && !c.bodyRead.Load()) {
+		// Behind a body that is still coming, net/http would hold the answer back.
 		h.Set("Connection", "close")
 	}
 	if a.own {
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -89,14 +89,23 @@
 // errStopping is the cause that ends requests which outlast this VM's stop.
 var errStopping = errors.New("this VM stops")
 
+// errCallerLeft is the cause that ends requests whose caller has closed its connection.
+var errCallerLeft = errors.New("the caller has left")
+
+// callerLeft is told that net/http's context of the request has ended.
+func (c *call) callerLeft() {
+	if !c.readStopped.Load() {
+		c.cancel(errCallerLeft)
+	}
+}
+
 // refuseStopping answers a request that has not run while this VM stops.
 func (c *call) refuseStopping() *answer {
 	return refuse(http.StatusServiceUnavailable, outcome.ReasonStopping, stoppingRetry, errStopping.Error())
 }
 
 // ended returns the final answer where the request's time is over, this VM stops or the
-// caller has left. The cause of ctx tells these apart, and net/http's context does not: it
-// ends too where this VM stops reading a body.
+// caller has left.
 func (c *call) ended(ctx context.Context) *answer {
 	cause := context.Cause(ctx)
 	switch {
@@ -106,8 +115,8 @@
 		return c.refuseStopping()
 	case errors.Is(cause, errStopping):
 		return refuse(http.StatusBadGateway, outcome.ReasonStopping, 0, "this VM stops; the request may have run")
-	case !errors.Is(cause, context.DeadlineExceeded):
-		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, own: true, drop: true, detail: "the caller has left"}
+	case errors.Is(cause, errCallerLeft):
+		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, own: true, drop: true, detail: errCallerLeft.Error()}
 	case !c.mayHaveRun:
 		return c.refuseFull(outcome.ReasonDeadline, "the time is over and the request has not run")
 	}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -161,9 +161,10 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.counters.requests.Inc(1)
 	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header)}
-	ctx, cancel := context.WithCancelCause(traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header)))
+	ctx, cancel := context.WithCancelCause(traceContext.Extract(context.WithoutCancel(r.Context()), propagation.HeaderCarrier(r.Header)))
 	defer cancel(nil)
 	c.cancel = cancel
+	defer context.AfterFunc(r.Context(), c.callerLeft)()
 	ctx, span := s.cfg.Tracer.Start(ctx, "ingress.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	c.progress.enter(stageAdmission, "")
--- /dev/null
+++ b/pkg/ingress/upload_test.go
@@ -0,0 +1,170 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/forward"
+)
+
+// windowConn blocks its writer after some bytes, as a link with a small window whose other
+// end does not read.
+type windowConn struct {
+	net.Conn
+	left   int
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *windowConn) Write(p []byte) (int, error) {
+	n := min(len(p), c.left)
+	m, err := c.Conn.Write(p[:n])
+	c.left -= m
+	if err != nil || n == len(p) {
+		return m, err
+	}
+	<-c.closed
+	return m, net.ErrClosed
+}
+
+func (c *windowConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// smallWindows makes connections to targets that block the writer after 8 KiB.
+func (w *world) smallWindows() {
+	w.server.cfg.Client = forward.NewClient(forward.Config{EchoHeader: hID, SkipCrossed: true, AllowUnframed: true,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &windowConn{Conn: c, left: 8 << 10, closed: make(chan struct{})}, nil
+		}})
+	w.t.Cleanup(w.server.cfg.Client.Close)
+}
+
+// endsEarly returns a target that answers, or resets the connection where answer is empty,
+// when it has read the header and nothing of the body.
+func endsEarly(answer string) func(net.Conn) {
+	return func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReaderSize(c, 16))
+		if err != nil {
+			return
+		}
+		if answer == "" {
+			_ = c.(*net.TCPConn).SetLinger(0) // Close resets the connection
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", answer, hID, r.Header.Get(hID))
+		time.Sleep(3 * time.Second)
+	}
+}
+
+// notRun is the answer of a target that sheds a request.
+const notRun = "503 x\r\n" + hNotRun + ": 1"
+
+// TestWholeBodyWhoseTargetsEndEarly: the caller has sent its whole body and waits, and the
+// targets shed the request or reset its connection before they have read it. Ending the read
+// of that body was taken for the caller's leaving, and it got no answer.
+func TestWholeBodyWhoseTargetsEndEarly(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answer string
+		want   int
+	}{"sheds": {notRun, http.StatusServiceUnavailable}, "resets": {"", http.StatusBadGateway}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.smallWindows()
+			w.raw("i-1", "fd-e", endsEarly(tt.answer))
+			w.raw("i-2", "fd-e", endsEarly(tt.answer))
+			resp, _, err := w.send(http.MethodPost, "/safe/x", strings.Repeat("x", maxKeptBody-1))
+			if err != nil || resp.StatusCode != tt.want {
+				t.Fatalf("%v %v, want %d", resp, err, tt.want)
+			}
+		})
+	}
+}
+
+// TestStalledBodyWhoseTargetEndsEarly: the same while the caller still sends. Its answer was
+// held back until the rest of the body came, or never sent.
+func TestStalledBodyWhoseTargetEndsEarly(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answer string
+		want   int
+	}{"sheds": {notRun, http.StatusServiceUnavailable}, "resets": {"", http.StatusBadGateway}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.raw("i-1", "fd-e", endsEarly(tt.answer))
+			resp, err := http.ReadResponse(w.stalledUpload("/once/a", maxKeptBody, 4*maxKeptBody), nil)
+			if err != nil || resp.StatusCode != tt.want {
+				t.Fatalf("%v %v, want %d", resp, err, tt.want)
+			}
+		})
+	}
+}
+
+// TestConnectionAfterAnEarlyAnswer: a target answers before it has read the body. The caller's
+// connection either ends with the answer or carries its next request.
+func TestConnectionAfterAnEarlyAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.smallWindows()
+	w.raw("i-1", "fd-e", endsEarly("200 OK\r\n"+hSeal+": s"))
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	for i := range 2 {
+		body := strings.Repeat("x", maxKeptBody-1)
+		fmt.Fprintf(c, "POST /safe/a HTTP/1.1\r\nHost: host.example\r\n%s: r-%d\r\n%s: %s\r\n%s: 5000\r\nContent-Length: %d\r\n\r\n%s",
+			hID, i, hKey, testKey, hPatience, len(body), body)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v %v", i, resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.Close {
+			return
+		}
+	}
+}
+
+// TestSmallBodiesAreNeverDropped: one request in a thousand or so whose target reset its
+// connection at once got no answer.
+func TestSmallBodiesAreNeverDropped(t *testing.T) {
+	const requests = 1500
+	for name, handle := range map[string]func(net.Conn){
+		"resets at once": func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"sheds at once":  endsEarly(notRun + "\r\nConnection: close"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.fleet.repeats.Floor = requests
+			w.state.Accounts[testAccount].Rate = 0
+			w.raw("i-1", "fd-e", handle)
+			w.raw("i-2", "fd-e", handle)
+			for i := range requests {
+				if _, _, err := w.send(http.MethodPost, "/once/x", strings.Repeat("x", 300)); err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				for _, l := range w.targets.Snapshot().Pools[testPool]["east"] {
+					l.Answered(true) // keeps them from being suspect
+				}
+			}
+		})
+	}
+}
