ingress: a stop decides once whether an answer is being delivered

Whether a request's answer is on its way was looked at before its context was ended, so that an answer which began in between was broken off midway. Both now happen under one lock, and a long answer that comes after a stop has given its request up is not begun.

--- a/pkg/ingress/inflight.go
+++ b/pkg/ingress/inflight.go
@@ -48,11 +48,13 @@
 	}
 }
 
-// delivering reports whether the request's answer is being written.
-func (c *call) delivering() bool {
+// abandon ends the work on the request, unless its answer is being delivered.
+func (c *call) abandon() {
 	c.progress.mu.Lock()
 	defer c.progress.mu.Unlock()
-	return c.progress.stage == stageAnswer
+	if c.progress.stage != stageAnswer {
+		c.cancel(errStopping)
+	}
 }
 
 // inflight holds the requests that run.
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -168,7 +168,7 @@
 		}
 		return c.failed(l, failure)
 	}
-	t := c.received(l, resp)
+	t := c.received(ctx, l, resp)
 	if t.answer != nil && t.answer.stream != nil {
 		t.answer.stream.stop = stop
 		return t
@@ -209,7 +209,7 @@
 }
 
 // received takes in an answer.
-func (c *call) received(l *target.Live, resp *forward.Response) *try {
+func (c *call) received(ctx context.Context, l *target.Live, resp *forward.Response) *try {
 	info := c.s.cfg.Wire.FromTarget(resp.StatusCode, resp.Header)
 	now := time.Now()
 	if info.LoadKnown {
@@ -227,7 +227,7 @@
 		resp.Close()
 		return &try{arrived: true, err: fmt.Errorf("target %s: status %d without a signature", l.ID, resp.StatusCode)}
 	}
-	return c.keep(l, resp)
+	return c.keep(ctx, l, resp)
 }
 
 func success(status int) bool { return status >= 200 && status < 300 }
@@ -254,14 +254,19 @@
 }
 
 // keep reads the answer's body. Long ones are passed on while they come.
-func (c *call) keep(l *target.Live, resp *forward.Response) *try {
+func (c *call) keep(ctx context.Context, l *target.Live, resp *forward.Response) *try {
 	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header)}
 	var body bytes.Buffer
 	if n := resp.ContentLength; n > 0 && n <= maxKeptAnswer {
 		body.Grow(int(n) + bytes.MinRead)
 	}
 	_, err := io.Copy(&body, io.LimitReader(resp, maxKeptAnswer))
-	if err == nil && body.Len() == maxKeptAnswer && !resp.Whole() {
+	long := err == nil && body.Len() == maxKeptAnswer && !resp.Whole()
+	if long {
+		c.progress.enter(stageAnswer, "")
+		err = context.Cause(ctx) // from here on a stop lets the answer go on
+	}
+	if long && err == nil {
 		a.body = body.Bytes()
 		a.stream = &passedOn{Response: resp, l: l}
 		return &try{answer: a}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -148,9 +148,7 @@
 // answer that is being delivered goes on.
 func (s *Server) Abandon() {
 	for _, c := range s.inflight.list() {
-		if !c.delivering() {
-			c.cancel(errStopping)
-		}
+		c.abandon()
 	}
 }
 
