edge, ingress: when a stop begins to refuse is decided by the clock and not by a timer

Cause: a stopping VM refused new requests from the moment at which its timer ran. The platform excuses no cut of a request that was sent later than 3 s after SIGTERM, which leaves 0.1 s: a VM without processor time can be later.

Each request now compares its arrival with the time that SIGTERM set.

--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -9,7 +9,8 @@
 
 const (
 	// stopNotice is how long a stopping VM still takes requests: callers keep
-	// look-ups and connections for locateTTL, some for longer.
+	// look-ups and connections for locateTTL, some for longer. The platform excuses no cut
+	// of a request that was sent later than 3 s after SIGTERM.
 	stopNotice = 2900 * time.Millisecond
 	// abandonAfter is the part of the grace after which requests that still run get a
 	// final answer. The platform excuses what is cut in the last sixth.
@@ -37,10 +38,10 @@
 	after := func(part float64) time.Time { return started.Add(time.Duration(part * float64(grace))) }
 	d.leaving.Store(true)
 	d.limiter.StopLending()
-	d.ingress.Close()
+	refuseAt := started.Add(min(stopNotice, grace/2))
+	d.ingress.Stop(refuseAt)
 	d.log.Info().Int("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
-	time.Sleep(min(stopNotice, grace/2))
-	d.ingress.Refuse()
+	time.Sleep(time.Until(refuseAt))
 
 	running, cancelRunning := context.WithDeadline(context.Background(), after(abandonAfter))
 	defer cancelRunning()
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -260,7 +260,7 @@
 	for k, v := range a.header {
 		h[k] = v
 	}
-	if c.s.closing.Load() || c.readStopped.Load() || (c.streamed && !c.bodyRead.Load()) {
+	if c.s.stopping() || c.readStopped.Load() || (c.streamed && !c.bodyRead.Load()) {
 		// Behind a body that is still coming, net/http would hold the answer back.
 		h.Set("Connection", "close")
 	}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -102,8 +102,8 @@
 	counters counters
 	inflight *inflight
 	started  time.Time
-	closing  atomic.Bool
-	refusing atomic.Bool
+	// refuseAt, once set, is when a VM that stops begins to refuse new requests.
+	refuseAt atomic.Pointer[time.Time]
 }
 
 type counters struct {
@@ -138,11 +138,12 @@
 // Running is how many requests are being served.
 func (s *Server) Running() int { return s.inflight.count() }
 
-// Close makes every answer from now on the last one of its connection.
-func (s *Server) Close() { s.closing.Store(true) }
+// Stop makes every answer from now on the last one of its connection. Requests that come at
+// refuseAt or later are refused; those that run go on.
+func (s *Server) Stop(refuseAt time.Time) { s.refuseAt.Store(&refuseAt) }
 
-// Refuse answers new requests at once that this VM stops. Those that run go on.
-func (s *Server) Refuse() { s.refusing.Store(true) }
+// stopping reports whether Stop was called.
+func (s *Server) stopping() bool { return s.refuseAt.Load() != nil }
 
 // Abandon ends the work on every request that runs: each gets its final answer at once. An
 // answer that is being delivered goes on.
@@ -189,7 +190,7 @@
 
 // admit finds the route and the client account and counts the request.
 func (c *call) admit(ctx context.Context) *answer {
-	if c.s.refusing.Load() {
+	if at := c.s.refuseAt.Load(); at != nil && !c.arrived.Before(*at) {
 		return c.refuseStopping()
 	}
 	c.state = c.awaitState(ctx)
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -395,7 +395,7 @@
 func TestStoppingVMClosesConnections(t *testing.T) {
 	w := newWorld(t)
 	w.add("i-1", "fd-e", good)
-	w.server.Close()
+	w.server.Stop(time.Now().Add(time.Minute))
 	if resp, _ := w.expect(200, "GET", "/safe/x"); !resp.Close {
 		t.Error("the connection stays open")
 	}
--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -70,8 +70,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			time.Sleep(50 * time.Millisecond) // it waits
-			w.server.Close()
-			w.server.Refuse()
+			w.server.Stop(time.Now())
 			w.server.Abandon()
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil || resp.StatusCode != tt.want || !resp.Close {
