ingress, platform: tests of stops wait for the target and not for a time

A request that had not reached its target when the wait of 50 or 100 ms was over got 503 in place of the 502 that is asked for: possible on a busy machine, not seen.

--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -64,12 +64,19 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t)
-			w.raw("i-1", "fd-e", tt.target)
+			connected := make(chan struct{}, 1)
+			w.raw("i-1", "fd-e", func(c net.Conn) {
+				_, _ = c.Read(make([]byte, 1)) // of a request that was sent
+				connected <- struct{}{}
+				tt.target(c)
+			})
 			in := w.stalledUpload(tt.path, tt.sent, tt.length)
 			for !w.reached(tt.stage) {
 				time.Sleep(time.Millisecond)
 			}
-			time.Sleep(50 * time.Millisecond) // it waits
+			if tt.stage == stageTarget {
+				<-connected
+			}
 			w.server.Stop(time.Now())
 			w.server.Abandon()
 			resp, err := http.ReadResponse(in, nil)
