edge: a VM one of whose listeners fails stops gracefully

By reading (found in review), not seen. The handler of SIGHUP is now set before the settings are read.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -65,6 +65,8 @@
 	callersIdle = 75 * time.Second
 	// headerTimeout bounds the time in which a caller sends its header.
 	headerTimeout = 10 * time.Second
+	// maxListeners is how many listeners a VM has.
+	maxListeners = 6
 	// gcPercent trades processor time for memory, which is dearer.
 	gcPercent = 40
 )
@@ -104,6 +106,7 @@
 	leaving atomic.Bool
 	servers []*http.Server
 	callers *http.Server
+	failed  chan error // of the listeners
 	conns   *callerConns
 	// listKnown is the store's version up to which the list of targets is known,
 	// listNewest the version of its newest change.
@@ -115,6 +118,7 @@
 	d := &Daemon{
 		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
 		loop: control.NewLoop(), vms: map[string]Registration{}, conns: newCallerConns(), known: make(chan struct{}),
+		failed: make(chan error, maxListeners),
 	}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
@@ -195,13 +199,12 @@
 	return config.Snapshot{Config: empty}
 }
 
-// Run serves until ctx ends, then stops gracefully.
+// Run serves until ctx ends or a listener fails, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
 	debug.SetGCPercent(gcPercent)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	failed := make(chan error, 8)
-	if err := d.listen(failed); err != nil {
+	if err := d.listen(); err != nil {
 		return err
 	}
 	go d.loop.Run(background)
@@ -218,19 +221,16 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		d.stop()
-	case err = <-failed:
+	case err = <-d.failed:
 		d.log.Error().Err(err).Msg("a listener failed")
-		flush, cancelFlush := context.WithTimeout(background, releaseTimeout)
-		defer cancelFlush()
-		d.sendSpans(flush)
 	}
+	d.stop()
 	d.log.Info().Int("running", d.ingress.Running()).Msg("stopped")
 	return err
 }
 
 // listen binds every listener before any of them serves.
-func (d *Daemon) listen(failed chan<- error) error {
+func (d *Daemon) listen() error {
 	s := d.settings.Load()
 	peers := http.NewServeMux()
 	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler} {
@@ -268,7 +268,7 @@
 		}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- err
+				d.failed <- err
 			}
 		}()
 	}
--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -15,6 +15,10 @@
 
 // Run runs `crocusrampd edge` until ctx ends.
 func Run(ctx context.Context, c *daemon.EdgeCommand, stdout io.Writer) error {
+	// Until the process exits: the default action would cut what a stop still serves.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := settings.LoadEdge(c.Settings)
 	if err != nil {
 		return err
@@ -24,9 +28,6 @@
 		return nil
 	}
 	reload := make(chan struct{}, 1)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	go passOn(ctx, hangups, reload)
 	out := telemetry.NewAsyncWriter(stdout)
 	defer out.Close()
