daemon: SIGHUP does not end a VM that holds its configuration

Cause: `crocusrampd serve` had no handler of SIGHUP, so that the default action ended it with all that it served. It now logs that settings are read at the start. Scenario `stop` sends it before and during a stop: "vm-2 ended with status -1 (signal: hangup)" before, green after.

--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -117,6 +118,19 @@
 	if err != nil {
 		return fmt.Errorf("%w: log: %w", settings.ErrInvalid, err)
 	}
+	// The default action would cut what a VM serves.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for ctx.Err() == nil {
+			select {
+			case <-hangups:
+				log.Warn().Msg("SIGHUP: changed settings take effect at the next start")
+			case <-ctx.Done():
+			}
+		}
+	}()
 	d, err := New(ctx, s, log)
 	if err != nil {
 		return err
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -160,10 +160,10 @@
 
 var signals = map[string]syscall.Signal{
 	"SIGTERM": syscall.SIGTERM, "SIGINT": syscall.SIGINT, "SIGKILL": syscall.SIGKILL,
-	"SIGSTOP": syscall.SIGSTOP, "SIGCONT": syscall.SIGCONT,
+	"SIGSTOP": syscall.SIGSTOP, "SIGCONT": syscall.SIGCONT, "SIGHUP": syscall.SIGHUP,
 }
 
-// signal sends a signal: signal NAME SIGTERM|SIGKILL|SIGSTOP|SIGCONT
+// signal sends a signal: signal NAME SIGTERM|SIGKILL|SIGSTOP|SIGCONT|SIGHUP
 func (w *world) signal(_ *testscript.TestScript, args []string) error {
 	if err := usage(args, 2, "signal NAME SIGNAL"); err != nil {
 		return err
