ingress: a stopping VM refuses a request whose body comes too late

What callers saw: a request that began before a stop refused new ones, and whose last byte came after, was sent to a target and cut or given up, with 502 at best.

Cause: whether requests are refused was asked before the body was read and not after.

TestBodyThatComesTooLateIsRefused: the target got the request before, 503 after.

--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -145,6 +145,12 @@
 // stopping reports whether Stop was called.
 func (s *Server) stopping() bool { return s.refuseAt.Load() != nil }
 
+// refuses reports whether requests that come now are refused, as this VM stops.
+func (s *Server) refuses() bool {
+	at := s.refuseAt.Load()
+	return at != nil && !time.Now().Before(*at)
+}
+
 // Abandon ends the work on every request that runs: each gets its final answer at once. An
 // answer that is being delivered goes on.
 func (s *Server) Abandon() {
@@ -183,6 +189,9 @@
 	if a := c.readBody(ctx); a != nil {
 		return a
 	}
+	if c.s.refuses() { // its last byte came too late to be sure of the answer
+		return c.refuseStopping()
+	}
 	deadline := c.arrived.Add(c.patience())
 	c.timer = time.AfterFunc(time.Until(deadline), func() { c.cancel(context.DeadlineExceeded) })
 	return c.run(ctx)
@@ -190,7 +199,7 @@
 
 // admit finds the route and the client account and counts the request.
 func (c *call) admit(ctx context.Context) *answer {
-	if at := c.s.refuseAt.Load(); at != nil && !c.arrived.Before(*at) {
+	if c.s.refuses() {
 		return c.refuseStopping()
 	}
 	c.state = c.awaitState(ctx)
--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -103,6 +103,29 @@
 	return false
 }
 
+// TestBodyThatComesTooLateIsRefused: a request whose body came when the VM no longer took
+// requests was still sent to a target, with too little time for its answer.
+func TestBodyThatComesTooLateIsRefused(t *testing.T) {
+	w := newWorld(t)
+	f := w.add("i-1", "fd-e", good)
+	pr, pw := io.Pipe()
+	go func() {
+		for !w.reached(stageBody) {
+			time.Sleep(time.Millisecond)
+		}
+		w.server.Stop(time.Now())
+		_, _ = io.WriteString(pw, "late") // the request's end shows a failure
+		pw.Close()
+	}()
+	resp, _, err := w.send(http.MethodPost, "/once/a", "", func(r *http.Request) { r.Body, r.ContentLength = pr, -1 })
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(hRetryAfter) == "" {
+		t.Errorf("%v %v, want 503 with a time to come back", resp, err)
+	}
+	if f.requests() != 0 {
+		t.Error("a target got the request")
+	}
+}
+
 // TestDeliveryOutlastsAStop: an answer that is on its way to the caller is not broken off.
 func TestDeliveryOutlastsAStop(t *testing.T) {
 	w := newWorld(t)
