soak: planned stops of real VM processes under seeded disturbances

No test of ours stops processes under load with targets that are slow, silent or full.

Change: test/soak runs worlds drawn from a seed: 2 to 4 `crocusrampd edge` processes (the test binary itself, so that the race detector sees them), the stand-in of the store, targets with slots and a queue, clients on kept and new connections; SIGTERM with restarts, SIGHUP, configurations, targets that leave and join, faults of the store.

Excluded on the way, faults of the test: a target that closes its listener while a VM that the store kept blind still uses it; ports given twice; the race detector's sleep at exit.

--- /dev/null
+++ b/test/soak/target_test.go
@@ -0,0 +1,211 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one run of a request at a target.
+type run struct {
+	target     string
+	start, end time.Time
+	// dropped says that the run ended because its connection did.
+	dropped bool
+}
+
+// entry is what the targets know of a request.
+type entry struct {
+	arrivals int // refused ones too
+	runs     []*run
+	brokeOff bool
+}
+
+// ledger is what all targets know of all requests.
+type ledger struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+// change changes the entry of a request.
+func (l *ledger) change(id string, f func(*entry)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil {
+		e = &entry{}
+		l.entries[id] = e
+	}
+	f(e)
+}
+
+// What a target does with a request, as its query says.
+const (
+	doAnswer = "answer"
+	doBig    = "big"   // a long body, written in pieces over the time of the run
+	doLose   = "lose"  // the run ends and nothing is ever written
+	doBreak  = "break" // the connection is closed without an answer
+)
+
+// bigPieces is the number of pieces in which a long body is written.
+const bigPieces = 20
+
+// target is a target with slots and a queue.
+type target struct {
+	id, service, zone string
+	slots, queue      int
+	ledger            *ledger
+	server            *httptest.Server
+	free              chan struct{}
+	running, waiting  atomic.Int64
+}
+
+// newTarget starts a target on a loopback address.
+func newTarget(w *world, id, service, zone, host string) *target {
+	g := &target{id: id, service: service, zone: zone, slots: w.plan.slots, queue: w.plan.queue, ledger: w.ledger, free: make(chan struct{}, w.plan.slots)}
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		w.t.Error(err)
+		return nil
+	}
+	g.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: g}}
+	g.server.Start()
+	return g
+}
+
+// entryText is the target's row in the store.
+func (g *target) entryText(state string) []byte {
+	return fmt.Appendf(nil, `{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":1,"cold_remaining_s":0}}`,
+		g.server.Listener.Addr(), g.service, g.zone, g.slots, state)
+}
+
+// ServeHTTP answers one request.
+func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Instance-Id", g.id)
+	if r.URL.Path == healthPath {
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	g.ledger.change(id, func(e *entry) { e.arrivals++ })
+	h.Set("X-Attempt-Id", id)
+	ms, err := strconv.Atoi(r.Header.Get("X-Request-Deadline-Ms"))
+	if err != nil {
+		ms = int(maxDeadline.Milliseconds())
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	status := http.StatusServiceUnavailable
+	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != g.id {
+		status = http.StatusMisdirectedRequest
+	} else if g.take(ctx) {
+		g.work(ctx, w, r, id)
+		return
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	g.load(h)
+	h.Set("X-Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+// load writes the load header.
+func (g *target) load(h http.Header) {
+	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", g.running.Load(), g.waiting.Load(), g.slots))
+}
+
+// take waits in the queue for a slot.
+func (g *target) take(ctx context.Context) bool {
+	select {
+	case g.free <- struct{}{}:
+		return true
+	default:
+	}
+	defer g.waiting.Add(-1)
+	if g.waiting.Add(1) > int64(g.queue) {
+		return false
+	}
+	select {
+	case g.free <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// work runs a request as its query says.
+func (g *target) work(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	g.running.Add(1)
+	entered := &run{target: g.id, start: time.Now()}
+	g.ledger.change(id, func(e *entry) { e.runs = append(e.runs, entered) })
+	end := sync.OnceFunc(func() {
+		g.ledger.change(id, func(*entry) { entered.end, entered.dropped = time.Now(), r.Context().Err() != nil })
+		g.running.Add(-1)
+		<-g.free
+	})
+	defer end()
+	q := r.URL.Query()
+	ms, errMS := strconv.Atoi(q.Get("ms"))
+	size, errSize := strconv.Atoi(q.Get("bytes"))
+	if errMS != nil || errSize != nil {
+		http.Error(w, "ms and bytes are numbers", http.StatusBadRequest)
+		return
+	}
+	lasts := time.Duration(ms) * time.Millisecond
+	h := w.Header()
+	h.Set("X-Response-Seal", "seal")
+	if q.Get("do") == doBig {
+		if id[len(id)-1]%2 == 0 { // the others are sent in chunks
+			h.Set("Content-Length", strconv.Itoa(size))
+		}
+		piece := strings.Repeat("x", size/bigPieces)
+		for range bigPieces {
+			if !pause(ctx, lasts/bigPieces) {
+				g.ledger.change(id, func(e *entry) { e.brokeOff = e.brokeOff || r.Context().Err() == nil })
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, piece) // an error shows as a context that ended
+		}
+		return
+	}
+	inTime := pause(ctx, lasts)
+	switch {
+	case r.Context().Err() != nil:
+		panic(http.ErrAbortHandler)
+	case !inTime:
+		g.load(h)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case q.Get("do") == doLose:
+		end()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case q.Get("do") == doBreak:
+		g.ledger.change(id, func(e *entry) { e.brokeOff = true })
+		panic(http.ErrAbortHandler)
+	default:
+		g.load(h)
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}
+}
+
+// pause reports whether d has passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
