--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -42,7 +42,7 @@
 	return d.Run(ctx, reload)
 }
 
-// passOn tells of signals that the settings have changed.
+// passOn turns signals into reloads, of which one may wait.
 func passOn(ctx context.Context, hangups <-chan os.Signal, reload chan<- struct{}) {
 	for {
 		select {
