internal/child, ingress: tests that start processes do it by one piece of code

Scenarios, the soak test and the test of signals each had their own way to start processes that end with the tests; two tables of early ends were the same.

--- a/pkg/ingress/upload_test.go
+++ b/pkg/ingress/upload_test.go
@@ -74,14 +74,17 @@
 // notRun is the answer of a target that sheds a request.
 const notRun = "503 x\r\n" + hNotRun + ": 1"
 
+// earlyEnds are the answers of targets that end early and what the caller gets then.
+var earlyEnds = map[string]struct {
+	answer string
+	want   int
+}{"sheds": {notRun, http.StatusServiceUnavailable}, "resets": {"", http.StatusBadGateway}}
+
 // TestWholeBodyWhoseTargetsEndEarly: the caller has sent its whole body and waits, and the
 // targets shed the request or reset its connection before they have read it. Ending the read
 // of that body was taken for the caller's leaving, and it got no answer.
 func TestWholeBodyWhoseTargetsEndEarly(t *testing.T) {
-	for name, tt := range map[string]struct {
-		answer string
-		want   int
-	}{"sheds": {notRun, http.StatusServiceUnavailable}, "resets": {"", http.StatusBadGateway}} {
+	for name, tt := range earlyEnds {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t)
 			w.smallWindows()
@@ -98,10 +101,7 @@
 // TestStalledBodyWhoseTargetEndsEarly: the same while the caller still sends. Its answer was
 // held back until the rest of the body came, or never sent.
 func TestStalledBodyWhoseTargetEndsEarly(t *testing.T) {
-	for name, tt := range map[string]struct {
-		answer string
-		want   int
-	}{"sheds": {notRun, http.StatusServiceUnavailable}, "resets": {"", http.StatusBadGateway}} {
+	for name, tt := range earlyEnds {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t)
 			w.raw("i-1", "fd-e", endsEarly(tt.answer))
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +19,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"crocusramp.dev/crocusramp/internal/child"
 )
 
 const (
@@ -77,20 +78,6 @@
 	err    error
 }
 
-// starter starts processes on one operating-system thread that lives as long
-// as the test binary: the kernel kills them when that thread ends, so that
-// none outlives the tests, however they end.
-var starter = func() chan<- func() {
-	starts := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for f := range starts {
-			f()
-		}
-	}()
-	return starts
-}()
-
 // start runs a program in the background: start NAME PROGRAM ARG...
 func (w *world) start(ts *testscript.TestScript, args []string) error {
 	if err := usage(args, 2, "start NAME PROGRAM ARG..."); err != nil {
@@ -113,10 +100,7 @@
 	p.cmd.Dir = ts.MkAbs(".")
 	p.cmd.Env = append(os.Environ(), "GOTRACEBACK=all")
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error, 1)
-	starter <- func() { started <- p.cmd.Start() }
-	if err := <-started; err != nil {
+	if err := child.Start(p.cmd); err != nil {
 		return err
 	}
 	w.processes[name] = p
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -9,11 +9,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"syscall"
 	"time"
 
+	"crocusramp.dev/crocusramp/internal/child"
 	"crocusramp.dev/crocusramp/pkg/settings"
 )
 
@@ -30,19 +30,6 @@
 	killed  bool
 }
 
-// starter starts processes on one operating-system thread that lives as long as the test
-// binary: the kernel kills them when that thread ends.
-var starter = func() chan<- func() {
-	starts := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for f := range starts {
-			f()
-		}
-	}()
-	return starts
-}()
-
 // vm is a VM with its settings; its processes come one after the other.
 type vm struct {
 	settings settings.Edge
@@ -118,11 +105,8 @@
 	// A race detector sleeps for a second at exit unless it is told not to.
 	p.cmd.Env = append(os.Environ(), "GOTRACEBACK=all", "GORACE=atexit_sleep_ms=0", runEdge+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	v.all = append(v.all, p)
-	started := make(chan error, 1)
-	starter <- func() { started <- p.cmd.Start() }
-	if err := <-started; err != nil {
+	if err := child.Start(p.cmd); err != nil {
 		close(p.exited)
 		return err
 	}
