--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -18,6 +18,7 @@
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -54,6 +55,7 @@
 
 	sent       []*target.Live // in order
 	sentAt     time.Time      // of the last one
+	repeats    repeats
 	mayHaveRun bool
 	// grey says that the last target refused the request although it had room.
 	grey     bool
@@ -63,6 +65,14 @@
 	note     string
 }
 
+// repeats is what became of a request's repeats.
+type repeats struct {
+	// charged ones took a place in the budget; free ones followed a send that reached no
+	// target.
+	charged, free int
+	use           *retry.PoolUse // of the last decision, nil for none
+}
+
 // answer is what the caller gets.
 type answer struct {
 	status int
@@ -339,6 +349,7 @@
 		e.Str("account", c.account.Name)
 	}
 	c.logTargets(e)
+	c.repeats.log(e)
 	if a.own {
 		e.Str("reason", string(a.reason)).Dur("retry_ms", a.retry)
 	}
@@ -359,3 +370,15 @@
 	last := c.sent[len(c.sent)-1]
 	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Int64("list", c.version).Bool("may_have_run", c.mayHaveRun)
 }
+
+// log adds the repeats to the request's line, and the budget as the last decision saw it.
+func (r *repeats) log(e *zerolog.Event) {
+	if r.free == 0 && r.use == nil {
+		return
+	}
+	d := zerolog.Dict().Int("charged", r.charged).Int("free", r.free)
+	if u := r.use; u != nil {
+		d.Bool("denied", !u.Granted).Float64("used", u.Repeats).Float64("limit", u.Limit).Float64("requests", u.Requests).Int("vms", u.VMs)
+	}
+	e.Dict("repeats", d)
+}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -81,9 +81,18 @@
 		return false
 	}
 	if !t.arrived {
+		c.repeats.free++
+		c.s.counters.repeatsFree.Inc(1)
 		return true
 	}
-	return c.s.budget.Take(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
+	use := c.s.budget.Take(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
+	c.repeats.use = &use
+	if use.Granted {
+		c.repeats.charged++
+	} else {
+		c.s.counters.repeatsDenied.Inc(1)
+	}
+	return use.Granted
 }
 
 // errStopping is the cause that ends requests which outlast this VM's stop.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -107,7 +107,10 @@
 }
 
 type counters struct {
-	requests, answered, refused, failed, repeats, sheds, held metrics.Counter
+	requests, answered, refused, failed, sheds, held metrics.Counter
+	// repeats counts repeats, repeatsFree those among them that cost the budget nothing, and
+	// repeatsDenied those for which no budget was left.
+	repeats, repeatsFree, repeatsDenied metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -124,7 +127,8 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
 	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, inflight: newInflight(), counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
-		failed: counter("failed"), repeats: counter("repeats"), sheds: counter("sheds"), held: counter("held"),
+		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
+		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
 	}}
 }
 
--- a/pkg/retry/pools.go
+++ b/pkg/retry/pools.go
@@ -40,18 +40,31 @@
 	b.at(pool, l, now).requests++
 }
 
-// Take uses up one repeat, or reports false where none is left.
-func (b *PoolBudget) Take(pool string, l PoolLimit, now clock.Time) bool {
+// PoolUse is what a decision on a repeat was made from.
+type PoolUse struct {
+	// Granted says that the repeat may be sent.
+	Granted bool
+	// Requests and Repeats are what this VM counted in the window before the decision.
+	Requests, Repeats float64
+	// Limit is how many repeats this VM may send in the window.
+	Limit float64
+	// VMs is how many VMs the fleet's floor was divided by.
+	VMs int
+}
+
+// Take uses up one repeat where one is left.
+func (b *PoolBudget) Take(pool string, l PoolLimit, now clock.Time) PoolUse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.at(pool, l, now)
-	w := b.pools[pool]
-	requests, repeats := w.sum()
-	if repeats+1 > safety*(l.Ratio*requests+l.Floor/float64(max(1, l.VMs))) {
-		return false
+	use := PoolUse{VMs: max(1, l.VMs)}
+	use.Requests, use.Repeats = b.pools[pool].sum()
+	use.Limit = safety * (l.Ratio*use.Requests + l.Floor/float64(use.VMs))
+	if use.Repeats+1 <= use.Limit {
+		use.Granted = true
+		s.repeats++
 	}
-	s.repeats++
-	return true
+	return use
 }
 
 // at returns the slice of the window that now lies in.
