--- /dev/null
+++ b/pkg/retry/pools_test.go
@@ -0,0 +1,124 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/retry/retrytest"
+)
+
+const testPool = "pool"
+
+// budgetFleet is some VMs that share a budget, with the times of all requests and repeats.
+type budgetFleet struct {
+	limit             retry.PoolLimit
+	vms               []*retry.PoolBudget
+	now               clock.Time
+	requests, repeats []clock.Time
+}
+
+func newBudgetFleet(vms int, limit retry.PoolLimit) *budgetFleet {
+	f := &budgetFleet{limit: limit, vms: make([]*retry.PoolBudget, vms), now: clock.Time(time.Hour)}
+	f.limit.VMs = vms
+	for i := range vms {
+		f.restart(i)
+	}
+	return f
+}
+
+// restart replaces a VM's process.
+func (f *budgetFleet) restart(vm int) { f.vms[vm] = retry.NewPoolBudget() }
+
+func (f *budgetFleet) restartAll() {
+	for i := range f.vms {
+		f.restart(i)
+	}
+}
+
+// serve spreads requests of a constant rate over the VMs; each is repeated until the budget
+// denies it, at most repeats times.
+func (f *budgetFleet) serve(lasts time.Duration, perSecond, repeats int, vms ...int) {
+	pause := time.Second / time.Duration(perSecond)
+	for i, end := 0, f.now.Add(lasts); f.now.Before(end); i++ {
+		f.request(vms[i%len(vms)], repeats)
+		f.now = f.now.Add(pause)
+	}
+}
+
+func (f *budgetFleet) request(vm, repeats int) {
+	b := f.vms[vm]
+	b.Count(testPool, f.limit, f.now)
+	f.requests = append(f.requests, f.now)
+	for range repeats {
+		if !b.Take(testPool, f.limit, f.now).Granted {
+			return
+		}
+		f.repeats = append(f.repeats, f.now)
+	}
+}
+
+// check reports a window with more repeats than the bound.
+func (f *budgetFleet) check() error { return retrytest.Check(f.limit, f.requests, f.repeats) }
+
+// TestRestartsKeepTheRetryBudget guards against processes that spend a window's repeats anew
+// after their predecessors have spent them.
+func TestRestartsKeepTheRetryBudget(t *testing.T) {
+	for _, restarts := range []int{1, 2, 4, 9} {
+		f := newBudgetFleet(11, retry.PoolLimit{Ratio: 0.2, Floor: 62, Window: 10 * time.Second})
+		all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+		f.serve(15*time.Second, 900, 0, all...)
+		for range restarts {
+			f.serve(10*time.Second/time.Duration(restarts+1), 900, 2, all...)
+			f.restartAll()
+		}
+		f.serve(15*time.Second, 900, 2, all...)
+		if err := f.check(); err != nil {
+			t.Errorf("%d restarts: %v", restarts, err)
+		}
+	}
+}
+
+// TestMovingCallersKeepTheRetryBudget guards against repeats that VMs grant on account of the
+// requests before their callers moved, while others grant some for the requests after it.
+func TestMovingCallersKeepTheRetryBudget(t *testing.T) {
+	f := newBudgetFleet(11, retry.PoolLimit{Ratio: 0.2, Floor: 62, Window: 10 * time.Second})
+	f.serve(15*time.Second, 900, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
+	f.serve(5*time.Second, 900, 2, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
+	f.serve(10*time.Second, 900, 2, 10)
+	if err := f.check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRetryBudgetOfAFleet: whatever the traffic, wherever it goes and whichever VMs restart, no
+// window has more repeats than the bound.
+func TestRetryBudgetOfAFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "VMs")
+		limit := retry.PoolLimit{
+			Ratio: rapid.Float64Range(0.05, 0.5).Draw(t, "ratio"), Floor: rapid.Float64Range(0, 200).Draw(t, "floor"), Window: 10 * time.Second,
+		}
+		f := newBudgetFleet(n, limit)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				f.restartAll()
+			case 1:
+				f.restart(rapid.IntRange(0, n-1).Draw(t, "VM"))
+			case 2:
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "pause in ms")) * time.Millisecond)
+			default:
+				vms := rapid.SliceOfN(rapid.IntRange(0, n-1), 1, 4).Draw(t, "VMs")
+				lasts := time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond
+				f.serve(lasts, rapid.IntRange(1, 200).Draw(t, "per second"), rapid.IntRange(0, 3).Draw(t, "repeats"), vms...)
+			}
+		}
+		if err := f.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
