retry: a token bucket keeps the budget across restarts and moving callers

Cause: each VM allowed itself 0.8 of the bound for the requests of the last 10 s, counted in its memory. A window could so get the repeats for the requests before it and those for the requests in it: where a process started meanwhile, since it knew nothing of the repeats before, and where the callers moved to another VM. Excluded: a wrong number of VMs (every decision divided by 11), repeats that cost nothing (none).

Why this holds: a bucket's tokens at the start of a window are bounded by the requests of the window before, what it earns by those in it, and both by parts of the ratio that sum to 0.95. Neither depends on which VM or which process had them. A process starts with an empty bucket.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -167,12 +167,20 @@
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Known: d.known, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
-		Fleet: d.fleet, Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
+		Fleet: d.fleet, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
 }
 
+// idleSince is since when no other process of this VM has run; 0 where it is the first.
+func (d *Daemon) idleSince() clock.Time {
+	if d.settings.Load().FirstStart {
+		return 0
+	}
+	return d.fleet.started
+}
+
 // describe completes what heartbeats say of this VM.
 func (d *Daemon) describe(p *member.Peer) {
 	if !d.ready() {
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -378,7 +378,7 @@
 	}
 	d := zerolog.Dict().Int("charged", r.charged).Int("free", r.free)
 	if u := r.use; u != nil {
-		d.Bool("denied", !u.Granted).Float64("used", u.Repeats).Float64("limit", u.Limit).Float64("requests", u.Requests).Int("vms", u.VMs)
+		d.Bool("denied", !u.Granted).Float64("available", u.Available).Float64("capacity", u.Capacity).Float64("requests", u.Requests).Int("vms", u.VMs)
 	}
 	e.Dict("repeats", d)
 }
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -85,12 +85,15 @@
 	Parts   func(pool string) []placement.Part
 	Limiter limit.Limiter
 	Fleet   Fleet
-	Client  *forward.Client
-	Clock   clock.Clock
-	Log     zerolog.Logger
-	Metrics metrics.Registry
-	Latency func(time.Duration)
-	Tracer  trace.Tracer
+	// IdleSince is since when no process of this VM but this one has sent requests; 0 where
+	// none ran before.
+	IdleSince clock.Time
+	Client    *forward.Client
+	Clock     clock.Clock
+	Log       zerolog.Logger
+	Metrics   metrics.Registry
+	Latency   func(time.Duration)
+	Tracer    trace.Tracer
 }
 
 // Server answers callers' requests.
@@ -125,7 +128,7 @@
 		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
-	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(), demand: newDemand(), spill: &spill{}, inflight: newInflight(), counters: counters{
+	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(c.IdleSince), demand: newDemand(), spill: &spill{}, inflight: newInflight(), counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
 		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
--- a/pkg/retry/pools.go
+++ b/pkg/retry/pools.go
@@ -7,48 +7,60 @@
 	"crocusramp.dev/crocusramp/pkg/clock"
 )
 
-// poolSlices is how many slices a window is counted in.
-const poolSlices = 10
-
-// PoolBudget bounds the repeats to each pool to this VM's part of what the
-// fleet may send. It counts over a sliding window. It is safe for concurrent use.
-type PoolBudget struct {
-	mu    sync.Mutex
-	pools map[string]*window
-}
+// The parts of a fleet's bound that its VMs earn during a window and may have saved up before
+// it. Their sums are less than 1: the rest is left for repeats that arrive later than they
+// were granted.
+const (
+	earnedOfRatio, savedOfRatio = 0.8, 0.15
+	// A part of the floor is little where many VMs share it; half of it saved leaves each a
+	// whole repeat.
+	earnedOfFloor, savedOfFloor = 0.45, 0.5
+)
 
 // PoolLimit is the bound for the whole fleet: in any Window, at most
 // Ratio x requests + Floor repeats.
 type PoolLimit struct {
 	Ratio, Floor float64
 	Window       time.Duration
-	// VMs is how many VMs share Floor.
+	// VMs is how many VMs share Floor; 0 is unknown, and none of Floor is used.
 	VMs int
 }
 
-// safety is the part of the bound that VMs use; windows of the VMs do not begin
-// at the same moments.
-const safety = 0.8
+// PoolBudget bounds the repeats to each pool, so that the fleet's stay within a PoolLimit
+// whichever VMs the requests come to and whenever processes start. It is a token bucket: what
+// all VMs earn in a window follows from the requests in it, and what they have saved up before
+// from the requests of the window before. It is safe for concurrent use.
+type PoolBudget struct {
+	mu    sync.Mutex
+	idle  clock.Time
+	pools map[string]*bucket
+}
 
-// NewPoolBudget returns an empty budget.
-func NewPoolBudget() *PoolBudget { return &PoolBudget{pools: map[string]*window{}} }
+// NewPoolBudget returns the budget of a process. idleSince is since when no other process of
+// its VM has repeated a request: when this one started, or 0 where it is the VM's first.
+func NewPoolBudget(idleSince clock.Time) *PoolBudget {
+	return &PoolBudget{idle: idleSince, pools: map[string]*bucket{}}
+}
 
 // Count records a request to a pool, not counting its repeats.
 func (b *PoolBudget) Count(pool string, l PoolLimit, now clock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.at(pool, l, now).requests++
+	p := b.at(pool, l, now)
+	p.recent.add(now, l.Window)
+	p.earn(earnedOfRatio*l.Ratio, l)
 }
 
 // PoolUse is what a decision on a repeat was made from.
 type PoolUse struct {
 	// Granted says that the repeat may be sent.
 	Granted bool
-	// Requests and Repeats are what this VM counted in the window before the decision.
-	Requests, Repeats float64
-	// Limit is how many repeats this VM may send in the window.
-	Limit float64
-	// VMs is how many VMs the fleet's floor was divided by.
+	// Available is how many repeats this VM had left before the decision, and Capacity how
+	// many it can save up.
+	Available, Capacity float64
+	// Requests is what this VM counted in the window before the decision.
+	Requests float64
+	// VMs is how many VMs share the fleet's floor.
 	VMs int
 }
 
@@ -56,54 +68,80 @@
 func (b *PoolBudget) Take(pool string, l PoolLimit, now clock.Time) PoolUse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.at(pool, l, now)
-	use := PoolUse{VMs: max(1, l.VMs)}
-	use.Requests, use.Repeats = b.pools[pool].sum()
-	use.Limit = safety * (l.Ratio*use.Requests + l.Floor/float64(use.VMs))
-	if use.Repeats+1 <= use.Limit {
-		use.Granted = true
-		s.repeats++
+	p := b.at(pool, l, now)
+	use := PoolUse{Granted: p.tokens >= 1, Available: p.tokens, Capacity: p.capacity(l), Requests: p.recent.sum, VMs: l.VMs}
+	if use.Granted {
+		p.tokens--
 	}
 	return use
 }
 
-// at returns the slice of the window that now lies in.
-func (b *PoolBudget) at(pool string, l PoolLimit, now clock.Time) *slice {
-	w := b.pools[pool]
-	if w == nil {
-		w = &window{}
-		b.pools[pool] = w
+// at returns the bucket of a pool with what time has earned it.
+func (b *PoolBudget) at(pool string, l PoolLimit, now clock.Time) *bucket {
+	p := b.pools[pool]
+	if p == nil {
+		p = &bucket{at: b.idle}
+		b.pools[pool] = p
 	}
-	return w.advance(int64(now) / max(1, int64(l.Window)/poolSlices))
+	p.recent.advance(now, l.Window)
+	elapsed := now.Sub(p.at)
+	p.at = now
+	p.earn(earnedOfFloor*l.floorPart()*elapsed.Seconds()/max(l.Window, 1).Seconds(), l)
+	return p
 }
 
-type slice struct {
-	requests, repeats float64
+// floorPart is a VM's part of the floor.
+func (l PoolLimit) floorPart() float64 {
+	if l.VMs < 1 {
+		return 0
+	}
+	return l.Floor / float64(l.VMs)
+}
+
+// bucket holds the repeats that a VM may send to a pool.
+type bucket struct {
+	tokens float64
+	at     clock.Time
+	recent window
+}
+
+func (p *bucket) earn(tokens float64, l PoolLimit) {
+	p.tokens = min(p.tokens+tokens, p.capacity(l))
 }
 
-// window counts in a ring. It holds one slice more than the window, so that any
-// span of the window's length lies inside.
+// capacity is how many repeats may be saved up.
+func (p *bucket) capacity(l PoolLimit) float64 {
+	return savedOfRatio*l.Ratio*p.recent.sum + savedOfFloor*l.floorPart()
+}
+
+// windowSlices is how many slices a window is counted in.
+const windowSlices = 10
+
+// window counts what happened in the slice that runs and the nine before it, which is the
+// length of the window at most.
 type window struct {
-	index  int64
-	slices [poolSlices + 1]slice
+	index  int64 // of the slice that runs
+	slices [windowSlices]float64
+	sum    float64
 }
 
-func (w *window) advance(index int64) *slice {
-	if index-w.index > poolSlices {
-		w.slices = [poolSlices + 1]slice{}
-		w.index = index
+// advance drops what has left the window.
+func (w *window) advance(now clock.Time, length time.Duration) {
+	index := int64(now) / max(1, int64(length)/windowSlices)
+	if index-w.index >= windowSlices {
+		*w = window{index: index}
 	}
 	for w.index < index {
 		w.index++
-		w.slices[w.index%(poolSlices+1)] = slice{}
+		oldest := &w.slices[w.index%windowSlices]
+		w.sum -= *oldest
+		*oldest = 0
 	}
-	return &w.slices[w.index%(poolSlices+1)]
 }
 
-func (w *window) sum() (requests, repeats float64) {
-	for _, s := range w.slices {
-		requests += s.requests
-		repeats += s.repeats
-	}
-	return requests, repeats
+// add counts one at now.
+func (w *window) add(now clock.Time, length time.Duration) {
+	w.advance(now, length)
+	w.slices[w.index%windowSlices]++
+	w.sum++
 }
--- a/pkg/retry/pools_test.go
+++ b/pkg/retry/pools_test.go
@@ -25,13 +25,13 @@
 	f := &budgetFleet{limit: limit, vms: make([]*retry.PoolBudget, vms), now: clock.Time(time.Hour)}
 	f.limit.VMs = vms
 	for i := range vms {
-		f.restart(i)
+		f.vms[i] = retry.NewPoolBudget(0)
 	}
 	return f
 }
 
 // restart replaces a VM's process.
-func (f *budgetFleet) restart(vm int) { f.vms[vm] = retry.NewPoolBudget() }
+func (f *budgetFleet) restart(vm int) { f.vms[vm] = retry.NewPoolBudget(f.now) }
 
 func (f *budgetFleet) restartAll() {
 	for i := range f.vms {
