ingress: a repeat after 421 costs the budget

Targets got repeats that nobody counted: where an address had passed to another target of the same service, its 421 is an arrival, and the send after it was free. The platform counts arrivals that a target rejects. TestRepeatAfterAnotherInstanceIsCharged was red before (the request was repeated with no budget at all).

--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -248,7 +248,6 @@
 	resp.Close()
 	t := &try{notRun: true, arrived: true, err: fmt.Errorf("target %s did not run it: status %d", l.ID, resp.StatusCode)}
 	if info.OtherInstance {
-		t.arrived = false
 		l.SetReplaced()
 		c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Str("now", info.InstanceID).Msg("another target has the address")
 		return t
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -255,8 +255,6 @@
 	}
 }
 
-// TestWhenToComeBack: a target that refuses with free slots may take the next
-// attempt at once; one that is full may not.
 // TestRepeatAfterAGreyRefusal: a target that refuses some requests although it has room
 // gets the repeat too. On the other one the object would run cold.
 func TestRepeatAfterAGreyRefusal(t *testing.T) {
@@ -283,6 +281,8 @@
 	}
 }
 
+// TestWhenToComeBack: a target that refuses with free slots may take the next
+// attempt at once; one that is full may not.
 func TestWhenToComeBack(t *testing.T) {
 	for load, want := range map[string]struct{ least, most time.Duration }{
 		"1":  {greyRetryMin, greyRetryMax},
@@ -323,6 +323,20 @@
 	}
 }
 
+// TestRepeatAfterAnotherInstanceIsCharged guards against repeats that the budget does not
+// count: the address of a target that is gone may belong to another one of the same service.
+func TestRepeatAfterAnotherInstanceIsCharged(t *testing.T) {
+	w := newWorld(t)
+	w.fleet.repeats = retry.PoolLimit{Window: 10 * time.Second, VMs: 1}
+	w.raw("i-gone", "fd-e", answering("HTTP/1.1 421 X\r\nTest-Id: %s\r\nContent-Length: 0\r\n\r\n"))
+	sound := w.add("i-good", "fd-w", good)
+	resp, _ := w.expect(503, "GET", "/safe/x", func(r *http.Request) { r.Header.Set(hObject, objectIn(w, "east")) })
+	if resp.Header.Get(hRetryAfter) == "" || sound.requests() != 0 {
+		t.Errorf("come back after %q, %d repeats with no budget", resp.Header.Get(hRetryAfter), sound.requests())
+	}
+	w.expect(200, "GET", "/safe/x") // it is known to be gone now
+}
+
 // TestAttempts: no request goes to more targets than its route allows, and
 // targets that reset every request get no more once they are suspect.
 func TestAttempts(t *testing.T) {
