edge: a VM that has not read how many VMs there are shares no bound

A VM counted itself as the only one until it had read the table of the fleet: it divided the constant part of the retry budget by one and took a cold target's whole rate. Requests are held for at most 0.7 s at the start; a VM whose read of the table takes longer than the one of the configuration serves in that state. TestUnknownFleetSharesNothing was red.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -83,7 +83,7 @@
 // total is the number of parts that a bound is divided into at now. It follows a
 // VM that comes at once, and one that leaves after shrinkDelay.
 func (r *registry) total(vms int, now clock.Time) int {
-	old := r.count()
+	old := r.parts()
 	if vms >= old {
 		r.shrunk = 0
 		return max(1, vms)
@@ -103,7 +103,7 @@
 func (r *registry) set(vms []Registration, now clock.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.vms.Store(&vms)
+	defer r.vms.Store(&vms) // after the parts: a list that is known has its parts
 	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
 	settled := r.settled.Load()
@@ -151,8 +151,16 @@
 	return out, nil
 }
 
-// count is the number of VMs that share the bounds.
-func (r *registry) count() int { return max(1, r.holding.Load().Total/slotsPerVM) }
+// count is the number of VMs that share the bounds; 0 while it is not known.
+func (r *registry) count() int {
+	if len(*r.vms.Load()) == 0 {
+		return 0
+	}
+	return r.parts()
+}
+
+// parts is the number of parts that limits are divided into.
+func (r *registry) parts() int { return r.holding.Load().Total / slotsPerVM }
 
 // ColdInterval implements ingress.Fleet. A VM may send floor(1 s/interval)+1
 // requests within a second, so only as many VMs use a cold target as the bound
@@ -160,12 +168,12 @@
 func (r *registry) ColdInterval(l *target.Live, rate float64) (time.Duration, bool) {
 	b := r.settings.Load().Bounds
 	users := int(rate*(b.ColdFactor-1) + b.ColdSlack - coldReserve)
-	if users < 1 || rate <= 0 {
+	if rate <= 0 {
 		return 0, false
 	}
 	vms := *r.vms.Load()
 	users = min(users, r.count())
-	if r.rankFor(l.Hash, vms) >= users {
+	if users < 1 || r.rankFor(l.Hash, vms) >= users {
 		return 0, false
 	}
 	return time.Duration(float64(users) / rate * float64(time.Second)), true
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -127,6 +127,25 @@
 	})
 }
 
+// TestUnknownFleetSharesNothing guards against VMs that start, have not read how many they are,
+// and each use a bound of the whole fleet.
+func TestUnknownFleetSharesNothing(t *testing.T) {
+	r := newTestRegistry("vm-00", false)
+	if got := r.RepeatLimit(); got.VMs != 0 {
+		t.Errorf("the floor of the repeats is divided by %d VMs", got.VMs)
+	}
+	if _, ok := r.ColdInterval(&target.Live{}, 50); ok {
+		t.Error("a cold target gets requests")
+	}
+	r.set(registrations(3), 0)
+	if got := r.RepeatLimit(); got.VMs != 3 {
+		t.Errorf("three VMs: the floor is divided by %d", got.VMs)
+	}
+	if _, ok := r.ColdInterval(&target.Live{}, 50); !ok {
+		t.Error("three VMs: a cold target gets no requests")
+	}
+}
+
 // TestStartTokensFitTheBound: two starts of the whole fleet in one window, with
 // nothing lost between, stay within what the platform allows an account.
 func TestStartTokensFitTheBound(t *testing.T) {
