edge: VMs that start together count those that are not back yet

What callers and targets saw: nothing yet.

Cause: a VM that stops removed its row, and one that starts took the rows for all VMs that there are.

Change: the row stays, marked as left; a VM that starts counts it until the parts may shrink (4 s). The first VM removes such rows after 30 s, on condition that they have not changed.

TestFleetThatRestartsTogetherSharesTheBounds (parts sum to 1.50, 1.83, ... 2.45 and on without the change).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -221,6 +221,7 @@
 	d.follow(background)
 	d.loop.Go(background, d.probeSuspects)
 	d.loop.Go(background, d.balance)
+	d.loop.Go(background, d.sweepFleet)
 	d.loop.Go(background, d.closeIdle)
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math"
 	"slices"
@@ -36,6 +35,16 @@
 type Registration struct {
 	ID          string `json:"id"`
 	PeerAddress string `json:"peer_address"`
+	// Left is set by a VM that stops. Its row stays for a while: VMs that start meanwhile
+	// must know that it may come back.
+	Left bool `json:"left,omitempty"`
+	// version is the row's in the store.
+	version int64
+}
+
+// same reports whether two registrations say the same.
+func (v Registration) same(w Registration) bool {
+	return v.ID == w.ID && v.PeerAddress == w.PeerAddress && v.Left == w.Left
 }
 
 const (
@@ -62,17 +71,20 @@
 	mu              sync.Mutex // serializes set
 	// shrunk is when fewer VMs were registered than the parts are made for; zero
 	// while they are as many.
-	shrunk   clock.Time
-	vms      atomic.Pointer[[]Registration]
-	holding  atomic.Pointer[lease.Holding]
-	settings *atomic.Pointer[settings.Edge]
+	shrunk clock.Time
+	// left is when the VMs that stopped were first seen to have; serialized by mu.
+	left map[string]clock.Time
+	// rows are all registrations, vms those of VMs that have not left; nil until they are
+	// known.
+	rows, vms atomic.Pointer[[]Registration]
+	holding   atomic.Pointer[lease.Holding]
+	settings  *atomic.Pointer[settings.Edge]
 }
 
 func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
-	r := &registry{self: self, started: started, settings: s}
+	r := &registry{self: self, started: started, settings: s, left: map[string]clock.Time{}}
 	r.settled.Store(firstStart)
 	r.holding.Store(&lease.Holding{Total: slotsPerVM})
-	r.vms.Store(&[]Registration{})
 	return r
 }
 
@@ -80,10 +92,17 @@
 // of what it held may run that long.
 const shrinkDelay = 4 * time.Second
 
+// leftPeriod is after which time the row of a VM that stopped is removed: it has not come back.
+const leftPeriod = 30 * time.Second
+
 // total is the number of parts that a bound is divided into at now. It follows a
-// VM that comes at once, and one that leaves after shrinkDelay.
-func (r *registry) total(vms int, now clock.Time) int {
+// VM that comes at once, and one that leaves after shrinkDelay. A VM that has just started
+// counts those that have left, too.
+func (r *registry) total(vms, left int, now clock.Time) int {
 	old := r.parts()
+	if r.rows.Load() == nil {
+		old = vms + left
+	}
 	if vms >= old {
 		r.shrunk = 0
 		return max(1, vms)
@@ -98,16 +117,19 @@
 	return max(1, vms)
 }
 
-// set takes over the registered VMs, in order of ID. It is called again now and
+// set takes over the rows of VMs, in order of ID. It is called again now and
 // then while nothing changes.
-func (r *registry) set(vms []Registration, now clock.Time) {
+func (r *registry) set(rows []Registration, now clock.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	defer r.vms.Store(&vms) // after the parts: a list that is known has its parts
+	vms := r.present(rows, now)
+	// After the parts: a fleet that is known has them.
+	defer r.vms.Store(&vms)
+	defer r.rows.Store(&rows)
 	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
 	settled := r.settled.Load()
-	parts := r.total(len(vms), now)
+	parts := r.total(len(vms), len(rows)-len(vms), now)
 	keeps := parts <= maxKeepers
 	lends := settled || r.waited.Load()
 	var slots []lease.Slot
@@ -124,15 +146,61 @@
 	r.holding.Store(&lease.Holding{Total: total, Slots: slots, Generation: old.Generation + 1})
 }
 
+// present returns the rows of VMs that have not left, and notes since when the others have.
+func (r *registry) present(rows []Registration, now clock.Time) []Registration {
+	var vms []Registration
+	left := map[string]clock.Time{}
+	for _, v := range rows {
+		if !v.Left {
+			vms = append(vms, v)
+			continue
+		}
+		left[v.ID] = now
+		if since, ok := r.left[v.ID]; ok {
+			left[v.ID] = since
+		}
+	}
+	r.left = left
+	return vms
+}
+
+// stale returns the rows that this VM should remove: one of the VMs does it.
+func (r *registry) stale(now clock.Time) []Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if vms := list(&r.vms); len(vms) == 0 || vms[0].ID != r.self.ID {
+		return nil
+	}
+	var out []Registration
+	for _, v := range list(&r.rows) {
+		if since, ok := r.left[v.ID]; ok && now.Sub(since) >= leftPeriod {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// list returns registrations, or none while they are not known.
+func list(p *atomic.Pointer[[]Registration]) []Registration {
+	if l := p.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
 // refresh makes the parts follow VMs that left some time ago.
-func (r *registry) refresh(now clock.Time) { r.set(*r.vms.Load(), now) }
+func (r *registry) refresh(now clock.Time) {
+	if rows := r.rows.Load(); rows != nil {
+		r.set(*rows, now)
+	}
+}
 
 // endWait lets this VM use its own part: at once where that is settled, else
 // when every loan of an earlier process has ended.
 func (r *registry) endWait(settled bool, now clock.Time) {
 	r.settled.Store(settled)
 	r.waited.Store(true)
-	r.set(*r.vms.Load(), now)
+	r.refresh(now)
 }
 
 // Holding returns this VM's part of the limits.
@@ -140,12 +208,12 @@
 
 // VMs returns the registered VMs.
 func (r *registry) VMs(context.Context) ([]storage.VM, error) {
-	list := *r.vms.Load()
-	if len(list) == 0 {
+	vms := list(&r.vms)
+	if len(vms) == 0 {
 		return nil, storage.ErrUnavailable
 	}
-	out := make([]storage.VM, len(list))
-	for i, v := range list {
+	out := make([]storage.VM, len(vms))
+	for i, v := range vms {
 		out[i] = storage.VM{ID: v.ID, PeerAddress: v.PeerAddress, State: storage.VMLive}
 	}
 	return out, nil
@@ -153,7 +221,7 @@
 
 // count is the number of VMs that share the bounds; 0 while it is not known.
 func (r *registry) count() int {
-	if len(*r.vms.Load()) == 0 {
+	if len(list(&r.vms)) == 0 {
 		return 0
 	}
 	return r.parts()
@@ -171,14 +239,21 @@
 	if rate <= 0 {
 		return 0, false
 	}
-	vms := *r.vms.Load()
 	users = min(users, r.count())
-	if users < 1 || r.rankFor(l.Hash, vms) >= users {
+	if users < 1 || r.rankFor(l.Hash, r.sharing()) >= users {
 		return 0, false
 	}
 	return time.Duration(float64(users) / rate * float64(time.Second)), true
 }
 
+// sharing returns the VMs among which the bounds are divided.
+func (r *registry) sharing() []Registration {
+	if vms := list(&r.vms); r.parts() <= len(vms) {
+		return vms
+	}
+	return list(&r.rows)
+}
+
 // rankFor is this VM's place among those that may use a cold target.
 func (r *registry) rankFor(hash uint64, vms []Registration) int {
 	score := func(id string) uint64 { return (xxhash.Sum64String(id) ^ hash) * 0x9e3779b97f4a7c15 }
@@ -209,13 +284,6 @@
 	return retry.PoolLimit{Ratio: b.RepeatRatio, Floor: b.RepeatFloor, Window: b.RepeatWindow.Duration, VMs: r.count()}
 }
 
-// decodeRegistration reads a row of the fleet's table.
-func decodeRegistration(value []byte) (Registration, error) {
-	var v Registration
-	err := json.Unmarshal(value, &v)
-	return v, err
-}
-
 // sorted returns registrations in order of ID.
 func sorted(vms map[string]Registration) []Registration {
 	return slices.SortedFunc(maps.Values(vms), func(a, b Registration) int { return strings.Compare(a.ID, b.ID) })
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,6 +128,87 @@
 	})
 }
 
+// TestFleetThatRestartsTogetherSharesTheBounds guards against VMs that start after all were
+// stopped and count only those that are back already.
+func TestFleetThatRestartsTogetherSharesTheBounds(t *testing.T) {
+	const n = 11
+	rows := registrations(n)
+	for i := range rows {
+		rows[i].Left = true
+	}
+	var fleet []*registry
+	now := clock.Time(0)
+	check := func(when string) {
+		t.Helper()
+		sum := 0.0
+		for _, r := range fleet {
+			sum += 1 / float64(r.count())
+		}
+		if sum > 1.000001 {
+			t.Errorf("%s: the parts sum to %.2f", when, sum)
+		}
+	}
+	update := func() {
+		for _, r := range fleet {
+			r.set(rows, now)
+		}
+	}
+	for i := range n {
+		// The ones before have not heard of it.
+		rows[i].Left = false
+		fleet = append(fleet, newTestRegistry(rows[i].ID, false))
+		fleet[i].set(slices.Clone(rows), now)
+		now += second / 10
+		check(fmt.Sprint(rows[i].ID, " starts"))
+	}
+	update()
+	now += 20 * second
+	update()
+	check("later")
+	// Those that do not come back leave their parts to the others.
+	fleet = fleet[:6]
+	for i := 6; i < n; i++ {
+		rows[i].Left = true
+	}
+	update()
+	check("five leave")
+	now += clock.Time(shrinkDelay)
+	update()
+	check("their loans have ended")
+	if got := fleet[0].count(); got != 6 {
+		t.Errorf("%d VMs share the bounds, want 6", got)
+	}
+}
+
+// TestRowsOfVMsThatLeftAreSwept: one VM removes the rows of those that do not come back, after
+// they had time to.
+func TestRowsOfVMsThatLeftAreSwept(t *testing.T) {
+	rows := registrations(4)
+	rows[0].Left, rows[2].Left = true, true
+	for i, want := range map[int][]string{1: {"vm-00", "vm-02"}, 3: nil} {
+		r := newTestRegistry(rows[i].ID, true)
+		r.set(rows, 0)
+		if got := r.stale(clock.Time(leftPeriod) - 1); len(got) != 0 {
+			t.Errorf("%s sweeps %v too early", rows[i].ID, got)
+		}
+		var got []string
+		for _, v := range r.stale(clock.Time(leftPeriod)) {
+			got = append(got, v.ID)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s sweeps: %s", rows[i].ID, diff)
+		}
+	}
+	// One that came back meanwhile starts anew.
+	r := newTestRegistry("vm-01", true)
+	r.set(rows, 0)
+	r.set(registrations(4), second)
+	r.set(rows, 2*second)
+	if got := r.stale(clock.Time(leftPeriod)); len(got) != 0 {
+		t.Errorf("%v are swept that left again", got)
+	}
+}
+
 // TestUnknownFleetSharesNothing guards against VMs that start, have not read how many they are,
 // and each use a bound of the whole fleet.
 func TestUnknownFleetSharesNothing(t *testing.T) {
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -240,19 +240,19 @@
 				delete(d.vms, c.Key)
 				continue
 			}
-			v, err := decodeRegistration(c.Value)
+			v, err := decodeRegistration(c.Row)
 			if err != nil || v.ID != c.Key {
 				d.log.Warn().Err(err).Str("vm", c.Key).Msg("a registration is passed over")
 				continue
 			}
 			d.vms[c.Key] = v
 		}
-		if d.vms[d.fleet.self.ID] != d.fleet.self && !d.leaving.Load() {
+		if !d.vms[d.fleet.self.ID].same(d.fleet.self) && !d.leaving.Load() {
 			d.register(ctx)
 		}
 		d.fleet.set(sorted(d.vms), d.clock.Now())
 		if len(u.Changes) > 0 {
-			d.log.Info().Int("vms", len(d.vms)).Int64("row", u.Version).Msg("registered VMs")
+			d.log.Info().Int("vms", len(list(&d.fleet.vms))).Int("sharing", d.fleet.count()).Int64("row", u.Version).Msg("registered VMs")
 		}
 		if first {
 			first = false
@@ -276,13 +276,45 @@
 	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("own part of the limits")
 }
 
-// register writes this VM's row. A failure is settled by the next update.
-func (d *Daemon) register(ctx context.Context) {
-	value, err := json.Marshal(d.fleet.self)
+// decodeRegistration reads a row of the fleet's table.
+func decodeRegistration(row platform.Row) (Registration, error) {
+	v := Registration{version: row.Version}
+	err := json.Unmarshal(row.Value, &v)
+	return v, err
+}
+
+// row is the registration in the fleet's table.
+func (v Registration) row() platform.Row {
+	value, err := json.Marshal(v)
 	if err != nil {
 		panic(fmt.Sprintf("edge: encode registration: %v", err))
 	}
-	row := platform.Row{Table: fleetTable, Key: d.fleet.self.ID, Value: value}
+	return platform.Row{Table: fleetTable, Key: v.ID, Value: value}
+}
+
+// sweepFleet removes the rows of VMs that stopped and have not come back, until ctx ends.
+func (d *Daemon) sweepFleet(ctx context.Context) {
+	every(ctx, sweepPeriod, func() {
+		var t platform.Transaction
+		for _, v := range d.fleet.stale(d.clock.Now()) {
+			t.Expect = append(t.Expect, platform.Row{Table: fleetTable, Key: v.ID, Version: v.version})
+			t.Remove = append(t.Remove, platform.Row{Table: fleetTable, Key: v.ID})
+		}
+		if len(t.Remove) == 0 {
+			return
+		}
+		if _, err := d.store.Transact(ctx, t); err != nil {
+			d.log.Warn().Err(err).Int("vms", len(t.Remove)).Msg("removing the rows of VMs that left failed")
+			return
+		}
+		d.log.Info().Int("vms", len(t.Remove)).Msg("removed the rows of VMs that left")
+	})
+}
+
+// register writes this VM's row. A failure is settled by the next update.
+func (d *Daemon) register(ctx context.Context) {
+	row := d.fleet.self.row()
+	var err error
 	for attempt := 0; ctx.Err() == nil && attempt < registerAttempts; attempt++ {
 		_, err = d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{row}})
 		if err == nil {
@@ -302,4 +334,6 @@
 	// followed while this VM cannot register.
 	registerAttempts = 5
 	registerPause    = 200 * time.Millisecond
+	// sweepPeriod is how often rows are looked for that VMs have left behind.
+	sweepPeriod = 10 * time.Second
 )
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -116,13 +116,14 @@
 	d.limiter.Release(ctx)
 }
 
-// unregister removes this VM's row, so that a VM that does not come back leaves
+// unregister marks this VM's row, so that a VM that does not come back leaves
 // its part of the bounds to the others.
 func (d *Daemon) unregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	row := platform.Row{Table: fleetTable, Key: d.fleet.self.ID}
-	if _, err := d.store.Transact(ctx, platform.Transaction{Remove: []platform.Row{row}}); err != nil {
+	left := d.fleet.self
+	left.Left = true
+	if _, err := d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{left.row()}}); err != nil {
 		d.log.Warn().Err(err).Msg("this VM's row stays; its part of the limits rests until it returns")
 	}
 }
