target: a process that starts waits before it uses a cold target

A cold target could get more than its bound: each VM spaces its requests to one by memory, and a process that starts sent one at once although the one before it may just have. With eleven VMs that restart each 0.9 s, 24 requests in a second where 20 are allowed (TestRestartsKeepTheColdRate, red before).

A process now sends a cold target nothing in the first interval after its start, which is the space that it owes to its predecessor's last request. TestColdShare and the fakes of pkg/ingress describe VMs that have run for a while, and now say so; their assertions are unchanged.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -155,7 +155,7 @@
 		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: d.log, Metrics: d.metrics,
 		StartTokens: d.fleet.startTokens,
 	})
-	d.targets = target.NewRegistry(s.FailureDomains)
+	d.targets = target.NewRegistry(s.FailureDomains, time.Now())
 }
 
 // buildTraffic builds what a request passes.
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -128,6 +128,45 @@
 	})
 }
 
+// TestRestartsKeepTheColdRate guards against processes that send a cold target a request at
+// once, although the ones before them have just done so.
+func TestRestartsKeepTheColdRate(t *testing.T) {
+	const (
+		rate  = 10.0
+		lives = 900 * time.Millisecond // of each process
+	)
+	vms := registrations(11)
+	start := time.Now()
+	entry := target.Entry{Target: target.Target{ID: "t", FailureDomain: "fd"}, Pool: "s", ColdFor: time.Minute}
+	var sent []time.Time
+	for restart := range 10 {
+		began := start.Add(time.Duration(restart) * lives)
+		for i := range vms {
+			r := newTestRegistry(vms[i].ID, false)
+			r.set(vms, 0)
+			l, _ := target.NewRegistry(nil, began).Upsert(entry, true, began)
+			interval, ok := r.ColdInterval(l, rate)
+			for at := began; ok && at.Before(began.Add(lives)); at = at.Add(10 * time.Millisecond) {
+				if l.TakeCold(interval, at) {
+					sent = append(sent, at)
+				}
+			}
+		}
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	for i, from := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < time.Second {
+				n++
+			}
+		}
+		if bound := rate*1.5 + 5; float64(n) > bound {
+			t.Fatalf("%d requests in a second, bound %.1f", n, bound)
+		}
+	}
+}
+
 // TestFleetThatRestartsTogetherSharesTheBounds guards against VMs that start after all were
 // stopped and count only those that are back already.
 func TestFleetThatRestartsTogetherSharesTheBounds(t *testing.T) {
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -140,7 +140,7 @@
 // newWorld starts a server in region east.
 func newWorld(t *testing.T) *world {
 	w := &world{
-		t: t, targets: target.NewRegistry(map[string]string{"fd-e": "east", "fd-w": "west"}), limiter: fakeLimiter{},
+		t: t, targets: target.NewRegistry(map[string]string{"fd-e": "east", "fd-w": "west"}, time.Now().Add(-24*time.Hour)), limiter: fakeLimiter{},
 		fleet: &fakeFleet{repeats: retry.PoolLimit{Ratio: 0.2, Floor: 100, Window: 10 * time.Second, VMs: 1}, cold: time.Millisecond},
 		all:   map[string]*fakeTarget{},
 	}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -22,6 +22,7 @@
 	// Hash is a hash of the ID, for rendezvous hashing.
 	Hash uint64
 
+	since     int64 // instant from which on no other process of this VM sends
 	running   atomic.Int32
 	others    atomic.Int32 // requests of other VMs, as of the last report
 	reportAt  atomic.Int64 // instant of the report, 0 for none
@@ -198,12 +199,13 @@
 }
 
 // TakeCold uses this VM's part of the requests that a cold target bears, or
-// reports false where it is used up. interval is the time between two of them.
+// reports false where it is used up. interval is the time between two of them; the
+// process before this one may have sent one just before its end.
 func (l *Live) TakeCold(interval time.Duration, now time.Time) bool {
 	at := instant(now)
 	for {
 		next := l.nextCold.Load()
-		if next != 0 && at < next {
+		if at < l.since+int64(interval) || (next != 0 && at < next) {
 			return false
 		}
 		if l.nextCold.CompareAndSwap(next, at+int64(interval)) {
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -74,6 +74,7 @@
 type Registry struct {
 	mu       sync.Mutex
 	regions  map[string]string // region by failure domain
+	started  time.Time
 	records  map[string]*record
 	graves   map[string]grave
 	services map[string]*config.Service
@@ -86,9 +87,9 @@
 }
 
 // NewRegistry returns an empty registry. regions names the region of each
-// failure domain.
-func NewRegistry(regions map[string]string) *Registry {
-	r := &Registry{regions: regions, records: map[string]*record{}, graves: map[string]grave{}, evacuated: map[string]bool{}}
+// failure domain; started is when this process did.
+func NewRegistry(regions map[string]string, started time.Time) *Registry {
+	r := &Registry{regions: regions, started: started, records: map[string]*record{}, graves: map[string]grave{}, evacuated: map[string]bool{}}
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
@@ -155,7 +156,7 @@
 func (r *Registry) newLive(e Entry) *Live {
 	t := e.Target
 	t.Region = r.regions[e.FailureDomain]
-	return &Live{Target: t, Pool: e.Pool, Born: e.Born, Hash: xxhash.Sum64String(e.ID)}
+	return &Live{Target: t, Pool: e.Pool, Born: e.Born, Hash: xxhash.Sum64String(e.ID), since: instant(r.started)}
 }
 
 // Removal is what became of entries that vanished from the list.
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -25,7 +25,7 @@
 
 // started returns a registry with n targets in fd-a.
 func started(n int) *Registry {
-	r := NewRegistry(regions)
+	r := NewRegistry(regions, t0)
 	r.SetServices(services)
 	for i := range n {
 		r.Upsert(entry(i, "fd-a"), true, t0)
@@ -169,7 +169,7 @@
 }
 
 func TestColdShare(t *testing.T) {
-	l := &Live{}
+	l := &Live{since: instant(t0.Add(-time.Minute))}
 	n := 0
 	for ms := range 1000 {
 		if l.TakeCold(250*time.Millisecond, t0.Add(time.Duration(ms)*time.Millisecond)) {
