feed: attempts to read the relay's lease count for what status says of the store

Operators saw `table_reachable` for ever on a VM of `crocusrampd serve` that had lost the store between its first read and its first campaign for the relay: without a relay known it asks the store for the lease alone, and only reads of the log counted.

The proof of agreement, by which VMs serve keys while none reaches the store, still rests on the log alone: a lease that cannot be read does not show that no change is accepted.

--- a/pkg/feed/contact.go
+++ b/pkg/feed/contact.go
@@ -11,14 +11,19 @@
 // safe for concurrent use.
 type contact struct {
 	mu sync.Mutex
-	// attempt is the start of the newest attempt that has ended.
+	attempts
+}
+
+// attempts is what a contact remembers.
+type attempts struct {
+	// attempt is the start of the newest attempt that has ended, ok whether it was answered.
 	attempt clock.Time
 	ok      bool
 	// answer is when the store last answered.
 	answer clock.Time
 }
 
-func newContact() *contact { return &contact{attempt: never, answer: never} }
+func newContact() *contact { return &contact{attempts: attempts{attempt: never, answer: never}} }
 
 // answered notes an attempt begun at start that was answered at now.
 func (c *contact) answered(start, now clock.Time) {
@@ -41,12 +46,20 @@
 	}
 }
 
-// status reports whether the newest attempt was answered, and when the store
-// last answered.
-func (c *contact) status() (ok bool, last clock.Time) {
+// newestStatus reports whether the newest attempt of two contacts was answered, and when the
+// store last answered one.
+func newestStatus(a, b *contact) (ok bool, last clock.Time) {
+	first, second := a.copy(), b.copy()
+	if second.attempt > first.attempt {
+		first, second = second, first
+	}
+	return first.ok, max(first.answer, second.answer)
+}
+
+func (c *contact) copy() attempts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ok, c.answer
+	return c.attempts
 }
 
 // unreachable reports whether the newest attempt failed and was begun within
--- a/pkg/feed/fake_fleet_test.go
+++ b/pkg/feed/fake_fleet_test.go
@@ -21,6 +21,8 @@
 	*fakeStore
 	cut   atomic.Bool
 	reads atomic.Int64
+	// cutAfterRead cuts it off after the next read of a list.
+	cutAfterRead atomic.Bool
 	// delay is the time to the table and back.
 	delay atomic.Int64
 }
@@ -48,6 +50,9 @@
 		return nil, storage.ErrUnavailable
 	}
 	v.reads.Add(1)
+	if v.cutAfterRead.Load() {
+		defer v.cut.Store(true)
+	}
 	return v.fakeStore.List(ctx, partition, after, limit)
 }
 
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -128,7 +128,10 @@
 	// do not race each other for a version.
 	proposing chan struct{}
 	contact   *contact
-	meters    meters
+	// leaseContact is of the relay's lease. It says nothing on whether changes can be
+	// accepted, so agreement does not rest on it.
+	leaseContact *contact
+	meters       meters
 
 	// relay is the lease of this failure domain as last seen. It is written
 	// by the loop alone.
@@ -151,7 +154,7 @@
 		cfg:       cfg.withDefaults(),
 		store:     store{table: cfg.Table, objects: cfg.Objects},
 		proposing: make(chan struct{}, 1),
-		contact:   newContact(),
+		contact:   newContact(), leaseContact: newContact(),
 	}
 	f.meters = newMeters(f.cfg.Metrics)
 	f.state.Store(newState())
@@ -334,7 +337,7 @@
 func (f *Feed) Status() Status {
 	now := f.cfg.Clock.Now()
 	s := f.state.Load()
-	reachable, last := f.contact.status()
+	reachable, last := newestStatus(f.contact, f.leaseContact)
 	return Status{
 		Version:        s.version(),
 		Age:            since(now, s.known()),
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -163,6 +163,20 @@
 	})
 }
 
+// TestStoreLostBeforeTheFirstCampaign guards against VMs that say for ever that they reach the
+// store: without a relay, one that hears of changes from its peers asks the store for the
+// relay's lease alone.
+func TestStoreLostBeforeTheFirstCampaign(t *testing.T) {
+	f := &fleet{t: t, store: newFakeStore(), cfg: quick}
+	f.add("a")
+	f.add("b").table.cutAfterRead.Store(true)
+	f.start()
+	eventually(t, "read by others only", func() bool {
+		st := f.vms[1].Status()
+		return !st.StoreReachable && st.SinceStore > 2*quick.Freshness && st.Fresh
+	})
+}
+
 func TestCutOffFromPeersStaysFresh(t *testing.T) {
 	f := newFleet(t, quick, "a", "a")
 	eventually(t, "all fresh", f.all(fresh))
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -87,7 +87,13 @@
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReadTimeout)
 	defer cancel()
 	key := storage.Key{Partition: relayPartition, Sort: f.cfg.Self.FailureDomain}
+	start := f.cfg.Clock.Now()
 	item, err := f.cfg.Table.Get(ctx, key)
+	if err == nil || errors.Is(err, storage.ErrNotFound) {
+		f.leaseContact.answered(start, f.cfg.Clock.Now())
+	} else {
+		f.leaseContact.failed(start)
+	}
 	var row relayRow
 	switch {
 	case errors.Is(err, storage.ErrNotFound):
