retry: a window that became longer forgets what was counted before

Settings that make repeat_window longer while a VM runs left its counts in the window for ever, so that it could save up more repeats than its requests allow.

--- a/pkg/retry/pools.go
+++ b/pkg/retry/pools.go
@@ -128,7 +128,7 @@
 // advance drops what has left the window.
 func (w *window) advance(now clock.Time, length time.Duration) {
 	index := int64(now) / max(1, int64(length)/windowSlices)
-	if index-w.index >= windowSlices {
+	if index-w.index >= windowSlices || index < w.index { // its length has changed
 		*w = window{index: index}
 	}
 	for w.index < index {
--- a/pkg/retry/pools_test.go
+++ b/pkg/retry/pools_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// TestChangedWindowForgets guards against requests that count for ever after the settings have
+// made the window longer.
+func TestChangedWindowForgets(t *testing.T) {
+	limit := retry.PoolLimit{Ratio: 0.2, Window: 10 * time.Second, VMs: 1}
+	f := newBudgetFleet(1, limit)
+	f.serve(10*time.Second, 100, 0, 0)
+	f.limit.Window *= 2
+	f.serve(10*time.Millisecond, 100, 0, 0)
+	f.now = f.now.Add(time.Minute)
+	if got := f.vms[0].Take(testPool, f.limit, f.now); got.Requests != 0 || got.Granted {
+		t.Errorf("%v requests in the window, granted %v", got.Requests, got.Granted)
+	}
+}
+
 // TestMovingCallersKeepTheRetryBudget guards against repeats that VMs grant on account of the
 // requests before their callers moved, while others grant some for the requests after it.
 func TestMovingCallersKeepTheRetryBudget(t *testing.T) {
