edge: a VM that is not registered uses no part of the fleet's bounds

A VM that has read the list of VMs but could not write its own row yet divided the floor of the retry budget, and the use of cold targets, by the VMs that it had read: the others do not count it, so the parts summed to more than the whole. The new case of TestUnknownFleetSharesNothing was red (divided by 2 where 2 others were registered).

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -68,7 +68,9 @@
 	// settled says that nothing of the slot that is lent can still be lent by an
 	// earlier process of the VM; waited, that this was asked for in vain.
 	settled, waited atomic.Bool
-	mu              sync.Mutex // serializes set
+	// registered says that this VM is among those that share the bounds.
+	registered atomic.Bool
+	mu         sync.Mutex // serializes set
 	// shrunk is when fewer VMs were registered than the parts are made for; zero
 	// while they are as many.
 	shrunk clock.Time
@@ -123,10 +125,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	vms := r.present(rows, now)
-	// After the parts: a fleet that is known has them.
+	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
+	// After the parts: a VM that is registered has one.
+	defer r.registered.Store(at >= 0)
 	defer r.vms.Store(&vms)
 	defer r.rows.Store(&rows)
-	at := slices.IndexFunc(vms, func(v Registration) bool { return v.ID == r.self.ID })
 	old := r.holding.Load()
 	settled := r.settled.Load()
 	parts := r.total(len(vms), len(rows)-len(vms), now)
@@ -219,9 +222,10 @@
 	return out, nil
 }
 
-// count is the number of VMs that share the bounds; 0 while it is not known.
+// count is the number of VMs that share the bounds; 0 while it is not known, or this VM is
+// not one of them.
 func (r *registry) count() int {
-	if len(list(&r.vms)) == 0 {
+	if !r.registered.Load() {
 		return 0
 	}
 	return r.parts()
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -258,6 +258,10 @@
 	if _, ok := r.ColdInterval(&target.Live{}, 50); ok {
 		t.Error("a cold target gets requests")
 	}
+	r.set(registrations(3)[1:], 0) // it has not registered yet; the others do not count it
+	if got := r.RepeatLimit(); got.VMs != 0 {
+		t.Errorf("not registered: the floor is divided by %d VMs", got.VMs)
+	}
 	r.set(registrations(3), 0)
 	if got := r.RepeatLimit(); got.VMs != 3 {
 		t.Errorf("three VMs: the floor is divided by %d", got.VMs)
