--- a/pkg/retry/pools_test.go
+++ b/pkg/retry/pools_test.go
@@ -136,3 +136,14 @@
 		}
 	})
 }
+
+func BenchmarkPoolBudget(b *testing.B) {
+	budget := retry.NewPoolBudget(0)
+	limit := retry.PoolLimit{Ratio: 0.2, Floor: 60, Window: 10 * time.Second, VMs: 10}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := clock.Time(time.Hour).Add(time.Duration(i) * time.Millisecond)
+		budget.Count(testPool, limit, now)
+		budget.Take(testPool, limit, now)
+	}
+}
