ingress, target: a VM hears a target's limit, and logs and counts its changes

The logs had no word of a limit, so that no hypothesis on LIMIT could be told from another. No decision uses it yet.

--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -228,6 +228,7 @@
 		l.SetCold(info.ColdFor, now)
 	}
 	l.Answered(!info.NotRun)
+	c.hearLimit(l, resp.StatusCode, info, now)
 	switch {
 	case info.NotRun:
 		return c.shed(l, resp, info)
@@ -239,6 +240,25 @@
 	return c.keep(ctx, l, resp)
 }
 
+// hearLimit takes in what an answer says of its target's limit. Only an answer that is surely
+// the target's own and ran says that there is none.
+func (c *call) hearLimit(l *target.Live, status int, info AnswerInfo, now time.Time) {
+	own := !info.OtherInstance && (info.InstanceID == "" || info.InstanceID == l.ID) && (info.Sealed || !success(status))
+	changed := false
+	switch {
+	case !own || info.LimitUnclear:
+	case info.Limit.Named:
+		changed = l.LimitNamed(info.Limit.Rate, now)
+	case success(status):
+		changed = l.LimitUnnamed(c.sentAt, now)
+	}
+	if changed {
+		c.s.counters.limits.Inc(1)
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Bool("limited", info.Limit.Named).Float64("rate", info.Limit.Rate).
+			Msg("target changes its limit")
+	}
+}
+
 func success(status int) bool { return status >= 200 && status < 300 }
 
 // shed takes in a target's word that it did not run the request.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -114,6 +114,8 @@
 	// repeats counts repeats, repeatsFree those among them that cost the budget nothing, and
 	// repeatsDenied those for which no budget was left.
 	repeats, repeatsFree, repeatsDenied metrics.Counter
+	// limits counts the changes of targets' limits that answers told.
+	limits metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -132,6 +134,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
 		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
+		limits: counter("target_limit_changes"),
 	}}
 }
 
--- a/pkg/ingress/wire.go
+++ b/pkg/ingress/wire.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/target"
 )
 
 // CallerInfo is what a caller's headers say of a request.
@@ -41,6 +43,10 @@
 	LoadKnown bool
 	// ColdFor is how much longer the target is slow.
 	ColdFor time.Duration
+	// Limit is how many requests a second the target takes from all VMs together. It says
+	// nothing where LimitUnclear: then the answer's word on it cannot be read.
+	Limit        target.Limit
+	LimitUnclear bool
 }
 
 // Wire translates the headers that callers and targets speak.
--- /dev/null
+++ b/pkg/target/limit.go
@@ -0,0 +1,103 @@
+package target
+
+import (
+	"time"
+)
+
+// limitMemory is how long a limit is believed that the target has not named again. Some VM
+// sends to a limited target every few seconds, so a belief that is older has no traffic
+// behind it.
+const limitMemory = 10 * time.Second
+
+// Limit is what a target says of the requests that it takes from all VMs together.
+type Limit struct {
+	// Rate is in requests a second. It means nothing unless Named.
+	Rate  float64
+	Named bool
+}
+
+// Report is a target's word on its limit as another VM heard it.
+type Report struct {
+	Limit
+	// Earliest and Latest bound when the VM heard it.
+	Earliest, Latest time.Time
+}
+
+// belief is what a VM holds of a target's limit.
+type belief struct {
+	Limit
+	at int64 // instant of the word, or before it
+	// heard says that the target told this VM itself; changed is the instant at which that
+	// was something new.
+	heard   bool
+	changed int64
+}
+
+// LimitNamed takes in that the target named a limit at now. It reports whether that changed
+// the limit.
+func (l *Live) LimitNamed(rate float64, now time.Time) bool {
+	return l.hear(Limit{Rate: rate, Named: true}, now, now)
+}
+
+// LimitUnnamed takes in an answer without a limit to a request that was sent at sent. It
+// reports whether that ended a limit: one that the target named later than sent goes on.
+func (l *Live) LimitUnnamed(sent, now time.Time) bool {
+	if b := l.limit.Load(); b == nil || !b.Named {
+		return false
+	}
+	return l.hear(Limit{}, sent, now)
+}
+
+// hear takes in the target's own word, which was true at some moment since at.
+func (l *Live) hear(word Limit, at, now time.Time) (changed bool) {
+	for {
+		old := l.limit.Load()
+		next := &belief{Limit: word, at: instant(at), heard: true, changed: instant(now)}
+		switch {
+		case old == nil && !word.Named, old != nil && old.at > instant(at):
+			return false
+		case old != nil && old.heard && old.Limit == word:
+			next.changed = old.changed
+		}
+		if l.limit.CompareAndSwap(old, next) {
+			return old == nil || old.Limit != word
+		}
+	}
+}
+
+// LimitReported takes in what another VM heard. It reports whether that changed the limit.
+// Where it is not certain which word is newer, the target counts as limited.
+func (l *Live) LimitReported(r Report) bool {
+	at := instant(r.Earliest)
+	if r.Named {
+		at = instant(r.Latest)
+	}
+	for {
+		old := l.limit.Load()
+		if old == nil && !r.Named || old != nil && old.at >= at {
+			return false
+		}
+		if l.limit.CompareAndSwap(old, &belief{Limit: r.Limit, at: at}) {
+			return old == nil || old.Limit != r.Limit
+		}
+	}
+}
+
+// Limit returns the limit in force at now.
+func (l *Live) Limit(now time.Time) Limit {
+	b := l.limit.Load()
+	if b == nil || instant(now)-b.at > int64(limitMemory) {
+		return Limit{}
+	}
+	return b.Limit
+}
+
+// LimitHeard returns the target's last word to this VM itself, for how long it has been that
+// and how old it is; ok is false where there is none worth telling.
+func (l *Live) LimitHeard(now time.Time) (word Limit, lasts, age time.Duration, ok bool) {
+	b := l.limit.Load()
+	if b == nil || !b.heard || instant(now)-b.at > int64(limitMemory) {
+		return Limit{}, 0, 0, false
+	}
+	return b.Limit, time.Duration(instant(now) - b.changed), time.Duration(instant(now) - b.at), true
+}
--- /dev/null
+++ b/pkg/target/limit_test.go
@@ -0,0 +1,66 @@
+package target
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLimitFollowsTheNewestWord guards against a limit that an older answer ends, or that
+// goes on after the target has stopped naming it.
+func TestLimitFollowsTheNewestWord(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	named := func(l *Live, rate float64, ms int) { l.LimitNamed(rate, at(ms)) }
+	report := func(l *Live, limit Limit, earliest, latest int) {
+		l.LimitReported(Report{Limit: limit, Earliest: at(earliest), Latest: at(latest)})
+	}
+	five := Limit{Rate: 5, Named: true}
+	for _, tt := range []struct {
+		name string
+		do   func(l *Live)
+		at   int
+		want Limit
+	}{
+		{"no word", func(*Live) {}, 100, Limit{}},
+		{"named", func(l *Live) { named(l, 5, 0) }, 100, five},
+		{"changed", func(l *Live) { named(l, 9, 0); named(l, 5, 50) }, 100, five},
+		{"ended", func(l *Live) { named(l, 5, 0); l.LimitUnnamed(at(10), at(50)) }, 100, Limit{}},
+		{"an answer to an earlier request", func(l *Live) { named(l, 5, 20); l.LimitUnnamed(at(10), at(50)) }, 100, five},
+		{"named again", func(l *Live) { named(l, 9, 0); l.LimitUnnamed(at(10), at(50)); named(l, 5, 60) }, 100, five},
+		{"forgotten", func(l *Live) { named(l, 5, 0) }, int(limitMemory.Milliseconds()) + 1, Limit{}},
+		{"reported", func(l *Live) { report(l, five, 0, 20) }, 100, five},
+		{"reported end", func(l *Live) { named(l, 5, 0); report(l, Limit{}, 10, 60) }, 100, Limit{}},
+		{"reported end that may be older", func(l *Live) { named(l, 5, 30); report(l, Limit{}, 10, 60) }, 100, five},
+		{"reported limit that may be newer", func(l *Live) {
+			named(l, 9, 0)
+			l.LimitUnnamed(at(10), at(20))
+			report(l, five, 5, 30)
+		}, 100, five},
+		{"reported limit that is older", func(l *Live) {
+			named(l, 9, 0)
+			l.LimitUnnamed(at(40), at(50))
+			report(l, five, 5, 30)
+		}, 100, Limit{}},
+	} {
+		l := &Live{}
+		tt.do(l)
+		if got := l.Limit(at(tt.at)); got != tt.want {
+			t.Errorf("%s: limit %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestOnlyOwnWordsAreTold guards against reports that go round among VMs and never age.
+func TestOnlyOwnWordsAreTold(t *testing.T) {
+	start := time.Now()
+	l := &Live{}
+	l.LimitReported(Report{Limit: Limit{Rate: 5, Named: true}, Earliest: start, Latest: start})
+	if _, _, _, ok := l.LimitHeard(start); ok {
+		t.Error("a report of another VM is told as this VM's own")
+	}
+	l.LimitNamed(5, start.Add(time.Second))
+	word, lasts, age, ok := l.LimitHeard(start.Add(3 * time.Second))
+	if !ok || !word.Named || word.Rate != 5 || lasts != 2*time.Second || age != 2*time.Second {
+		t.Errorf("told %+v for %v, %v old, %v", word, lasts, age, ok)
+	}
+}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -34,6 +34,7 @@
 	failures  atomic.Int32
 	runs      atomic.Uint64 // bits of the part of the requests that it runs
 	lost      atomic.Pointer[loss]
+	limit     atomic.Pointer[belief] // nil before the first word of a limit
 }
 
 // loss ends when the target is found to be out of reach.
