edge, ingress: the limit that a target names holds over the fleet

Cause: no VM read Server-Limit. Excluded: parts that each VM keeps by itself, and repeats or health checks beside bounded first sends: nothing was bounded.

A limit is divided among the VMs by the escrow and loans that divide the accounts' limits (a second limit.Service): the parts never sum to more than the limit, wherever callers are and whatever ends and starts. All of a part is lent, since it is less than a request on most VMs; its home is a VM of the target's region. Every way to a target takes a token: first sends, repeats, spill-over, cold ones, health checks. An object whose target has none left goes to its next target and back. A region counts with what the limits of its targets let run. Health checks and answers of shed requests are heard, too.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -20,7 +20,9 @@
 func (d *Daemon) balance(ctx context.Context) {
 	balancers := map[string]*placement.Balancer{}
 	every(ctx, balancePeriod, func() {
-		d.rebalance(balancers, time.Now())
+		now := time.Now()
+		d.followLimits(now)
+		d.rebalance(balancers, now)
 		d.fleet.refresh(d.clock.Now())
 	})
 }
@@ -48,14 +50,14 @@
 			b = &placement.Balancer{}
 			balancers[pool] = b
 		}
-		next[pool] = b.Update(d.self.Region, d.regionsOf(pool, byRegion, view), now)
+		next[pool] = b.Update(d.self.Region, d.regionsOf(pool, byRegion, view, now), now)
 	}
 	d.parts.Store(&next)
 }
 
 // regionsOf describes the regions for a pool: the capacity that this VM may use,
 // and the demand of the live VMs' callers.
-func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View) []placement.Region {
+func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View, now time.Time) []placement.Region {
 	work, bound := map[string]float64{}, map[string]float64{}
 	add := func(region string, loads []member.PoolLoad) {
 		for _, l := range loads {
@@ -77,7 +79,7 @@
 	var regions []placement.Region
 	for _, name := range d.regions {
 		regions = append(regions, placement.Region{
-			Name: name, Slots: float64(target.UsableSlots(byRegion[name])), Work: work[name], Bound: bound[name],
+			Name: name, Slots: target.UsableSlots(byRegion[name], now), Work: work[name], Bound: bound[name],
 		})
 	}
 	return regions
@@ -88,7 +90,7 @@
 	if p := d.parts.Load(); p != nil && (*p)[pool] != nil {
 		return (*p)[pool]
 	}
-	return placement.Split(d.self.Region, d.regionsOf(pool, d.targets.Snapshot().Pools[pool], d.members.View()))
+	return placement.Split(d.self.Region, d.regionsOf(pool, d.targets.Snapshot().Pools[pool], d.members.View(), time.Now()))
 }
 
 // regionNames lists the regions of the failure domains, in order.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -87,9 +87,11 @@
 	members *member.Prober
 	limiter *limit.Service
 	targets *target.Registry
-	client  *forward.Client
-	ingress *ingress.Server
-	state   atomic.Pointer[ingress.State]
+	// targetLimits divides the limits that targets name.
+	targetLimits *targetLimits
+	client       *forward.Client
+	ingress      *ingress.Server
+	state        atomic.Pointer[ingress.State]
 	// known is closed when the first configuration, list of targets and list of VMs have
 	// been read.
 	known     chan struct{}
@@ -156,6 +158,11 @@
 		StartTokens: d.fleet.startTokens,
 	})
 	d.targets = target.NewRegistry(s.FailureDomains, time.Now())
+	d.targetLimits = newTargetLimits()
+	d.targetLimits.service = limit.NewService(limit.Config{
+		Config: d.targetLimits, Slots: allLent{d.fleet}, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: d.log, Metrics: d.metrics,
+		Name: limiterName, Near: d.targetLimits.near,
+	})
 }
 
 // buildTraffic builds what a request passes.
@@ -167,7 +174,7 @@
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Known: d.known, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
-		Fleet: d.fleet, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
+		TargetLimiter: d.targetLimits, Fleet: d.fleet, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
@@ -191,6 +198,12 @@
 	}
 	p.ListVersion = d.listNewest.Load()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
+	p.Limits = toldLimits(d.targets.All(), time.Now())
+}
+
+// limiters are the services that divide bounds among the VMs.
+func (d *Daemon) limiters() []*limit.Service {
+	return []*limit.Service{d.limiter, d.targetLimits.service}
 }
 
 // ready reports whether this VM takes callers.
@@ -217,7 +230,9 @@
 	}
 	go d.loop.Run(background)
 	d.members.Start(background)
-	d.limiter.Start(background)
+	for _, l := range d.limiters() {
+		l.Start(background)
+	}
 	d.follow(background)
 	d.loop.Go(background, d.probeSuspects)
 	d.loop.Go(background, d.balance)
@@ -242,7 +257,7 @@
 func (d *Daemon) listen() error {
 	s := d.settings.Load()
 	peers := http.NewServeMux()
-	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler} {
+	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler, d.targetLimits.service.Handler} {
 		prefix, handler := service()
 		peers.Handle(prefix, handler)
 	}
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -80,13 +80,16 @@
 	// known.
 	rows, vms atomic.Pointer[[]Registration]
 	holding   atomic.Pointer[lease.Holding]
-	settings  *atomic.Pointer[settings.Edge]
+	// lendable is holding for bounds of which no VM keeps a part.
+	lendable atomic.Pointer[lease.Holding]
+	settings *atomic.Pointer[settings.Edge]
 }
 
 func newRegistry(self Registration, started clock.Time, firstStart bool, s *atomic.Pointer[settings.Edge]) *registry {
 	r := &registry{self: self, started: started, settings: s, left: map[string]clock.Time{}}
 	r.settled.Store(firstStart)
 	r.holding.Store(&lease.Holding{Total: slotsPerVM})
+	r.lendable.Store(&lease.Holding{Total: slotsPerVM})
 	return r
 }
 
@@ -146,9 +149,32 @@
 	if old.Total == total && len(slots) == len(old.Slots) {
 		return
 	}
-	r.holding.Store(&lease.Holding{Total: total, Slots: slots, Generation: old.Generation + 1})
+	next := &lease.Holding{Total: total, Slots: slots, Generation: old.Generation + 1}
+	r.holding.Store(next)
+	r.lendable.Store(lendable(next))
 }
 
+// lendable returns a holding of which all is lent. The limits of targets are small: a kept
+// part of one would hold less than a request.
+func lendable(h *lease.Holding) *lease.Holding {
+	out := &lease.Holding{Total: h.Total, Generation: h.Generation}
+	if len(h.Slots) < slotsPerVM { // the earlier process may have lent them
+		return out
+	}
+	settled := h.Slots[slotsPerVM-1].New
+	for _, s := range h.Slots {
+		s.Kept, s.New = false, settled
+		out.Slots = append(out.Slots, s)
+	}
+	return out
+}
+
+// allLent is what this VM holds of bounds of which no VM keeps a part. It implements
+// lease.Holder.
+type allLent struct{ r *registry }
+
+func (a allLent) Holding() *lease.Holding { return a.r.lendable.Load() }
+
 // present returns the rows of VMs that have not left, and notes since when the others have.
 func (r *registry) present(rows []Registration, now clock.Time) []Registration {
 	var vms []Registration
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/ingress"
 	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/platform"
 )
@@ -271,11 +274,26 @@
 	}
 	started := time.Now()
 	vms, err := d.fleet.VMs(ctx)
-	settled := err == nil && d.limiter.AwaitSettled(ctx, vms)
+	settled := err == nil && d.awaitSettled(ctx, vms)
 	d.fleet.endWait(settled, d.clock.Now())
 	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("own part of the limits")
 }
 
+// awaitSettled waits for all that divides bounds.
+func (d *Daemon) awaitSettled(ctx context.Context, vms []storage.VM) bool {
+	var waits sync.WaitGroup
+	var late atomic.Bool
+	for _, l := range d.limiters() {
+		waits.Go(func() {
+			if !l.AwaitSettled(ctx, vms) {
+				late.Store(true)
+			}
+		})
+	}
+	waits.Wait()
+	return !late.Load()
+}
+
 // decodeRegistration reads a row of the fleet's table.
 func decodeRegistration(row platform.Row) (Registration, error) {
 	v := Registration{version: row.Version}
--- /dev/null
+++ b/pkg/edge/limits.go
@@ -0,0 +1,163 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/limit"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/target"
+)
+
+const (
+	// limiterName names the service that divides targets' limits among VMs.
+	limiterName = "target_limit"
+	// minTargetRate is how many requests a second the fleet sends to a target whatever it
+	// names, so that it hears when the limit ends. The platform allows 5 requests in 4 s
+	// beyond the limit.
+	minTargetRate = 0.25
+	// maxTargetRate is a limit that no target comes near; larger ones are taken for it.
+	maxTargetRate = 1e6
+	// limitBurstTime and limitBurst say how many requests may come at once: those of a second
+	// and some. The platform allows half as much again as the limit in 4 s, and 5.
+	limitBurstTime = time.Second
+	limitBurst     = 3
+	// maxToldLimits bounds what a heartbeat's answer tells of targets' limits.
+	maxToldLimits = 32
+)
+
+// targetLimits holds the limits that targets name as accounts of a limit.Service, which
+// divides each among the VMs. It implements config.Source and ingress.TargetLimiter.
+type targetLimits struct {
+	mu       sync.Mutex // serializes changes of accounts
+	accounts atomic.Pointer[config.Config]
+	service  *limit.Service
+}
+
+func newTargetLimits() *targetLimits {
+	t := &targetLimits{}
+	t.accounts.Store(config.Empty())
+	return t
+}
+
+// Snapshot implements config.Source.
+func (t *targetLimits) Snapshot() config.Snapshot {
+	return config.Snapshot{Config: t.accounts.Load(), Fresh: true}
+}
+
+// limitName names an incarnation of a target.
+func limitName(l *target.Live) string { return l.ID + "@" + strconv.FormatInt(l.Born, 36) }
+
+// limitAccount is what the fleet may send to a target.
+func limitAccount(l *target.Live, named target.Limit) *config.Account {
+	rate := min(max(named.Rate, minTargetRate), maxTargetRate)
+	return &config.Account{Name: limitName(l), Rate: rate, Burst: rate*limitBurstTime.Seconds() + limitBurst, Regions: []string{l.Region}}
+}
+
+// near returns the region of a limited target.
+func (t *targetLimits) near(name string) string {
+	if a := t.accounts.Load().Accounts[name]; a != nil {
+		return a.Regions[0]
+	}
+	return ""
+}
+
+// Admit counts a request to a target that names a limit.
+func (t *targetLimits) Admit(ctx context.Context, l *target.Live, named target.Limit) limit.Decision {
+	t.set(l, named)
+	return t.service.Admit(ctx, limitName(l))
+}
+
+// set keeps the account of a limited target.
+func (t *targetLimits) set(l *target.Live, named target.Limit) {
+	a := limitAccount(l, named)
+	if old := t.accounts.Load().Accounts[a.Name]; old != nil && old.Rate == a.Rate {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := maps.Clone(t.accounts.Load().Accounts)
+	next[a.Name] = a
+	t.store(next)
+}
+
+// follow makes the accounts those of the limited targets.
+func (t *targetLimits) follow(all []*target.Live, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.accounts.Load().Accounts
+	next := map[string]*config.Account{}
+	changed := false
+	for _, l := range all {
+		named := l.Limit(now)
+		if !named.Named {
+			continue
+		}
+		a := limitAccount(l, named)
+		if o := old[a.Name]; o != nil && o.Rate == a.Rate {
+			a = o
+		} else {
+			changed = true
+		}
+		next[a.Name] = a
+	}
+	if changed || len(next) != len(old) {
+		t.store(next)
+	}
+}
+
+func (t *targetLimits) store(accounts map[string]*config.Account) {
+	c := config.Empty()
+	c.Accounts = accounts
+	t.accounts.Store(c)
+}
+
+// toldLimits returns what targets have told this VM of their limits; of many, those that
+// changed last.
+func toldLimits(all []*target.Live, now time.Time) []member.TargetLimit {
+	type told struct {
+		member.TargetLimit
+		lasts time.Duration
+	}
+	var list []told
+	for _, l := range all {
+		word, lasts, age, ok := l.LimitHeard(now)
+		if !ok {
+			continue
+		}
+		at := now.Add(-age)
+		list = append(list, told{member.TargetLimit{Target: l.ID, Born: l.Born, Named: word.Named, Rate: word.Rate, Earliest: at, Latest: at}, lasts})
+	}
+	slices.SortFunc(list, func(a, b told) int {
+		return cmp.Or(cmp.Compare(a.lasts, b.lasts), cmp.Compare(a.Target, b.Target))
+	})
+	var out []member.TargetLimit
+	for _, l := range list[:min(len(list), maxToldLimits)] {
+		out = append(out, l.TargetLimit)
+	}
+	return out
+}
+
+// followLimits takes in what the other VMs heard of targets' limits.
+func (d *Daemon) followLimits(now time.Time) {
+	view := d.members.View()
+	for i := range view.Peers {
+		p := &view.Peers[i]
+		for _, r := range p.Limits {
+			l := d.targets.Find(r.Target, r.Born)
+			report := target.Report{Limit: target.Limit{Rate: r.Rate, Named: r.Named}, Earliest: r.Earliest, Latest: r.Latest}
+			if l != nil && l.LimitReported(report) {
+				d.log.Info().Str("target", l.ID).Bool("limited", r.Named).Float64("rate", r.Rate).Str("told_by", p.ID).
+					Dur("age_ms", now.Sub(r.Latest)).Msg("target changes its limit")
+			}
+		}
+	}
+	d.targetLimits.follow(d.targets.All(), now)
+}
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -44,6 +44,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if named := l.Limit(time.Now()); named.Named && !d.targetLimits.Admit(ctx, l, named).Admitted {
+		return
+	}
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.Address, Path: state.Services[l.Pool].HealthPath},
 		Host: l.Address, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -56,6 +59,9 @@
 	_, copyErr := io.Copy(io.Discard, io.LimitReader(resp, probeBodyBytes))
 	resp.Close()
 	info := platform.Headers{}.FromTarget(resp.StatusCode, resp.Header)
+	if info.Limit.Named && info.InstanceID == l.ID {
+		l.LimitNamed(info.Limit.Rate, time.Now())
+	}
 	// A target that is full says so without saying who it is.
 	full := info.NotRun && !info.OtherInstance && info.InstanceID == ""
 	switch {
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"crocusramp.dev/crocusramp/platform"
@@ -37,7 +38,9 @@
 	grace := d.settings.Load().Bounds.Grace.Duration
 	after := func(part float64) time.Time { return started.Add(time.Duration(part * float64(grace))) }
 	d.leaving.Store(true)
-	d.limiter.StopLending()
+	for _, l := range d.limiters() {
+		l.StopLending()
+	}
 	refuseAt := started.Add(min(stopNotice, grace/2))
 	d.ingress.Stop(refuseAt)
 	d.log.Info().Int("running", d.ingress.Running()).Dur("grace_ms", grace).Msg("stopping: new callers are sent elsewhere")
@@ -113,7 +116,11 @@
 func (d *Daemon) releaseLimits(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	d.limiter.Release(ctx)
+	var released sync.WaitGroup
+	for _, l := range d.limiters() {
+		released.Go(func() { l.Release(ctx) })
+	}
+	released.Wait()
 }
 
 // unregister marks this VM's row, so that a VM that does not come back leaves
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -59,7 +59,8 @@
 	mayHaveRun bool
 	// grey says that the last target refused the request although it had room.
 	grey     bool
-	load     int // of the last target, when it was chosen
+	limited  limited // of the last choice
+	load     int     // of the last target, when it was chosen
 	progress progress
 	version  int64
 	note     string
@@ -350,6 +351,9 @@
 	}
 	c.logTargets(e)
 	c.repeats.log(e)
+	if len(c.limited.targets) > 0 {
+		e.Strs("limited", c.limited.targets)
+	}
 	if a.own {
 		e.Str("reason", string(a.reason)).Dur("retry_ms", a.retry)
 	}
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -13,10 +14,12 @@
 const rankedCandidates = 4
 
 // choose returns the target that takes the request, or nil.
-func (c *call) choose(now time.Time) *target.Live {
+func (c *call) choose(ctx context.Context) *target.Live {
+	now := time.Now()
 	s := c.s.cfg.Targets.Snapshot()
 	c.version = s.Version
-	if l := c.refusedWithRoom(s, now); l != nil {
+	c.limited = limited{}
+	if l := c.refusedWithRoom(s, now); l != nil && c.takeLimited(ctx, l, now) {
 		return l
 	}
 	pool := s.Pools[c.pool]
@@ -31,7 +34,7 @@
 		if i > 0 && !c.s.spill.may(now) {
 			return nil
 		}
-		if l := c.chooseIn(c.usable(pool[region]), i > 0, now); l != nil {
+		if l := c.chooseIn(ctx, c.usable(pool[region]), i > 0, now); l != nil {
 			if i > 0 {
 				c.s.spill.took(now)
 			}
@@ -68,7 +71,7 @@
 
 // chooseIn chooses among the targets of a region. Requests that spill over from
 // another region take only what is well free.
-func (c *call) chooseIn(list []*target.Live, spilled bool, now time.Time) *target.Live {
+func (c *call) chooseIn(ctx context.Context, list []*target.Live, spilled bool, now time.Time) *target.Live {
 	candidates := c.candidates(list, now)
 	occupancy := make([]placement.Occupancy, len(candidates))
 	for i, l := range candidates {
@@ -81,10 +84,11 @@
 	for {
 		chosen := placement.Choose(occupancy, c.objective())
 		if chosen < 0 {
+			c.limited.full = c.limited.full || len(c.limited.targets) < len(candidates)
 			return nil
 		}
 		l := candidates[chosen]
-		if !l.Cold(now) || c.takeCold(l, now) {
+		if (!l.Cold(now) || c.takeCold(l, now)) && c.takeLimited(ctx, l, now) {
 			c.load = occupancy[chosen].Load
 			return l
 		}
@@ -92,8 +96,8 @@
 	}
 }
 
-// candidates returns the target that keeps the object warm, after the cold ones that
-// rank before it.
+// candidates returns the target that keeps the object warm, after the cold and the limited
+// ones that rank before it.
 func (c *call) candidates(list []*target.Live, now time.Time) []*target.Live {
 	ranked := make([]placement.Candidate, len(list))
 	for i, l := range list {
@@ -102,7 +106,7 @@
 	var out []*target.Live
 	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
 		out = append(out, list[i])
-		if !list[i].Cold(now) {
+		if !list[i].Cold(now) && !list[i].Limit(now).Named {
 			break
 		}
 	}
@@ -118,3 +122,32 @@
 	interval, ok := c.s.cfg.Fleet.ColdInterval(l, service.ColdRate)
 	return ok && l.TakeCold(interval, now)
 }
+
+// limited is what the limits of targets did to the choice of one.
+type limited struct {
+	// targets are those that were passed over for their limits.
+	targets []string
+	// wait is how long it takes until the first of them may get a request.
+	wait time.Duration
+	// full says that others were passed over for want of room.
+	full bool
+}
+
+// takeLimited takes one request of what a target with a limit gets from all VMs together.
+func (c *call) takeLimited(ctx context.Context, l *target.Live, now time.Time) bool {
+	named := l.Limit(now)
+	if !named.Named {
+		return true
+	}
+	d := c.s.cfg.TargetLimiter.Admit(ctx, l, named)
+	if d.Admitted {
+		// It may have left while another VM was asked.
+		return c.s.cfg.Targets.Snapshot().Lists(l)
+	}
+	c.s.counters.passedOver.Inc(1)
+	if len(c.limited.targets) == 0 || d.RetryAfter < c.limited.wait {
+		c.limited.wait = d.RetryAfter
+	}
+	c.limited.targets = append(c.limited.targets, l.ID)
+	return false
+}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -29,7 +29,7 @@
 	hID, hPatience, hKey, hObject   = "Test-Id", "Test-Patience", "Test-Key", "Test-Object"
 	hInstance, hAccount             = "Test-Instance", "Test-Account"
 	hSeal, hNotRun, hLoad, hCold    = "Test-Seal", "Test-Not-Run", "Test-Load", "Test-Cold"
-	hRetryAfter                     = "Test-Retry-After"
+	hRetryAfter, hLimit             = "Test-Retry-After", "Test-Limit"
 	testKey, testAccount, otherName = "k1", "a1", "a2"
 )
 
@@ -53,8 +53,9 @@
 func (fakeWire) FromTarget(status int, h http.Header) AnswerInfo {
 	load, err := strconv.Atoi(h.Get(hLoad))
 	cold, _ := time.ParseDuration(h.Get(hCold))
+	rate, limitErr := strconv.ParseFloat(h.Get(hLimit), 64)
 	return AnswerInfo{
-		Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "" || status == http.StatusMisdirectedRequest,
+		Limit: target.Limit{Rate: rate, Named: limitErr == nil}, Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "" || status == http.StatusMisdirectedRequest,
 		OtherInstance: status == http.StatusMisdirectedRequest, Load: load, LoadKnown: err == nil, ColdFor: cold,
 	}
 }
@@ -84,6 +85,31 @@
 	return limit.Decision{Admitted: !refused || (!until.IsZero() && time.Now().After(until)), RetryAfter: time.Second}
 }
 
+// fakeTargetLimiter grants each target so many requests, and counts those asked for.
+type fakeTargetLimiter struct {
+	mu          sync.Mutex
+	left, asked map[string]int
+	// before, where set, is called before a request is admitted.
+	before func(id string)
+}
+
+func (f *fakeTargetLimiter) Admit(_ context.Context, l *target.Live, _ target.Limit) limit.Decision {
+	if f.before != nil {
+		f.before(l.ID)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked[l.ID]++
+	if f.left[l.ID] == 0 {
+		return limit.Decision{RetryAfter: limitWait}
+	}
+	f.left[l.ID]--
+	return limit.Decision{Admitted: true}
+}
+
+// limitWait is when a fakeTargetLimiter has something again.
+const limitWait = 800 * time.Millisecond
+
 // fakeTarget counts what reaches it.
 type fakeTarget struct {
 	id      string
@@ -106,6 +132,7 @@
 	targets *target.Registry
 	fleet   *fakeFleet
 	limiter fakeLimiter
+	limits  *fakeTargetLimiter
 	front   *httptest.Server
 	state   *State
 	all     map[string]*fakeTarget
@@ -141,8 +168,9 @@
 func newWorld(t *testing.T) *world {
 	w := &world{
 		t: t, targets: target.NewRegistry(map[string]string{"fd-e": "east", "fd-w": "west"}, time.Now().Add(-24*time.Hour)), limiter: fakeLimiter{},
-		fleet: &fakeFleet{repeats: retry.PoolLimit{Ratio: 0.2, Floor: 100, Window: 10 * time.Second, VMs: 1}, cold: time.Millisecond},
-		all:   map[string]*fakeTarget{},
+		fleet:  &fakeFleet{repeats: retry.PoolLimit{Ratio: 0.2, Floor: 100, Window: 10 * time.Second, VMs: 1}, cold: time.Millisecond},
+		all:    map[string]*fakeTarget{},
+		limits: &fakeTargetLimiter{left: map[string]int{}, asked: map[string]int{}},
 	}
 	w.state = NewState(testConfig(), nil)
 	w.targets.SetServices(w.state.Services)
@@ -153,11 +181,11 @@
 		Parts: func(pool string) []placement.Part {
 			var regions []placement.Region
 			for _, name := range []string{"east", "west"} {
-				regions = append(regions, placement.Region{Name: name, Slots: float64(target.UsableSlots(w.targets.Snapshot().Pools[pool][name]))})
+				regions = append(regions, placement.Region{Name: name, Slots: target.UsableSlots(w.targets.Snapshot().Pools[pool][name], time.Now())})
 			}
 			return placement.Split("east", regions)
 		},
-		Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
+		TargetLimiter: w.limits, Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewServer(w.server)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -50,8 +50,11 @@
 	attempts := max(1, c.route.MaxAttempts)
 	for {
 		c.progress.enter(stagePlacement, "")
-		l := c.choose(time.Now())
+		l := c.choose(ctx)
 		if l == nil {
+			if a := c.ended(ctx); a != nil {
+				return a
+			}
 			return c.giveUp("no target has room")
 		}
 		t := c.send(ctx, l)
@@ -150,7 +153,11 @@
 	if c.grey {
 		return refuse(http.StatusServiceUnavailable, reason, greyRetryMin+rand.N(greyRetryMax-greyRetryMin), detail)
 	}
-	return refuse(http.StatusServiceUnavailable, reason, fullRetryMin+rand.N(fullRetryMax-fullRetryMin), detail)
+	least := fullRetryMin
+	if !c.limited.full {
+		least = max(least, c.limited.wait)
+	}
+	return refuse(http.StatusServiceUnavailable, reason, least+rand.N(fullRetryMax-fullRetryMin), detail)
 }
 
 // send sends the request to one target and reads its answer.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -71,6 +71,12 @@
 	RepeatLimit() retry.PoolLimit
 }
 
+// TargetLimiter admits requests to targets that name a limit, within the limit over all VMs.
+type TargetLimiter interface {
+	// Admit counts one request. It may ask another VM.
+	Admit(ctx context.Context, l *target.Live, named target.Limit) limit.Decision
+}
+
 // Config holds what a Server works with.
 type Config struct {
 	Wire   Wire
@@ -84,7 +90,9 @@
 	// Parts says in which regions the requests to a pool run.
 	Parts   func(pool string) []placement.Part
 	Limiter limit.Limiter
-	Fleet   Fleet
+	// TargetLimiter bounds the requests to targets that name a limit.
+	TargetLimiter TargetLimiter
+	Fleet         Fleet
 	// IdleSince is since when no process of this VM but this one has sent requests; 0 where
 	// none ran before.
 	IdleSince clock.Time
@@ -114,8 +122,9 @@
 	// repeats counts repeats, repeatsFree those among them that cost the budget nothing, and
 	// repeatsDenied those for which no budget was left.
 	repeats, repeatsFree, repeatsDenied metrics.Counter
-	// limits counts the changes of targets' limits that answers told.
-	limits metrics.Counter
+	// limits counts the changes of targets' limits that answers told, passedOver how often a
+	// target was passed over for its limit.
+	limits, passedOver metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -134,7 +143,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
 		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
-		limits: counter("target_limit_changes"),
+		limits: counter("target_limit_changes"), passedOver: counter("limited_targets_passed_over"),
 	}}
 }
 
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -167,7 +167,7 @@
 	for i := range 1000 {
 		c := &call{s: w.server, state: w.state, route: w.state.Config.Routes["safe"], pool: testPool, info: CallerInfo{Object: fmt.Sprint(i)}}
 		once := &call{s: w.server, state: w.state, route: w.state.Config.Routes["once"], pool: testPool, info: CallerInfo{Object: fmt.Sprint(i)}}
-		if a, b := c.choose(time.Now()), once.choose(time.Now()); a != nil && b != nil && a.Region == region && b.Region == region {
+		if a, b := c.choose(context.Background()), once.choose(context.Background()); a != nil && b != nil && a.Region == region && b.Region == region {
 			return fmt.Sprint(i)
 		}
 	}
--- a/pkg/limit/exchange.go
+++ b/pkg/limit/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"sync"
 
 	"github.com/twitchtv/twirp"
@@ -12,11 +13,18 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 )
 
+// path is where peers find this service.
+func (s *Service) path() string { return path.Join("/twirp", s.cfg.Name) }
+
+// client reaches this service's like on a peer.
+func (s *Service) client(address string) peerpb.Limit {
+	return peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(address), s.cfg.Peers.HTTP(), twirp.WithClientPathPrefix(s.path()))
+}
+
 // exchange calls a peer. It returns the answers by account, or nil.
 func (s *Service) exchange(ctx context.Context, p member.Peer, accounts []*peerpb.AccountRequest) map[string]*peerpb.AccountResponse {
 	defer s.asking(p.Incarnation)()
-	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(p.PeerAddress), s.cfg.Peers.HTTP())
-	response, err := client.Exchange(ctx, &peerpb.ExchangeRequest{
+	response, err := s.client(p.PeerAddress).Exchange(ctx, &peerpb.ExchangeRequest{
 		Borrower:  s.cfg.Members.View().Self.Incarnation,
 		RequestId: s.ids.Add(1),
 		Accounts:  accounts,
@@ -142,7 +150,7 @@
 // Handler returns the path prefix and the handler of the service that peers
 // call.
 func (s *Service) Handler() (string, http.Handler) {
-	h := peerpb.NewLimitServer(server{s})
+	h := peerpb.NewLimitServer(server{s}, twirp.WithServerPathPrefix(s.path()))
 	return h.PathPrefix(), h
 }
 
--- a/pkg/limit/home.go
+++ b/pkg/limit/home.go
@@ -19,15 +19,22 @@
 	return d.Sum64()
 }
 
-// home returns the VM where the account's idle shares come together. VMs whose
-// views differ may disagree; that costs refusals, never safety. It is false
-// where no VM is live.
+// home returns the VM where the account's idle shares come together: one of the region that
+// is preferred, where one is live. VMs whose views differ may disagree; that costs refusals,
+// never safety. It is false where no VM is live.
 func (s *Service) home(account string) (member.Peer, bool) {
 	view := s.cfg.Members.View()
+	near := ""
+	if s.cfg.Near != nil {
+		near = s.cfg.Near(account)
+	}
 	best, found := member.Peer{}, false
 	var most uint64
 	consider := func(p *member.Peer) {
-		if n := score(account, p.ID); !found || n > most || (n == most && p.ID < best.ID) {
+		n := score(account, p.ID)
+		nearer := near != "" && p.Region == near && best.Region != near
+		farther := near != "" && p.Region != near && best.Region == near
+		if !found || nearer || (!farther && (n > most || (n == most && p.ID < best.ID))) {
 			best, most, found = *p, n, true
 		}
 	}
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -41,6 +42,12 @@
 	Log     zerolog.Logger
 	// Metrics takes the service's counters; nil keeps them private.
 	Metrics metrics.Registry
+	// Name tells a second service of a VM from its first, in the names of the counters and
+	// on the peer protocol.
+	Name string
+	// Near returns the region whose VMs are preferred as an account's home, or none. Nil
+	// prefers no region.
+	Near func(account string) string
 	// StartTokens is how many tokens the fleet may admit beyond an account's limit
 	// when all its VMs start anew; each starts with its part of them. Nil means none:
 	// a bucket that starts is empty, since an earlier process may have used it up.
@@ -94,16 +101,19 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter(cmp.Or(cfg.Name, "limit")+"."+name, cfg.Metrics)
+	}
 	s := &Service{
 		cfg:         cfg,
 		ctx:         context.Background(),
 		seen:        newRecent(),
 		lenders:     map[string]int{},
-		admitted:    metrics.GetOrRegisterCounter("limit.admitted", cfg.Metrics),
-		refused:     metrics.GetOrRegisterCounter("limit.refused", cfg.Metrics),
-		asks:        metrics.GetOrRegisterCounter("limit.asks", cfg.Metrics),
-		collections: metrics.GetOrRegisterCounter("limit.collections", cfg.Metrics),
-		failures:    metrics.GetOrRegisterCounter("limit.failures", cfg.Metrics),
+		admitted:    counter("admitted"),
+		refused:     counter("refused"),
+		asks:        counter("asks"),
+		collections: counter("collections"),
+		failures:    counter("failures"),
 	}
 	s.accounts.Store(&map[string]*account{})
 	// Identifiers of loans start at a random number, so that a lender that
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -251,3 +251,31 @@
 		}
 	}
 }
+
+// TestHomeIsNear guards against tokens that are asked for in another region than the one that
+// uses them.
+func TestHomeIsNear(t *testing.T) {
+	view := &member.View{Self: member.Peer{ID: "vm-0", Region: "east"}}
+	for i, region := range []string{"west", "east", "west", "south"} {
+		view.Peers = append(view.Peers, member.Peer{ID: fmt.Sprint("vm-", 1+i), Region: region})
+	}
+	src := &sources{}
+	src.view.Store(view)
+	near := ""
+	s := NewService(Config{Config: src, Slots: src, Members: src, Clock: clock.System{}, Near: func(string) string { return near }})
+	anywhere := map[string]bool{}
+	for i := range 50 {
+		name := fmt.Sprint("account-", i)
+		for _, near = range []string{"east", "west", "south"} {
+			if home, ok := s.home(name); !ok || home.Region != near {
+				t.Errorf("the home of %s is %s in %s, want one in %s", name, home.ID, home.Region, near)
+			}
+		}
+		near = "north" // where no VM is
+		home, _ := s.home(name)
+		anywhere[home.ID] = true
+	}
+	if len(anywhere) != 5 {
+		t.Errorf("homes without a region to prefer: %v", anywhere)
+	}
+}
--- a/pkg/limit/settle.go
+++ b/pkg/limit/settle.go
@@ -92,7 +92,7 @@
 
 // awaitSettledAt returns when one VM holds nothing, or ctx ends.
 func (s *Service) awaitSettledAt(ctx context.Context, vm storage.VM, id, incarnation string) {
-	client := peerpb.NewLimitProtobufClient(s.cfg.Peers.URL(vm.PeerAddress), s.cfg.Peers.HTTP())
+	client := s.client(vm.PeerAddress)
 	for refused := 0; ctx.Err() == nil; {
 		call, cancel := context.WithTimeout(ctx, holdsTimeout)
 		r, err := client.Holds(call, &peerpb.HoldsRequest{Vm: id, Incarnation: incarnation})
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -1,7 +1,11 @@
 // Package member keeps the view that a VM has of its peers.
 package member
 
-import "crocusramp.dev/crocusramp/pkg/clock"
+import (
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+)
 
 // State is what a VM knows of a peer.
 type State uint8
@@ -54,6 +58,8 @@
 	SlotsHeld int
 	// Pools is its part of each pool at the last heartbeat.
 	Pools []PoolLoad
+	// Limits is what targets had told it of their limits by then.
+	Limits []TargetLimit
 	// Seen is when the last heartbeat that settled State was sent.
 	Seen clock.Time
 	// Missed is how many heartbeats in a row it did not answer.
@@ -75,6 +81,20 @@
 	BoundTo string
 }
 
+// TargetLimit is a target's word on the requests that it takes from all VMs together, as a VM
+// heard it.
+type TargetLimit struct {
+	Target string
+	// Born is the Unix millisecond of the target's start; 0 is unknown.
+	Born int64
+	// Named is false where the target names no limit any more.
+	Named bool
+	// Rate is in requests a second.
+	Rate float64
+	// Earliest and Latest bound when the VM heard it.
+	Earliest, Latest time.Time
+}
+
 // View is an immutable picture of the fleet. Readers never change it.
 type View struct {
 	Self Peer
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -171,6 +171,7 @@
 	result := Probe{ID: id, Result: ProbeFailed, Sent: p.cfg.Clock.Now()}
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
 	defer cancel()
+	sent := time.Now()
 	client := peerpb.NewMemberProtobufClient(p.cfg.Dialer.URL(address), p.cfg.Dialer.HTTP())
 	answer, err := client.Hello(ctx, &peerpb.HelloRequest{})
 	switch {
@@ -178,7 +179,7 @@
 		result.Result = ProbeRefused
 	case err == nil && answer.GetSelf().GetId() == id:
 		result.Result = ProbeAnswered
-		result.Peer = fromProto(answer.GetSelf())
+		result.Peer = fromProto(answer.GetSelf(), sent, time.Now())
 	}
 	return result
 }
@@ -224,10 +225,16 @@
 			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued), Demand: l.Demand, BoundTo: l.BoundTo,
 		})
 	}
+	for _, l := range p.Limits {
+		info.Limits = append(info.Limits, &peerpb.TargetLimit{
+			Target: l.Target, Born: l.Born, Named: l.Named, Rate: l.Rate, AgeUs: time.Since(l.Latest).Microseconds(),
+		})
+	}
 	return info
 }
 
-func fromProto(i *peerpb.VMInfo) Peer {
+// fromProto reads a heartbeat's answer that came between two times.
+func fromProto(i *peerpb.VMInfo, sent, received time.Time) Peer {
 	p := Peer{
 		ID:            i.GetId(),
 		Incarnation:   i.GetIncarnation(),
@@ -248,5 +255,12 @@
 			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Demand: l.GetDemand(), BoundTo: l.GetBoundTo(),
 		})
 	}
+	for _, l := range i.GetLimits() {
+		age := time.Duration(l.GetAgeUs()) * time.Microsecond
+		p.Limits = append(p.Limits, TargetLimit{
+			Target: l.GetTarget(), Born: l.GetBorn(), Named: l.GetNamed(), Rate: l.GetRate(),
+			Earliest: sent.Add(-age), Latest: received.Add(-age),
+		})
+	}
 	return p
 }
--- a/pkg/target/limit.go
+++ b/pkg/target/limit.go
@@ -101,3 +101,13 @@
 	}
 	return b.Limit, time.Duration(instant(now) - b.changed), time.Duration(instant(now) - b.at), true
 }
+
+// usableSlots is how many slots the requests keep that the target takes: by Little's law, those
+// of its limit where it names one.
+func (l *Live) usableSlots(now time.Time) float64 {
+	slots := float64(l.Slots)
+	if named := l.Limit(now); named.Named && l.Service() > 0 {
+		return min(slots, named.Rate*l.Service().Seconds())
+	}
+	return slots
+}
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -305,16 +305,37 @@
 }
 
 // UsableSlots is the capacity of the targets that are not suspect.
-func UsableSlots(list []*Live) int {
-	n := 0
+func UsableSlots(list []*Live, now time.Time) float64 {
+	n := 0.0
 	for _, l := range list {
 		if l.Sound() {
-			n += l.Slots
+			n += l.usableSlots(now)
 		}
 	}
 	return n
 }
 
+// All returns the listed targets.
+func (r *Registry) All() []*Live {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*Live, 0, len(r.records))
+	for _, rec := range r.records {
+		out = append(out, rec.live)
+	}
+	return out
+}
+
+// Find returns a listed incarnation of a target, or nil.
+func (r *Registry) Find(id string, born int64) *Live {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[id]; rec != nil && rec.live.Born == born {
+		return rec.live
+	}
+	return nil
+}
+
 // Suspects returns the listed targets that are suspect.
 func (r *Registry) Suspects() []*Live {
 	r.mu.Lock()
