--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -75,6 +75,12 @@
 	return t.service.Admit(ctx, limitName(l))
 }
 
+// AdmitLocally does so without asking another VM.
+func (t *targetLimits) AdmitLocally(l *target.Live, named target.Limit) limit.Decision {
+	t.set(l, named)
+	return t.service.AdmitLocally(limitName(l))
+}
+
 // set keeps the account of a limited target.
 func (t *targetLimits) set(l *target.Live, named target.Limit) {
 	a := limitAccount(l, named)
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
@@ -139,7 +140,7 @@
 	if !named.Named {
 		return true
 	}
-	d := c.s.cfg.TargetLimiter.Admit(ctx, l, named)
+	d := c.admitLimited(ctx, l, named)
 	if d.Admitted {
 		// It may have left while another VM was asked.
 		return c.s.cfg.Targets.Snapshot().Lists(l)
@@ -151,3 +152,16 @@
 	c.limited.targets = append(c.limited.targets, l.ID)
 	return false
 }
+
+// askingPart is the part of the latency objective within which a request asks for one limited
+// target after the other. The platform prices a refusal that comes later.
+const askingPart = 0.125
+
+// admitLimited asks other VMs for the first target at least.
+func (c *call) admitLimited(ctx context.Context, l *target.Live, named target.Limit) limit.Decision {
+	asked := len(c.limited.targets) > 0
+	if asked && time.Since(c.arrived) > time.Duration(askingPart*float64(c.objective())) {
+		return c.s.cfg.TargetLimiter.AdmitLocally(l, named)
+	}
+	return c.s.cfg.TargetLimiter.Admit(ctx, l, named)
+}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -107,6 +107,10 @@
 	return limit.Decision{Admitted: true}
 }
 
+func (f *fakeTargetLimiter) AdmitLocally(l *target.Live, named target.Limit) limit.Decision {
+	return f.Admit(context.Background(), l, named)
+}
+
 // limitWait is when a fakeTargetLimiter has something again.
 const limitWait = 800 * time.Millisecond
 
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -75,6 +75,8 @@
 type TargetLimiter interface {
 	// Admit counts one request. It may ask another VM.
 	Admit(ctx context.Context, l *target.Live, named target.Limit) limit.Decision
+	// AdmitLocally does so without asking another VM.
+	AdmitLocally(l *target.Live, named target.Limit) limit.Decision
 }
 
 // Config holds what a Server works with.
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -154,6 +154,26 @@
 	}
 }
 
+// AdmitLocally counts one request of the account without asking a peer for tokens.
+func (s *Service) AdmitLocally(name string) Decision {
+	a, c := s.account(name)
+	if a == nil {
+		s.refused.Inc(1)
+		return Decision{RetryAfter: noShareRetry}
+	}
+	now := s.cfg.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.sync(a, c, now)
+	a.book.demand.add(now)
+	if a.book.take(now) {
+		s.admitted.Inc(1)
+		return Decision{Admitted: true}
+	}
+	s.refused.Inc(1)
+	return Decision{RetryAfter: a.book.retryAfter(now)}
+}
+
 // decide takes one step of an admission that has waited waits times. It is to
 // wait for asked, unless that is nil and the decision final.
 func (s *Service) decide(a *account, c *config.Account, waits int) (d Decision, asked <-chan struct{}) {
