--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -78,9 +78,8 @@
 	}
 	var regions []placement.Region
 	for _, name := range d.regions {
-		regions = append(regions, placement.Region{
-			Name: name, Slots: target.UsableSlots(byRegion[name], now), Work: work[name], Bound: bound[name],
-		})
+		all, limited := target.UsableSlots(byRegion[name], now)
+		regions = append(regions, placement.Region{Name: name, Slots: limited, Sound: all, Work: work[name], Bound: bound[name]})
 	}
 	return regions
 }
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -70,15 +70,15 @@
 }
 
 // Admit counts a request to a target that names a limit.
-func (t *targetLimits) Admit(ctx context.Context, l *target.Live, named target.Limit) limit.Decision {
+func (t *targetLimits) Admit(ctx context.Context, l *target.Live, named target.Limit, spare float64) limit.Decision {
 	t.set(l, named)
-	return t.service.Admit(ctx, limitName(l))
+	return t.service.AdmitSparing(ctx, limitName(l), spare)
 }
 
 // AdmitLocally does so without asking another VM.
-func (t *targetLimits) AdmitLocally(l *target.Live, named target.Limit) limit.Decision {
+func (t *targetLimits) AdmitLocally(l *target.Live, named target.Limit, spare float64) limit.Decision {
 	t.set(l, named)
-	return t.service.AdmitLocally(limitName(l))
+	return t.service.AdmitLocally(limitName(l), spare)
 }
 
 // set keeps the account of a limited target.
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
@@ -123,45 +122,3 @@
 	interval, ok := c.s.cfg.Fleet.ColdInterval(l, service.ColdRate)
 	return ok && l.TakeCold(interval, now)
 }
-
-// limited is what the limits of targets did to the choice of one.
-type limited struct {
-	// targets are those that were passed over for their limits.
-	targets []string
-	// wait is how long it takes until the first of them may get a request.
-	wait time.Duration
-	// full says that others were passed over for want of room.
-	full bool
-}
-
-// takeLimited takes one request of what a target with a limit gets from all VMs together.
-func (c *call) takeLimited(ctx context.Context, l *target.Live, now time.Time) bool {
-	named := l.Limit(now)
-	if !named.Named {
-		return true
-	}
-	d := c.admitLimited(ctx, l, named)
-	if d.Admitted {
-		// It may have left while another VM was asked.
-		return c.s.cfg.Targets.Snapshot().Lists(l)
-	}
-	c.s.counters.passedOver.Inc(1)
-	if len(c.limited.targets) == 0 || d.RetryAfter < c.limited.wait {
-		c.limited.wait = d.RetryAfter
-	}
-	c.limited.targets = append(c.limited.targets, l.ID)
-	return false
-}
-
-// askingPart is the part of the latency objective within which a request asks for one limited
-// target after the other. The platform prices a refusal that comes later.
-const askingPart = 0.125
-
-// admitLimited asks other VMs for the first target at least.
-func (c *call) admitLimited(ctx context.Context, l *target.Live, named target.Limit) limit.Decision {
-	asked := len(c.limited.targets) > 0
-	if asked && time.Since(c.arrived) > time.Duration(askingPart*float64(c.objective())) {
-		return c.s.cfg.TargetLimiter.AdmitLocally(l, named)
-	}
-	return c.s.cfg.TargetLimiter.Admit(ctx, l, named)
-}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -93,7 +93,7 @@
 	before func(id string)
 }
 
-func (f *fakeTargetLimiter) Admit(_ context.Context, l *target.Live, _ target.Limit) limit.Decision {
+func (f *fakeTargetLimiter) Admit(_ context.Context, l *target.Live, _ target.Limit, _ float64) limit.Decision {
 	if f.before != nil {
 		f.before(l.ID)
 	}
@@ -107,8 +107,8 @@
 	return limit.Decision{Admitted: true}
 }
 
-func (f *fakeTargetLimiter) AdmitLocally(l *target.Live, named target.Limit) limit.Decision {
-	return f.Admit(context.Background(), l, named)
+func (f *fakeTargetLimiter) AdmitLocally(l *target.Live, named target.Limit, spare float64) limit.Decision {
+	return f.Admit(context.Background(), l, named, spare)
 }
 
 // limitWait is when a fakeTargetLimiter has something again.
@@ -185,7 +185,8 @@
 		Parts: func(pool string) []placement.Part {
 			var regions []placement.Region
 			for _, name := range []string{"east", "west"} {
-				regions = append(regions, placement.Region{Name: name, Slots: target.UsableSlots(w.targets.Snapshot().Pools[pool][name], time.Now())})
+				_, slots := target.UsableSlots(w.targets.Snapshot().Pools[pool][name], time.Now())
+				regions = append(regions, placement.Region{Name: name, Slots: slots})
 			}
 			return placement.Split("east", regions)
 		},
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -43,12 +43,14 @@
 	*config.Config
 	Routes *route.Table
 	splits map[string]*splitter
+	// urgencies are those of the requests to each pool, the most urgent first.
+	urgencies map[string][]urgency
 }
 
 // NewState derives what requests need from a configuration. The counts of split
 // routes go on from the state before.
 func NewState(c *config.Config, before *State) *State {
-	s := &State{Config: c, Routes: route.NewTable(c), splits: map[string]*splitter{}}
+	s := &State{Config: c, Routes: route.NewTable(c), splits: map[string]*splitter{}, urgencies: urgenciesOf(c)}
 	for name, r := range c.Routes {
 		if len(r.Split) == 0 {
 			continue
@@ -73,10 +75,11 @@
 
 // TargetLimiter admits requests to targets that name a limit, within the limit over all VMs.
 type TargetLimiter interface {
-	// Admit counts one request. It may ask another VM.
-	Admit(ctx context.Context, l *target.Live, named target.Limit) limit.Decision
+	// Admit counts one request. It may ask another VM, and leaves spare, a part of what may be
+	// saved up of the limit, to more urgent requests.
+	Admit(ctx context.Context, l *target.Live, named target.Limit, spare float64) limit.Decision
 	// AdmitLocally does so without asking another VM.
-	AdmitLocally(l *target.Live, named target.Limit) limit.Decision
+	AdmitLocally(l *target.Live, named target.Limit, spare float64) limit.Decision
 }
 
 // Config holds what a Server works with.
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -81,7 +81,9 @@
 	coming    float64
 	waiting   int
 	denyUntil clock.Time
-	roundTrip time.Duration
+	// denySparing is the same for requests that leave tokens to more urgent ones.
+	denySparing clock.Time
+	roundTrip   time.Duration
 	// reports holds the demand of the other VMs, on the home.
 	reports map[string]float64
 	// light says that load is low, and that every VM keeps a part of its share.
@@ -154,14 +156,15 @@
 	return time.Duration(min(b.limit.capacity/b.limit.rate, maxFillSeconds) * float64(time.Second))
 }
 
-// admit decides on one request, which waited for tokens waits times before.
-func (b *book) admit(waits int, now clock.Time) step {
+// admit decides on one request, which waited for tokens waits times before. It leaves a part
+// of the home's bucket to more urgent requests.
+func (b *book) admit(waits int, spare float64, now clock.Time) step {
 	if waits == 0 {
 		b.demand.add(now)
 	} else {
 		b.waiting--
 	}
-	admitted := b.take(now)
+	admitted := b.takeHere(spare, now)
 	switch {
 	case b.home && admitted:
 		return stepAdmit
@@ -171,7 +174,7 @@
 		return stepRefill
 	case admitted:
 		return stepAdmit
-	case now.Before(b.denyUntil) || waits == maxWaits:
+	case now.Before(b.deniedUntil(spare)) || waits == maxWaits:
 		return stepRefuse
 	}
 	b.waiting++
@@ -181,6 +184,23 @@
 	return stepAsk
 }
 
+// takeHere takes a token of this VM's. Those that are not at the home were asked for.
+func (b *book) takeHere(spare float64, now clock.Time) bool {
+	if !b.home {
+		spare = 0
+	}
+	return b.takeSparing(spare, now)
+}
+
+// deniedUntil is until when the home has no tokens for requests that leave a part of its
+// bucket.
+func (b *book) deniedUntil(spare float64) clock.Time {
+	if spare > 0 {
+		return max(b.denyUntil, b.denySparing)
+	}
+	return b.denyUntil
+}
+
 // abandon ends a wait without a decision.
 func (b *book) abandon() { b.waiting-- }
 
@@ -200,11 +220,14 @@
 func (b *book) deficit() float64 { return max(0, b.demand.rate()-b.net.rate) }
 
 // retryAfter is when a refused request may come back.
-func (b *book) retryAfter(now clock.Time) time.Duration {
-	if now.Before(b.denyUntil) {
-		return b.denyUntil.Sub(now)
+func (b *book) retryAfter(spare float64, now clock.Time) time.Duration {
+	if until := b.deniedUntil(spare); now.Before(until) {
+		return until.Sub(now)
 	}
-	if d := b.wait(1); d > 0 {
+	if !b.home {
+		spare = 0
+	}
+	if d := b.wait(1 + b.spare(spare)); d > 0 {
 		return d
 	}
 	return noShareRetry
@@ -212,8 +235,8 @@
 
 // ask makes the request for tokens that goes to the home. Loans whose tokens
 // are spent go back with it.
-func (b *book) ask(now clock.Time) *peerpb.AccountRequest {
-	r := &peerpb.AccountRequest{Account: b.name, Returns: b.returnSpent(now)}
+func (b *book) ask(spare float64, now clock.Time) *peerpb.AccountRequest {
+	r := &peerpb.AccountRequest{Account: b.name, Returns: b.returnSpent(now), Spare: spare}
 	wait := b.roundTrip + b.roundTrip/8 + askSlack
 	n := float64(b.waiting) - b.coming
 	if b.low() {
@@ -260,7 +283,12 @@
 	b.roundTrip = max(now.Sub(sent), b.roundTrip-b.roundTrip/16)
 	b.accept(tokensOnly, r, peer, sent, now)
 	if len(r.Grants) == 0 {
-		b.denyUntil = now.Add(min(maxDeny, time.Duration(r.RetryAfterUs)*time.Microsecond))
+		until := now.Add(min(maxDeny, time.Duration(r.RetryAfterUs)*time.Microsecond))
+		if q.Spare > 0 {
+			b.denySparing = until
+		} else {
+			b.denyUntil = until
+		}
 	}
 }
 
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -200,19 +200,27 @@
 }
 
 // take admits one request if there is a token.
-func (l *ledger) take(now clock.Time) bool {
+func (l *ledger) take(now clock.Time) bool { return l.takeSparing(0, now) }
+
+// takeSparing admits one request if there is a token beyond a part of the bucket.
+func (l *ledger) takeSparing(part float64, now clock.Time) bool {
 	if now.Before(l.change) {
 		l.fill(now)
 	} else {
 		l.advance(now)
 	}
-	if l.tokens < 1-rounding {
+	if l.tokens < 1+l.spare(part)-rounding {
 		return false
 	}
 	l.tokens = max(0, l.tokens-1)
 	return true
 }
 
+// spare is how many tokens a part of the bucket is; a full bucket has one beyond them.
+func (l *ledger) spare(part float64) float64 {
+	return max(0, min(part*l.net.capacity, l.net.capacity-1))
+}
+
 // wait is how long it takes until n tokens exist if nothing else changes; 0
 // says that they never will.
 func (l *ledger) wait(n float64) time.Duration {
@@ -286,10 +294,10 @@
 	return grant{id: id, kind: kind, share: s, tokens: tokens, duration: d}, true
 }
 
-// lendTokens lends whole tokens without any rate.
-func (l *ledger) lendTokens(id uint64, peer string, n float64, d time.Duration, now clock.Time) (grant, bool) {
+// lendTokens lends whole tokens without any rate, beyond a part of the bucket.
+func (l *ledger) lendTokens(id uint64, peer string, n, spare float64, d time.Duration, now clock.Time) (grant, bool) {
 	l.advance(now)
-	n = math.Floor(min(n, l.tokens, l.lendable(now.Add(d+d/driftDivisor)).capacity) + rounding)
+	n = math.Floor(min(n, l.tokens-l.spare(spare), l.lendable(now.Add(d+d/driftDivisor)).capacity) + rounding)
 	if n < 1 {
 		return grant{}, false
 	}
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -25,7 +25,7 @@
 func TestGiveBackKeepsWhatWasLentOn(t *testing.T) {
 	home := newLedger(share{10, 4})
 	home.borrow(grant{id: 1, share: share{40, 16}, tokens: 16, duration: collectDuration}, "x", 0, 0)
-	if _, ok := home.lendTokens(2, "y", 16, tokenDuration, 0); !ok {
+	if _, ok := home.lendTokens(2, "y", 16, 0, tokenDuration, 0); !ok {
 		t.Fatal("no tokens lent")
 	}
 	if _, ok := home.giveBack(1, "x", at(tokenDuration/2)); ok {
@@ -99,7 +99,7 @@
 	if b.take(at(time.Hour)) {
 		t.Error("admitted after the lease")
 	}
-	if g, ok := b.lendTokens(1, "y", 1, tokenDuration, at(time.Hour)); ok {
+	if g, ok := b.lendTokens(1, "y", 1, 0, tokenDuration, at(time.Hour)); ok {
 		t.Errorf("lent %v after the lease", g)
 	}
 }
--- a/pkg/limit/serve.go
+++ b/pkg/limit/serve.go
@@ -37,7 +37,7 @@
 		b.grantShare(out, want, peer, now)
 	}
 	if n := finite(r.Tokens); n >= 1 {
-		b.grantTokens(out, n, time.Duration(r.TokensUs)*time.Microsecond, peer, now)
+		b.grantTokens(out, n, finite(r.Spare), time.Duration(r.TokensUs)*time.Microsecond, peer, now)
 	}
 	return out
 }
@@ -96,14 +96,14 @@
 	}
 }
 
-func (b *book) grantTokens(out *peerpb.AccountResponse, n float64, d time.Duration, peer string, now clock.Time) {
+func (b *book) grantTokens(out *peerpb.AccountResponse, n, spare float64, d time.Duration, peer string, now clock.Time) {
 	d = max(0, min(tokenDuration, d))
-	g, ok := b.lendTokens(b.nextID(), peer, n, d, now)
+	g, ok := b.lendTokens(b.nextID(), peer, n, spare, d, now)
 	if ok {
 		out.Grants = append(out.Grants, g.message())
 		return
 	}
-	wait := b.wait(1)
+	wait := b.wait(1 + b.spare(spare))
 	if wait == 0 {
 		wait = noShareRetry
 	}
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -132,13 +132,19 @@
 
 // Admit counts one request of the account.
 func (s *Service) Admit(ctx context.Context, name string) Decision {
+	return s.AdmitSparing(ctx, name, 0)
+}
+
+// AdmitSparing counts one request of the account. It leaves a part of the tokens that may be
+// saved up to more urgent requests, at most 1.
+func (s *Service) AdmitSparing(ctx context.Context, name string, spare float64) Decision {
 	a, c := s.account(name)
 	if a == nil {
 		s.refused.Inc(1)
 		return Decision{RetryAfter: noShareRetry}
 	}
 	for waits := 0; ; waits++ {
-		d, asked := s.decide(a, c, waits)
+		d, asked := s.decide(a, c, waits, spare)
 		if asked == nil {
 			return d
 		}
@@ -154,8 +160,8 @@
 	}
 }
 
-// AdmitLocally counts one request of the account without asking a peer for tokens.
-func (s *Service) AdmitLocally(name string) Decision {
+// AdmitLocally is AdmitSparing without asking a peer for tokens.
+func (s *Service) AdmitLocally(name string, spare float64) Decision {
 	a, c := s.account(name)
 	if a == nil {
 		s.refused.Inc(1)
@@ -166,26 +172,26 @@
 	defer a.mu.Unlock()
 	s.sync(a, c, now)
 	a.book.demand.add(now)
-	if a.book.take(now) {
+	if a.book.takeHere(spare, now) {
 		s.admitted.Inc(1)
 		return Decision{Admitted: true}
 	}
 	s.refused.Inc(1)
-	return Decision{RetryAfter: a.book.retryAfter(now)}
+	return Decision{RetryAfter: a.book.retryAfter(spare, now)}
 }
 
 // decide takes one step of an admission that has waited waits times. It is to
 // wait for asked, unless that is nil and the decision final.
-func (s *Service) decide(a *account, c *config.Account, waits int) (d Decision, asked <-chan struct{}) {
+func (s *Service) decide(a *account, c *config.Account, waits int, spare float64) (d Decision, asked <-chan struct{}) {
 	// The clock is read before the holding: what it holds then was still held
 	// at now.
 	now := s.cfg.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.sync(a, c, now)
-	next := a.book.admit(waits, now)
+	next := a.book.admit(waits, spare, now)
 	if next == stepAsk || next == stepRefill {
-		s.ask(a, now)
+		s.ask(a, spare, now)
 	}
 	switch next {
 	case stepAdmit, stepRefill:
@@ -193,7 +199,7 @@
 		return Decision{Admitted: true}, nil
 	case stepRefuse:
 		s.refused.Inc(1)
-		return Decision{RetryAfter: a.book.retryAfter(now)}, nil
+		return Decision{RetryAfter: a.book.retryAfter(spare, now)}, nil
 	}
 	return Decision{}, a.asked
 }
@@ -248,7 +254,7 @@
 }
 
 // ask requests tokens from the home, in the background. a is locked.
-func (s *Service) ask(a *account, now clock.Time) {
+func (s *Service) ask(a *account, spare float64, now clock.Time) {
 	home, ok := s.home(a.book.name)
 	if !ok {
 		a.book.denyUntil = now.Add(failedAskPause)
@@ -260,7 +266,7 @@
 		a.asked = closed
 		return
 	}
-	r, timeout := a.book.ask(now), a.book.timeout()
+	r, timeout := a.book.ask(spare, now), a.book.timeout()
 	done := make(chan struct{})
 	a.asked = done
 	s.asks.Inc(1)
--- a/pkg/limit/sim_test.go
+++ b/pkg/limit/sim_test.go
@@ -148,7 +148,7 @@
 
 func (s *sim) request(vm int, ideal bool, arrived clock.Time, tries int) {
 	b := s.books[vm]
-	next := b.admit(tries, s.now)
+	next := b.admit(tries, 0, s.now)
 	if s.static && (next == stepAsk || next == stepWaitAsk) {
 		next = stepRefuse
 	}
@@ -194,7 +194,7 @@
 
 func (s *sim) ask(vm int) {
 	sent := s.now
-	r := s.books[vm].ask(s.now)
+	r := s.books[vm].ask(0, s.now)
 	waiting := &[]func(){}
 	s.waiting[vm] = waiting
 	s.call(vm, simHome, r, func(a *peerpb.AccountResponse) {
--- a/pkg/limit/world_test.go
+++ b/pkg/limit/world_test.go
@@ -347,7 +347,7 @@
 	case tokensOnly:
 		from.book.roundTrip = time.Duration(rapid.SampledFrom([]int{0, 50, 400}).Draw(w.T, "round trip")) * time.Millisecond
 		from.book.waiting = rapid.IntRange(1, 9).Draw(w.T, "waiting")
-		q = from.book.ask(now)
+		q = from.book.ask(0, now)
 		from.book.asks, from.book.coming = 0, 0
 	}
 	if q == nil {
--- a/pkg/placement/balance.go
+++ b/pkg/placement/balance.go
@@ -24,6 +24,8 @@
 	Name string
 	// Slots is how many requests its usable targets run at once.
 	Slots float64
+	// Sound is what Slots were if its usable targets named no limits; 0 is as many as Slots.
+	Sound float64
 	// Work is how many slots the requests of its callers need that may run in any
 	// region.
 	Work float64
@@ -167,20 +169,24 @@
 	return b.parts
 }
 
+// sound is the region's capacity as it changes in disruptions. What targets take of it under
+// their limits changes with each request's time, too.
+func (r Region) sound() float64 { return cmp.Or(r.Sound, r.Slots) }
+
 // jumps reports whether the capacity changed as in a disruption since the last
 // jump.
 func (b *Balancer) jumps(regions []Region) bool {
 	changed := len(b.slots) != len(regions)
 	for _, r := range regions {
 		old := b.slots[r.Name]
-		if diff := r.Slots - old; max(diff, -diff) > capacityJump*max(r.Slots, old) {
+		if diff := r.sound() - old; max(diff, -diff) > capacityJump*max(r.sound(), old) {
 			changed = true
 		}
 	}
 	if changed {
 		b.slots = map[string]float64{}
 		for _, r := range regions {
-			b.slots[r.Name] = r.Slots
+			b.slots[r.Name] = r.sound()
 		}
 	}
 	return changed
--- a/pkg/target/limit_test.go
+++ b/pkg/target/limit_test.go
@@ -71,15 +71,15 @@
 	now := time.Now()
 	l := &Live{Target: Target{Slots: 9}}
 	l.LimitNamed(10, now)
-	if got := UsableSlots([]*Live{l}, now); got != 9 {
+	if _, got := UsableSlots([]*Live{l}, now); got != 9 {
 		t.Errorf("%v slots before the service time is known, want 9", got)
 	}
 	l.Served(200*time.Millisecond, 0)
-	if got := UsableSlots([]*Live{l}, now); got != 2 {
+	if _, got := UsableSlots([]*Live{l}, now); got != 2 {
 		t.Errorf("%v slots, want 2: 10 requests a second of 0.2 s", got)
 	}
 	l.LimitNamed(1000, now.Add(time.Second))
-	if got := UsableSlots([]*Live{l}, now.Add(time.Second)); got != 9 {
+	if _, got := UsableSlots([]*Live{l}, now.Add(time.Second)); got != 9 {
 		t.Errorf("%v slots with a limit beyond them, want 9", got)
 	}
 }
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -304,15 +304,16 @@
 	return out
 }
 
-// UsableSlots is the capacity of the targets that are not suspect.
-func UsableSlots(list []*Live, now time.Time) float64 {
-	n := 0.0
+// UsableSlots is the capacity of the targets that are not suspect: all of it, and what is left
+// of it under the limits that they name.
+func UsableSlots(list []*Live, now time.Time) (all, limited float64) {
 	for _, l := range list {
 		if l.Sound() {
-			n += l.usableSlots(now)
+			all += float64(l.Slots)
+			limited += l.usableSlots(now)
 		}
 	}
-	return n
+	return all, limited
 }
 
 // All returns the listed targets.
