limit: VMs ask a far home for the token of the next request before that comes

The home of a limit is in its target's region, and at a few requests a second each of them asked for its own token.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -161,7 +161,7 @@
 	d.targetLimits = newTargetLimits()
 	d.targetLimits.service = limit.NewService(limit.Config{
 		Config: d.targetLimits, Slots: allLent{d.fleet}, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: d.log, Metrics: d.metrics,
-		Name: limiterName, Near: d.targetLimits.near,
+		Name: limiterName, Near: d.targetLimits.near, Eager: true,
 	})
 }
 
--- a/pkg/ingress/limit_test.go
+++ b/pkg/ingress/limit_test.go
@@ -138,3 +138,35 @@
 		t.Errorf("the limit was asked %d times, want 1", w.limits.asked["i-1"])
 	}
 }
+
+// TestUrgentRequestsSpareNothing guards against urgent requests that are refused before others,
+// and against ones that starve.
+func TestUrgentRequestsSpareNothing(t *testing.T) {
+	c := testConfig()
+	first, second := 0, 1
+	c.Accounts[testAccount].Rank, c.Accounts[otherName].Rank = &first, &second
+	c.Routes["safe"].Rank = 2
+	state := NewState(c, nil)
+	spares := func(account, route string) (least, most float64) {
+		least = 1
+		for range 200 {
+			call := &call{state: state, route: c.Routes[route], account: c.Accounts[account], pool: testPool}
+			spare := call.spare()
+			least, most = min(least, spare), max(most, spare)
+		}
+		return least, most
+	}
+	for i, tt := range []struct{ account, route string }{ // the most urgent first
+		{testAccount, "once"}, {testAccount, "safe"}, {otherName, "once"}, {otherName, "safe"},
+	} {
+		least, most := spares(tt.account, tt.route)
+		if least != 0 || most > maxSpare || (most > 0) != (i > 0) {
+			t.Errorf("%s on %s leaves %v to %v", tt.account, tt.route, least, most)
+		}
+		if i > 0 {
+			if _, before := spares([]string{"", testAccount, testAccount, otherName}[i], []string{"", "once", "safe", "once"}[i]); before >= most {
+				t.Errorf("%s on %s leaves no more than what is more urgent", tt.account, tt.route)
+			}
+		}
+	}
+}
--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -39,6 +39,12 @@
 	maxWaits = 2
 	// maxAsksUnderWay bounds the concurrent requests for tokens.
 	maxAsksUnderWay = 16
+	// farHome is the round trip from which a book that is eager asks ahead of its next
+	// request.
+	farHome = 20 * time.Millisecond
+	// minAheadUses is how many requests must be expected while a token lasts that is asked
+	// for ahead: most of them would else end unused.
+	minAheadUses = 1.5
 	// askSlack is added to the round trip for the length of a loan of tokens.
 	askSlack = 2 * time.Millisecond
 	// localRate is the share of the limit that a VM wants for itself, relative
@@ -84,6 +90,8 @@
 	// denySparing is the same for requests that leave tokens to more urgent ones.
 	denySparing clock.Time
 	roundTrip   time.Duration
+	// eager books are those of small limits: their VMs ask far homes ahead of each request.
+	eager bool
 	// reports holds the demand of the other VMs, on the home.
 	reports map[string]float64
 	// light says that load is low, and that every VM keeps a part of its share.
@@ -209,12 +217,25 @@
 // that is less than a token, the tokens would mostly end unused; where it is
 // much of the burst, others would miss them.
 func (b *book) low() bool {
+	if b.asksAhead() {
+		return b.tokens < 1
+	}
 	spent := b.deficit() * b.roundTrip.Seconds()
 	return spent >= 1 && b.tokens < spent && b.ahead() <= b.limit.capacity*maxAheadBurst
 }
 
+// asksAhead reports whether the VM asks for the token of its next request before that comes.
+func (b *book) asksAhead() bool {
+	return b.eager && b.roundTrip >= farHome && b.demand.rate()*(tokenDuration-b.roundTrip).Seconds() >= minAheadUses
+}
+
 // ahead is how many tokens a VM asks for that is low.
-func (b *book) ahead() float64 { return b.deficit() * (askAhead + b.roundTrip).Seconds() }
+func (b *book) ahead() float64 {
+	if b.asksAhead() {
+		return 1 + b.demand.rate()*b.roundTrip.Seconds()
+	}
+	return b.deficit() * (askAhead + b.roundTrip).Seconds()
+}
 
 // deficit is the demand that the bucket's own rate does not cover.
 func (b *book) deficit() float64 { return max(0, b.demand.rate()-b.net.rate) }
@@ -242,6 +263,9 @@
 	if b.low() {
 		n += b.ahead() - b.tokens
 		wait += askAhead
+		if b.asksAhead() {
+			wait = tokenDuration
+		}
 	}
 	r.Tokens = max(1, n)
 	b.asks++
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -222,3 +222,56 @@
 		}
 	}
 }
+
+// TestFarHomeIsAskedAhead guards against requests of which each waits for a round trip between
+// regions, and against tokens asked for ahead that nobody will use.
+func TestFarHomeIsAskedAhead(t *testing.T) {
+	const now = clock.Time(time.Hour)
+	for _, tt := range []struct {
+		name      string
+		eager     bool
+		roundTrip time.Duration
+		demand    float64 // requests a second
+		want      step
+	}{
+		{"far", true, 110 * time.Millisecond, 10, stepRefill},
+		{"far, few requests", true, 110 * time.Millisecond, 1, stepAdmit},
+		{"near", true, time.Millisecond, 10, stepAdmit},
+		{"not eager", false, 110 * time.Millisecond, 3, stepAdmit},
+	} {
+		b := newBook("a", func() uint64 { return 1 })
+		b.limit = share{rate: 15, capacity: 18}
+		b.eager, b.roundTrip, b.demand.smoothed, b.demand.start = tt.eager, tt.roundTrip, tt.demand, now
+		b.borrow(grant{id: 1, kind: tokensOnly, share: share{capacity: 1}, tokens: 1, duration: time.Second}, "home", now, now)
+		if got := b.admit(0, 0, now); got != tt.want {
+			t.Errorf("%s: step %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestSparingRequestsLeaveTokensToUrgentOnes guards against urgent requests that are refused
+// because less urgent ones took the last tokens.
+func TestSparingRequestsLeaveTokensToUrgentOnes(t *testing.T) {
+	const now, half = clock.Time(time.Hour), 0.5
+	home := newBook("a", func() uint64 { return 1 })
+	home.home = true
+	home.limit = share{rate: 1, capacity: 8}
+	home.setParts([]part{{share: home.limit, until: never}}, now)
+	home.tokens = 5.5
+	if home.admit(0, half, now) != stepAdmit || home.admit(0, half, now) != stepRefuse {
+		t.Errorf("half of 8 tokens are to be left; %v are", home.tokens)
+	}
+	ask := func(spare float64) int {
+		return len(home.serve(&peerpb.AccountRequest{Account: "a", Tokens: 1, TokensUs: 1000, Spare: spare}, "vm", now).Grants)
+	}
+	if ask(half) != 0 || ask(0) != 1 {
+		t.Errorf("a VM got tokens that are to be left, or none of those for urgent requests; %v are left", home.tokens)
+	}
+	if home.admit(0, 0, now) != stepAdmit {
+		t.Error("an urgent request was refused")
+	}
+	home.tokens = home.net.capacity
+	if home.admit(0, 1, now) != stepAdmit {
+		t.Error("a full bucket admits no request that is not urgent")
+	}
+}
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -45,6 +45,9 @@
 	// Name tells a second service of a VM from its first, in the names of the counters and
 	// on the peer protocol.
 	Name string
+	// Eager VMs ask a far home for the token of the next request before that comes, as suits
+	// limits so small that each request takes a token of the home's.
+	Eager bool
 	// Near returns the region whose VMs are preferred as an account's home, or none. Nil
 	// prefers no region.
 	Near func(account string) string
@@ -225,6 +228,7 @@
 		return a
 	}
 	a := &account{book: newBook(name, func() uint64 { return s.ids.Add(1) })}
+	a.book.eager = s.cfg.Eager
 	next := make(map[string]*account, len(old)+1)
 	for k, v := range old {
 		next[k] = v
