forward: a repeat does not use the connection that has just carried the request

What callers saw: 503, "it has not run", for a request that ran. Cause: a target that refuses a request although it has room gets the repeat too, on the connection that was used last; a late copy of the refusal there carries the id of the repeat, which is the same, and is taken for its answer, while the target runs it. Excluded: copies for other requests, which the id tells apart (TestLateAnswerIsNotCrossed). The connection is closed instead, so a copy has nowhere to arrive. TestConnectionIsReused sent one id five times, which is a repeat; it now sends five, and the repeat, too.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -148,9 +148,9 @@
 	}
 }
 
-// get returns an idle connection or dials one.
-func (c *Client) get(ctx context.Context, address string, maxIdle time.Duration) (t *conn, reused bool, err error) {
-	if t := c.reuse(address, maxIdle); t != nil {
+// get returns an idle connection for the request with an id, or dials one.
+func (c *Client) get(ctx context.Context, address, id string, maxIdle time.Duration) (t *conn, reused bool, err error) {
+	if t := c.reuse(address, id, maxIdle); t != nil {
 		return t, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
@@ -163,8 +163,9 @@
 }
 
 // reuse takes the connection that was used last, so that those beyond the
-// present need age and are closed.
-func (c *Client) reuse(address string, maxIdle time.Duration) *conn {
+// present need age and are closed. A connection that has just carried the same request is
+// closed, too: a late copy of that answer could not be told from the next one.
+func (c *Client) reuse(address, id string, maxIdle time.Duration) *conn {
 	for {
 		t := c.pop(address)
 		if t == nil {
@@ -174,7 +175,8 @@
 		if t.keepAlive > 0 {
 			limit = min(limit, t.keepAlive)
 		}
-		if time.Since(t.idleSince) <= limit && t.alive() {
+		repeated := id != "" && t.carried == id
+		if !repeated && time.Since(t.idleSince) <= limit && t.alive() {
 			return t
 		}
 		t.Close()
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -25,6 +25,8 @@
 	budget atomic.Int64
 	// idleSince is when the connection came back to the pool.
 	idleSince time.Time
+	// carried is the id of the last request that the connection carried.
+	carried string
 	// keepAlive is how long the target said that it keeps the connection open
 	// while it is idle, less a margin; 0 is unknown.
 	keepAlive time.Duration
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -69,13 +69,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Ended: true, Err: err}
 	}
-	t, reused, err := c.get(ctx, o.Address, c.idleLimit(o.Once))
+	id := req.Header.Get(c.config.EchoHeader)
+	t, reused, err := c.get(ctx, o.Address, id, c.idleLimit(o.Once))
 	if err != nil {
 		return nil, &Error{Ended: ctx.Err() != nil, Err: fmt.Errorf("connect to target: %w", err)}
 	}
 	if o.Connected != nil {
 		o.Connected(reused)
 	}
+	t.carried = id
 	x := c.start(ctx, t, req, o)
 	resp, err := x.readOwn(req, o.RequireEcho)
 	if err != nil {
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,16 +79,19 @@
 	address, connections := serve(t, func(c net.Conn, r *http.Request, _ int) bool { answer(c, r, "ok"); return true })
 	c := NewClient(Config{})
 	defer c.Close()
-	for range 5 {
-		if body, err := fetch(t, c, address, "a", Options{}); body != "ok" || err != nil {
+	for i := range 5 {
+		if body, err := fetch(t, c, address, fmt.Sprint("a", i), Options{}); body != "ok" || err != nil {
 			t.Fatalf("got %q, %v", body, err)
 		}
 	}
 	if n := connections.Load(); n != 1 {
 		t.Errorf("%d connections", n)
 	}
+	if _, err := fetch(t, c, address, "a4", Options{}); err != nil || connections.Load() != 2 {
+		t.Errorf("a repeat went over the connection that had carried the request: %v", err)
+	}
 	c.config.FreshIdle = time.Nanosecond
-	if _, err := fetch(t, c, address, "a", Options{Once: true}); err != nil || connections.Load() != 2 {
+	if _, err := fetch(t, c, address, "a5", Options{Once: true}); err != nil || connections.Load() != 3 {
 		t.Errorf("a request that must not be repeated went over an old connection: %v", err)
 	}
 }
