ingress: a slow dial does not end running work at a target that answers

What callers saw: an answer later than needed, and targets dropped runs that were near their end. Excluded: connections that are refused and bytes that stay unacknowledged, which do tell that the process or the machine is gone. TestSlowDialDoesNotEndRunningWork: the other target got the running request as well. A target that has answered anything since the dial began is not out of reach; one that is silent on all connections still is.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -50,7 +50,10 @@
 	Died bool
 	// Ended reports that the context ended before the exchange did.
 	Ended bool
-	Err   error
+	// Silent reports that a new connection was neither accepted nor refused in time. One lost
+	// packet is enough for it.
+	Silent bool
+	Err    error
 }
 
 func (e *Error) Error() string { return e.Err.Error() }
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -72,7 +73,9 @@
 	id := req.Header.Get(c.config.EchoHeader)
 	t, reused, err := c.get(ctx, o.Address, id, c.idleLimit(o.Once))
 	if err != nil {
-		return nil, &Error{Ended: ctx.Err() != nil, Err: fmt.Errorf("connect to target: %w", err)}
+		var timeout net.Error
+		silent := errors.As(err, &timeout) && timeout.Timeout()
+		return nil, &Error{Ended: ctx.Err() != nil, Silent: silent, Err: fmt.Errorf("connect to target: %w", err)}
 	}
 	if o.Connected != nil {
 		o.Connected(reused)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -213,7 +213,8 @@
 	if f.Ended {
 		return t
 	}
-	unreachable := !f.Wrote || errors.Is(f.Err, syscall.ETIMEDOUT) || errors.Is(f.Err, syscall.EHOSTUNREACH)
+	answers := f.Silent && l.AnsweredSince(c.sentAt) // on other connections
+	unreachable := (!f.Wrote && !answers) || errors.Is(f.Err, syscall.ETIMEDOUT) || errors.Is(f.Err, syscall.EHOSTUNREACH)
 	if errors.Is(f.Err, forward.ErrCallerBody) {
 		return t
 	}
@@ -234,7 +235,7 @@
 	if info.ColdFor > 0 {
 		l.SetCold(info.ColdFor, now)
 	}
-	l.Answered(!info.NotRun)
+	l.Answered(!info.NotRun, now)
 	c.hearLimit(l, resp.StatusCode, info, now)
 	switch {
 	case info.NotRun:
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/forward"
 )
 
 // TestLateCopyOfARefusalDoesNotAnswerTheRepeat guards against a copy of a refusal that comes on
@@ -49,3 +54,70 @@
 		t.Error("a request was repeated on the connection that had carried it")
 	}
 }
+
+// TestSlowDialDoesNotEndRunningWork guards against work that is started again elsewhere because
+// a new connection to its target took too long, while the target answers on others.
+func TestSlowDialDoesNotEndRunningWork(t *testing.T) {
+	w := newWorld(t)
+	const dialTimeout = 100 * time.Millisecond
+	var runs, dials atomic.Int64
+	release := make(chan struct{})
+	running := make(chan struct{}, 8)
+	f := w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "long") {
+			runs.Add(1)
+			running <- struct{}{}
+			<-release
+		}
+		good(rw, r)
+	})
+	var hang atomic.Bool
+	w.server.cfg.Client = forward.NewClient(forward.Config{
+		EchoHeader: hID, DialTimeout: dialTimeout,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if hang.Load() && address == f.address {
+				dials.Add(1)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+	})
+	results := make(chan int, 8)
+	get := func(path string) {
+		resp, _, err := w.send("GET", path, "")
+		if err != nil {
+			results <- 0
+			return
+		}
+		results <- resp.StatusCode
+	}
+	go get("/safe/long")
+	<-running
+	w.expect(200, "GET", "/safe/short") // leaves a connection
+	hang.Store(true)
+	w.add("i-2", "fd-w", good)
+	second := make(chan struct{})
+	go func() { // occupies that connection
+		defer close(second)
+		get("/safe/long")
+	}()
+	<-running
+	go get("/safe/dials")
+	for dials.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(dialTimeout / 2)
+	release <- struct{}{} // one of the two answers while the dial hangs
+	time.Sleep(3 * dialTimeout)
+	release <- struct{}{}
+	for range 3 {
+		if status := <-results; status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+	}
+	<-second
+	if runs.Load() != 2 || w.all["i-2"].requests() > 1 {
+		t.Errorf("two long requests began %d runs, and another target got %d requests; the target was never out of reach", runs.Load(), w.all["i-2"].requests())
+	}
+}
--- a/pkg/ingress/upload_test.go
+++ b/pkg/ingress/upload_test.go
@@ -162,7 +162,7 @@
 					t.Fatalf("request %d: %v", i, err)
 				}
 				for _, l := range w.targets.Snapshot().Pools[testPool]["east"] {
-					l.Answered(true) // keeps them from being suspect
+					l.Answered(true, time.Now()) // keeps them from being suspect
 				}
 			}
 		})
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -32,6 +32,7 @@
 	replaced  atomic.Bool
 	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
+	answered  atomic.Int64  // instant of the last answer, 0 for none
 	runs      atomic.Uint64 // bits of the part of the requests that it runs
 	lost      atomic.Pointer[loss]
 	limit     atomic.Pointer[belief] // nil before the first word of a limit
@@ -163,9 +164,16 @@
 // suspect: single answers are lost on sound targets too.
 const failuresToSuspect = 3
 
-// Answered notes that the target answered, and whether it ran the request.
-func (l *Live) Answered(ran bool) {
+// AnsweredSince reports whether the target has answered any request since t.
+func (l *Live) AnsweredSince(t time.Time) bool {
+	at := l.answered.Load()
+	return at != 0 && at >= instant(t)
+}
+
+// Answered notes that the target answered at now, and whether it ran the request.
+func (l *Live) Answered(ran bool, now time.Time) {
 	l.failures.Store(0)
+	l.answered.Store(instant(now))
 	sample := 0.0
 	if ran {
 		sample = 1
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -155,7 +155,7 @@
 	if lose(2) {
 		t.Error("two lost answers are no suspicion")
 	}
-	l.Answered(true)
+	l.Answered(true, time.Now())
 	if lose(2) {
 		t.Error("nor are two after an answer")
 	}
