ingress: a target whose long answers do not end goes out of use

What callers saw: with one of six targets that sends bytes without end after a signed 200, 473 of 550 requests served in 10 s, 1.7 GB passed on to callers that gave up, and the target chosen all the while. Cause: an answer that has begun to be passed on was logged when it broke off, and not counted: its head had cleared the target's failures. Excluded: heads and short bodies without end, which are bounded before anything is passed on. Three long answers in a row that break off, or that have no length and come to 16 MB when their caller's time is over, make the target suspect, and each further one until one ends well: its health check may be good. An answer that merely ends late is no fault (TestLongAnswerThatEndsLateIsNoFault). TestTargetOfEndlessAnswersIsLeft was red in both cases.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -264,7 +264,7 @@
 }
 
 // deliver writes the answer and the request's log line.
-func (c *call) deliver(a *answer) {
+func (c *call) deliver(ctx context.Context, a *answer) {
 	defer c.end()
 	c.progress.enter(stageAnswer, "")
 	h := c.w.Header()
@@ -298,13 +298,17 @@
 		return
 	}
 	if a.stream != nil {
-		c.copyStream(a.stream)
+		c.copyStream(ctx, a.stream)
 	}
 }
 
+// endlessAnswer is how many bytes of an answer of unknown length may come before its caller's
+// time is over. Longer ones are taken for bytes without end.
+const endlessAnswer = 16 << 20
+
 // copyStream passes on an answer that is too long to be kept. One that breaks
 // off must look so to the caller.
-func (c *call) copyStream(stream *passedOn) {
+func (c *call) copyStream(ctx context.Context, stream *passedOn) {
 	defer stream.Close()
 	// A caller that is being answered waits on beyond the route's timeout.
 	patience := maxPatience
@@ -312,10 +316,18 @@
 		patience = c.info.Patience
 	}
 	c.timer.Reset(time.Until(c.arrived.Add(patience)))
-	if _, err := io.Copy(c.w, stream); err != nil {
-		c.s.cfg.Log.Info().Str("request", c.info.ID).Err(err).Msg("an answer broke off")
-		panic(http.ErrAbortHandler)
+	n, err := io.Copy(c.w, stream)
+	if err == nil {
+		stream.l.Finished()
+		return
 	}
+	cause := context.Cause(ctx)
+	brokeOff := cause == nil && stream.failed
+	endless := errors.Is(cause, context.DeadlineExceeded) && stream.ContentLength < 0 && n >= endlessAnswer
+	suspect := (brokeOff || endless) && stream.l.Unfinished()
+	c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", stream.l.ID).Err(err).Int64("bytes", n).
+		Bool("broke_off", brokeOff).Bool("endless", endless).Bool("suspect", suspect).Msg("an answer did not end")
+	panic(http.ErrAbortHandler)
 }
 
 // end releases what the call holds.
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -342,6 +342,15 @@
 	l *target.Live
 	// stop ends the wait for the target.
 	stop func()
+	// failed says that reading it did.
+	failed bool
+}
+
+// Read reads on.
+func (p *passedOn) Read(b []byte) (int, error) {
+	n, err := p.Response.Read(b)
+	p.failed = err != nil && err != io.EOF
+	return n, err
 }
 
 // Close ends the answer.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -201,7 +201,7 @@
 	defer s.inflight.remove(c)
 	a := s.serve(ctx, c)
 	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
-	c.deliver(a)
+	c.deliver(ctx, a)
 	s.cfg.Latency(time.Since(c.arrived))
 }
 
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -121,3 +122,90 @@
 		t.Errorf("two long requests began %d runs, and another target got %d requests; the target was never out of reach", runs.Load(), w.all["i-2"].requests())
 	}
 }
+
+// endless answers with bytes that do not end until the connection does.
+func endless(head string) func(net.Conn) {
+	return func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, err = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get(hID)))
+		piece := make([]byte, 64<<10)
+		for err == nil {
+			_, err = c.Write(piece)
+		}
+	}
+}
+
+// TestTargetOfEndlessAnswersIsLeft guards against a target that stays in use though its answers
+// never end, or break off after their beginning was passed on.
+func TestTargetOfEndlessAnswersIsLeft(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\n"
+	long := strconv.Itoa(2 * maxKeptAnswer)
+	for name, handle := range map[string]func(net.Conn){
+		"never ends": endless(head + "\r\n"),
+		"breaks off": func(c net.Conn) {
+			defer c.Close()
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get(hID))+"Content-Length: "+long+"\r\n\r\n"+strings.Repeat("x", maxKeptAnswer+1000))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.raw("i-bad", "fd-e", handle)
+			bad := w.targets.Snapshot().Pools[testPool]["east"][0]
+			whole := 0
+			for range 2 * 3 {
+				_, _, err := w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hPatience, "500") })
+				if err == nil {
+					whole++
+				}
+				if bad.Suspect() {
+					break
+				}
+			}
+			if whole > 0 && !bad.Suspect() {
+				t.Errorf("%d answers looked complete", whole)
+			}
+			if !bad.Suspect() {
+				t.Error("the target is still in use")
+			}
+			bad.Cleared(0, time.Now())
+			_, _, _ = w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hPatience, "500") })
+			if !bad.Suspect() {
+				t.Error("a target whose health check is good needs as many bad answers again")
+			}
+		})
+	}
+}
+
+// TestLongAnswerThatEndsLateIsNoFault guards against targets that are left because a caller had
+// too little time for a long answer.
+func TestLongAnswerThatEndsLateIsNoFault(t *testing.T) {
+	w := newWorld(t)
+	w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(hSeal, "s")
+		piece := make([]byte, maxKeptAnswer/4)
+		for range 20 {
+			if _, err := rw.Write(piece); err != nil {
+				return
+			}
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	for range 6 {
+		if _, _, err := w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hPatience, "400") }); err == nil {
+			t.Error("an answer that was cut looks complete")
+		}
+	}
+	if w.targets.Snapshot().Pools[testPool]["east"][0].Suspect() {
+		t.Error("the target is suspect")
+	}
+}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -32,10 +32,12 @@
 	replaced  atomic.Bool
 	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
-	answered  atomic.Int64  // instant of the last answer, 0 for none
-	runs      atomic.Uint64 // bits of the part of the requests that it runs
-	lost      atomic.Pointer[loss]
-	limit     atomic.Pointer[belief] // nil before the first word of a limit
+	answered  atomic.Int64 // instant of the last answer, 0 for none
+	// unfinished counts the long answers in a row that did not end as they should.
+	unfinished atomic.Int32
+	runs       atomic.Uint64 // bits of the part of the requests that it runs
+	lost       atomic.Pointer[loss]
+	limit      atomic.Pointer[belief] // nil before the first word of a limit
 }
 
 // loss ends when the target is found to be out of reach.
@@ -160,6 +162,20 @@
 	return l.Lost()
 }
 
+// Unfinished notes a long answer that broke off or did not end. It reports whether the target
+// became suspect by it. A target whose health check is good is suspect again with the next one,
+// as long as no long answer has ended well.
+func (l *Live) Unfinished() bool {
+	if l.unfinished.Add(1) < failuresToSuspect {
+		return false
+	}
+	l.unfinished.Store(failuresToSuspect - 1)
+	return !l.suspect.Swap(true)
+}
+
+// Finished notes a long answer that ended as it should.
+func (l *Live) Finished() { l.unfinished.Store(0) }
+
 // failuresToSuspect is the number of lost answers in a row that make a target
 // suspect: single answers are lost on sound targets too.
 const failuresToSuspect = 3
