forward: idle connections that can't be used again are closed

What was seen: after a whole answer that more bytes follow, one connection stayed open with unread bytes for more than 3 s after the last caller had left. Cause: idle connections were looked at only when the next request for their address came. They are now looked through every 2 s; those past their time, closed by the target or with unread bytes are closed. TestSweepClosesUselessConnections.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -58,6 +58,8 @@
 	// targetIdle is how long a connection to a target is kept where the target
 	// does not say for how long it is.
 	targetIdle = 4 * time.Second
+	// targetSweep is how often idle connections to targets are looked through.
+	targetSweep = 2 * time.Second
 	// freshIdle is how long a connection may have been idle that carries a
 	// request which must not run twice.
 	freshIdle = 3 * time.Second
@@ -238,6 +240,7 @@
 	d.loop.Go(background, d.balance)
 	d.loop.Go(background, d.sweepFleet)
 	d.loop.Go(background, d.closeIdle)
+	d.loop.Go(background, func(ctx context.Context) { every(ctx, targetSweep, d.client.Sweep) })
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
 	d.log.Info().Str("incarnation", d.self.Incarnation).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -220,6 +220,29 @@
 	}
 }
 
+// Sweep closes the idle connections that can't be used again: their time is over, or the target
+// has closed them or sent bytes that nobody asked for, which may be without end.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, t := range list {
+			if now.Sub(t.idleSince) <= c.config.IdleTimeout && t.alive() {
+				kept = append(kept, t)
+				continue
+			}
+			t.Close()
+		}
+		clear(list[len(kept):])
+		c.idle[address] = kept
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
+}
+
 // idleLimit returns how long a connection for the request may have been idle.
 func (c *Client) idleLimit(once bool) time.Duration {
 	if once {
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -199,3 +199,56 @@
 type failing struct{}
 
 func (failing) Read([]byte) (int, error) { return 0, errors.New("caller is gone") }
+
+// TestSweepClosesUselessConnections guards against idle connections that stay open for good:
+// with bytes that nobody asked for, or past their time.
+func TestSweepClosesUselessConnections(t *testing.T) {
+	start, ended := make(chan struct{}), make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		answer(c, r, "ok")
+		if r.Header.Get(headerRequestID) == "babbles" {
+			<-start
+			piece := make([]byte, 4096)
+			for _, err := c.Write(piece); err == nil; _, err = c.Write(piece) {
+			}
+			close(ended)
+		}
+		return true
+	})
+	c := NewClient(Config{IdleTimeout: time.Hour})
+	defer c.Close()
+	var open []*Response
+	for _, id := range []string{"babbles", "quiet"} {
+		resp, err := c.Do(t.Context(), newRequest(t, address, id), Options{Address: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, resp)
+	}
+	for _, resp := range open {
+		if _, err := io.ReadAll(resp); err != nil {
+			t.Fatal(err)
+		}
+		resp.Close()
+	}
+	idle := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.idle[address])
+	}
+	if c.Sweep(); idle() != 2 {
+		t.Fatalf("%d idle connections, want 2", idle())
+	}
+	close(start)
+	for end := time.Now().Add(10 * time.Second); idle() == 2 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c.Sweep()
+	}
+	if idle() != 1 {
+		t.Errorf("%d idle connections, want the quiet one", idle())
+	}
+	<-ended
+	c.config.IdleTimeout = time.Nanosecond
+	if c.Sweep(); idle() != 0 {
+		t.Errorf("%d idle connections past their time", idle())
+	}
+}
