ingress: an answer that broke off looks so to a caller of HTTP/1.0

What callers saw: half of an answer that ended in order. Cause: an answer of unknown length to a caller of HTTP/1.0 ends with its connection, and one that broke off was ended by closing it. Excluded: HTTP/1.1, where the last chunk or the rest of the length is missing. TestBrokenAnswerLooksBrokenToOldCallers was red. The connection is reset instead.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -327,6 +328,22 @@
 	suspect := (brokeOff || endless) && stream.l.Unfinished()
 	c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", stream.l.ID).Err(err).Int64("bytes", n).
 		Bool("broke_off", brokeOff).Bool("endless", endless).Bool("suspect", suspect).Msg("an answer did not end")
+	c.abort()
+}
+
+// abort ends an answer that has begun, so that it does not look complete.
+func (c *call) abort() {
+	if !c.r.ProtoAtLeast(1, 1) { // there, the end of the connection ends the answer
+		conn, _, err := http.NewResponseController(c.w).Hijack()
+		if err != nil {
+			c.s.cfg.Log.Warn().Err(err).Str("request", c.info.ID).Msg("an answer that broke off may look complete")
+			panic(http.ErrAbortHandler)
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only where the connection is gone
+		}
+		_ = conn.Close()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -209,3 +209,31 @@
 		t.Error("the target is suspect")
 	}
 }
+
+// TestBrokenAnswerLooksBrokenToOldCallers guards against an answer that broke off halfway and
+// reaches a caller of HTTP/1.0, whose answers end with their connection, as a complete one.
+func TestBrokenAnswerLooksBrokenToOldCallers(t *testing.T) {
+	w := newWorld(t)
+	w.add("i-1", "fd-e", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(hSeal, "s")
+		_, _ = rw.Write(make([]byte, maxKeptAnswer+1000))
+		panic(http.ErrAbortHandler)
+	})
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /safe/x HTTP/1.0\r\nHost: host.example\r\n%s: id-old\r\n%s: %s\r\n\r\n", hID, hKey, testKey)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK || n == 0 {
+		t.Fatalf("status %d, %d bytes", resp.StatusCode, n)
+	}
+	if err == nil {
+		t.Errorf("%d bytes that end in order", n)
+	}
+}
