ingress: a request whose caller has closed its connection is not sent, whether or not that was read

Cause: net/http learns of a close from a goroutine of its own, and where one VM of eleven is left without processor time, that runs seconds late; the request was sent meanwhile. Excluded: the cancellation itself, which follows at once. Before each sending the caller's connection is now looked at (one system call). TestCallerThatHasLeftIsNotServed is red without it.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -288,7 +288,7 @@
 		}
 		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle}
 		if l.address == s.Listen.Callers {
-			server.ConnState = d.conns.track
+			server.ConnState, server.ConnContext = d.conns.track, ingress.ConnContext
 			d.callers = server
 		} else {
 			d.servers = append(d.servers, server)
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/peek"
 )
 
 // conn is one HTTP/1.1 connection to a target. It carries one exchange at a
@@ -73,26 +75,8 @@
 	if c.reader.Buffered() != 0 {
 		return false
 	}
-	under := c.Conn
-	if t, ok := under.(*tls.Conn); ok {
-		under = t.NetConn()
-	}
-	s, ok := under.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	state := peek.Look(c.Conn)
+	return state == peek.Nothing || state == peek.Unknown
 }
 
 // closed reports whether err tells that the other side closed or reset the
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -18,6 +18,7 @@
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/peek"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -127,6 +128,21 @@
 	return c.patience()
 }
 
+// connKey is the context's key of the caller's connection.
+type connKey struct{}
+
+// ConnContext is the hook of the callers' http.Server that makes their connections known.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// callerGone reports whether the caller has closed its connection, though net/http may not have
+// come to read that yet.
+func (c *call) callerGone() bool {
+	conn, ok := c.r.Context().Value(connKey{}).(net.Conn)
+	return ok && c.bodyRead.Load() && peek.Look(conn) == peek.End
+}
+
 // idempotent requests may run more than once.
 func (c *call) idempotent() bool { return c.route.Mode == config.ModeIdempotent }
 
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -193,7 +193,9 @@
 		TargetLimiter: w.limits, Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
 	})
 	w.server.started = time.Now().Add(-startHold)
-	w.front = httptest.NewServer(w.server)
+	w.front = httptest.NewUnstartedServer(w.server)
+	w.front.Config.ConnContext = ConnContext
+	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
 }
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -57,6 +57,10 @@
 			}
 			return c.giveUp("no target has room")
 		}
+		if c.callerGone() {
+			c.cancel(errCallerLeft)
+			return c.ended(ctx)
+		}
 		t := c.send(ctx, l)
 		if t.answer != nil {
 			return t.answer
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/peek"
 )
 
 // TestLateCopyOfARefusalDoesNotAnswerTheRepeat guards against a copy of a refusal that comes on
@@ -237,3 +238,49 @@
 		t.Errorf("%d bytes that end in order", n)
 	}
 }
+
+// TestCallerThatHasLeftIsNotServed guards against requests that are sent on after their caller
+// has closed its connection, as the process had no time to read that.
+func TestCallerThatHasLeftIsNotServed(t *testing.T) {
+	w := newWorld(t)
+	f := w.add("i-1", "fd-e", good)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	send := func(leaves bool) *answer {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		near, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		if leaves {
+			far.Close()
+			for peek.Look(near) != peek.End {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		// Its context has not ended: nobody has read the connection's end.
+		r, err := http.NewRequestWithContext(ConnContext(t.Context(), near), http.MethodGet, "http://host.example/safe/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		defer cancel(nil)
+		c := &call{s: w.server, r: r, arrived: time.Now(), cancel: cancel, state: w.state, route: w.state.Config.Routes["safe"], pool: testPool, info: CallerInfo{ID: fmt.Sprint("id-", leaves)}}
+		c.bodyRead.Store(true)
+		return c.run(ctx)
+	}
+	if a := send(true); !a.drop || f.requests() != 0 {
+		t.Errorf("status %d, the target got %d requests of a caller that has left", a.status, f.requests())
+	}
+	if a := send(false); a.status != http.StatusOK {
+		t.Errorf("status %d for a caller that is there", a.status)
+	}
+}
--- /dev/null
+++ b/pkg/peek/peek_test.go
@@ -0,0 +1,60 @@
+package peek_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/peek"
+)
+
+func TestLook(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	pair := func() (near, far net.Conn) {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, err = l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { near.Close(); far.Close() })
+		return near, far
+	}
+	expect := func(when string, c net.Conn, want peek.State) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); peek.Look(c) != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Errorf("%s: state %d, want %d", when, peek.Look(c), want)
+				return
+			}
+		}
+	}
+	near, far := pair()
+	expect("nothing sent", near, peek.Nothing)
+	if _, err := far.Write([]byte("xy")); err != nil {
+		t.Fatal(err)
+	}
+	expect("bytes sent", near, peek.Bytes)
+	expect("bytes sent, looked at again", near, peek.Bytes)
+	if _, err := near.Read(make([]byte, 2)); err != nil {
+		t.Fatal(err)
+	}
+	expect("bytes read", near, peek.Nothing)
+	far.Close()
+	expect("closed there", near, peek.End)
+	near, far = pair()
+	_ = far.(*net.TCPConn).SetLinger(0)
+	far.Close()
+	expect("reset there", near, peek.End)
+	near, _ = pair()
+	near.Close()
+	expect("closed here", near, peek.End)
+	piped, _ := net.Pipe()
+	expect("no socket", piped, peek.Unknown)
+}
