--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -129,7 +129,7 @@
 	if b.started && next != b.limit {
 		b.setParts(partsOf(b.limit, h), now)
 	}
-	b.limit = next
+	b.limit, b.most = next, next
 	b.setParts(partsOf(next, h), now)
 }
 
--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -107,6 +107,8 @@
 	tokens   float64
 	// started reports that the ledger has had shares.
 	started bool
+	// most is the whole limit, zero for none: after it was lowered, larger loans run on.
+	most share
 	// last is when tokens was computed. net holds from last until change.
 	last   clock.Time
 	change clock.Time
@@ -152,6 +154,9 @@
 		l.changeAt(x.end)
 	}
 	l.net = net.positive()
+	if l.most != (share{}) {
+		l.net = share{min(l.net.rate, l.most.rate), min(l.net.capacity, l.most.capacity)}
+	}
 	l.tokens = min(l.tokens, l.net.capacity)
 }
 
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -8,6 +8,7 @@
 	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/lease"
 )
 
 // newLedger returns a full ledger that has the share from t=0 on.
@@ -275,3 +276,26 @@
 		t.Error("a full bucket admits no request that is not urgent")
 	}
 }
+
+// TestLoweredLimitBindsTheHomeAtOnce guards against a home that admits by a limit that was
+// lowered, from the loans that were made under it.
+func TestLoweredLimitBindsTheHomeAtOnce(t *testing.T) {
+	const now = clock.Time(time.Hour)
+	home := newBook("a", func() uint64 { return 1 })
+	home.home = true
+	h := &lease.Holding{Total: 4, Slots: []lease.Slot{{Index: 0, Until: never, New: true}}}
+	home.setShares(&config.Account{Name: "a", Rate: 40, Burst: 40}, h, now)
+	for id := range uint64(3) {
+		home.borrow(grant{id: id, kind: collected, share: share{10, 10}, tokens: 10, duration: collectDuration}, "vm", now, now)
+	}
+	home.setShares(&config.Account{Name: "a", Rate: 2, Burst: 3}, h, now)
+	admitted := 0
+	for at := now; at.Sub(now) <= time.Second; at = at.Add(time.Millisecond) {
+		if home.admit(0, 0, at) == stepAdmit {
+			admitted++
+		}
+	}
+	if admitted > 3+2 {
+		t.Errorf("%d requests in a second, 2 a second and 3 at once are allowed", admitted)
+	}
+}
