target: a limit does not age

Found by reading: a target that names a limit and gets no request for 10 s counted as not limited, and the next requests went to it all at once until the first was answered, from VMs that had been told. The belief was to end so that the target is asked again; but the fleet always sends it a request in 4 s, whatever it names. An answer without a limit ends it. An unreadable word is logged once for each target.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -50,14 +50,14 @@
 			b = &placement.Balancer{}
 			balancers[pool] = b
 		}
-		next[pool] = b.Update(d.self.Region, d.regionsOf(pool, byRegion, view, now), now)
+		next[pool] = b.Update(d.self.Region, d.regionsOf(pool, byRegion, view), now)
 	}
 	d.parts.Store(&next)
 }
 
 // regionsOf describes the regions for a pool: the capacity that this VM may use,
 // and the demand of the live VMs' callers.
-func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View, now time.Time) []placement.Region {
+func (d *Daemon) regionsOf(pool string, byRegion map[string][]*target.Live, view *member.View) []placement.Region {
 	work, bound := map[string]float64{}, map[string]float64{}
 	add := func(region string, loads []member.PoolLoad) {
 		for _, l := range loads {
@@ -78,7 +78,7 @@
 	}
 	var regions []placement.Region
 	for _, name := range d.regions {
-		all, limited := target.UsableSlots(byRegion[name], now)
+		all, limited := target.UsableSlots(byRegion[name])
 		regions = append(regions, placement.Region{Name: name, Slots: limited, Sound: all, Work: work[name], Bound: bound[name]})
 	}
 	return regions
@@ -89,7 +89,7 @@
 	if p := d.parts.Load(); p != nil && (*p)[pool] != nil {
 		return (*p)[pool]
 	}
-	return placement.Split(d.self.Region, d.regionsOf(pool, d.targets.Snapshot().Pools[pool], d.members.View(), time.Now()))
+	return placement.Split(d.self.Region, d.regionsOf(pool, d.targets.Snapshot().Pools[pool], d.members.View()))
 }
 
 // regionNames lists the regions of the failure domains, in order.
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -95,14 +95,14 @@
 }
 
 // follow makes the accounts those of the limited targets.
-func (t *targetLimits) follow(all []*target.Live, now time.Time) {
+func (t *targetLimits) follow(all []*target.Live) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.accounts.Load().Accounts
 	next := map[string]*config.Account{}
 	changed := false
 	for _, l := range all {
-		named := l.Limit(now)
+		named := l.Limit()
 		if !named.Named {
 			continue
 		}
@@ -165,5 +165,5 @@
 			}
 		}
 	}
-	d.targetLimits.follow(d.targets.All(), now)
+	d.targetLimits.follow(d.targets.All())
 }
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -44,7 +44,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if named := l.Limit(time.Now()); named.Named && !d.targetLimits.Admit(ctx, l, named, 0).Admitted {
+	if named := l.Limit(); named.Named && !d.targetLimits.Admit(ctx, l, named, 0).Admitted {
 		return
 	}
 	req := &http.Request{
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -19,7 +19,7 @@
 	s := c.s.cfg.Targets.Snapshot()
 	c.version = s.Version
 	c.limited = limited{}
-	if l := c.refusedWithRoom(s, now); l != nil && c.takeLimited(ctx, l, now) {
+	if l := c.refusedWithRoom(s, now); l != nil && c.takeLimited(ctx, l) {
 		return l
 	}
 	pool := s.Pools[c.pool]
@@ -88,7 +88,7 @@
 			return nil
 		}
 		l := candidates[chosen]
-		if (!l.Cold(now) || c.takeCold(l, now)) && c.takeLimited(ctx, l, now) {
+		if (!l.Cold(now) || c.takeCold(l, now)) && c.takeLimited(ctx, l) {
 			c.load = occupancy[chosen].Load
 			return l
 		}
@@ -106,7 +106,7 @@
 	var out []*target.Live
 	for _, i := range placement.Rank(c.hash(), ranked, rankedCandidates) {
 		out = append(out, list[i])
-		if !list[i].Cold(now) && !list[i].Limit(now).Named {
+		if !list[i].Cold(now) && !list[i].Limit().Named {
 			break
 		}
 	}
--- a/pkg/ingress/limit.go
+++ b/pkg/ingress/limit.go
@@ -25,8 +25,8 @@
 }
 
 // takeLimited takes one request of what a target with a limit gets from all VMs together.
-func (c *call) takeLimited(ctx context.Context, l *target.Live, now time.Time) bool {
-	named := l.Limit(now)
+func (c *call) takeLimited(ctx context.Context, l *target.Live) bool {
+	named := l.Limit()
 	if !named.Named {
 		return true
 	}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -258,7 +258,11 @@
 	own := !info.OtherInstance && (info.InstanceID == "" || info.InstanceID == l.ID) && (info.Sealed || !success(status))
 	changed := false
 	switch {
-	case !own || info.LimitUnclear:
+	case !own:
+	case info.LimitUnclear:
+		if l.LimitUnclear() {
+			c.s.cfg.Log.Warn().Str("request", c.info.ID).Str("target", l.ID).Msg("the limit that a target names cannot be read; the one before holds")
+		}
 	case info.Limit.Named:
 		changed = l.LimitNamed(info.Limit.Rate, now)
 	case success(status):
--- a/pkg/target/limit.go
+++ b/pkg/target/limit.go
@@ -4,10 +4,9 @@
 	"time"
 )
 
-// limitMemory is how long a limit is believed that the target has not named again. Some VM
-// sends to a limited target every few seconds, so a belief that is older has no traffic
-// behind it.
-const limitMemory = 10 * time.Second
+// limitNews is how old a target's word may be that is told to the other VMs: several times the
+// longest time between two heartbeats.
+const limitNews = 10 * time.Second
 
 // Limit is what a target says of the requests that it takes from all VMs together.
 type Limit struct {
@@ -48,6 +47,10 @@
 	return l.hear(Limit{}, sent, now)
 }
 
+// LimitUnclear notes an answer whose word on the limit says nothing. It reports whether that is
+// the first one.
+func (l *Live) LimitUnclear() bool { return !l.unclear.Swap(true) }
+
 // hear takes in the target's own word, which was true at some moment since at.
 func (l *Live) hear(word Limit, at, now time.Time) (changed bool) {
 	for {
@@ -83,20 +86,20 @@
 	}
 }
 
-// Limit returns the limit in force at now.
-func (l *Live) Limit(now time.Time) Limit {
-	b := l.limit.Load()
-	if b == nil || instant(now)-b.at > int64(limitMemory) {
-		return Limit{}
+// Limit returns the limit in force. It does not age: a target without traffic says nothing, and
+// is not to get all of it at once later.
+func (l *Live) Limit() Limit {
+	if b := l.limit.Load(); b != nil {
+		return b.Limit
 	}
-	return b.Limit
+	return Limit{}
 }
 
 // LimitHeard returns the target's last word to this VM itself, for how long it has been that
 // and how old it is; ok is false where there is none worth telling.
 func (l *Live) LimitHeard(now time.Time) (word Limit, lasts, age time.Duration, ok bool) {
 	b := l.limit.Load()
-	if b == nil || !b.heard || instant(now)-b.at > int64(limitMemory) {
+	if b == nil || !b.heard || instant(now)-b.at > int64(limitNews) {
 		return Limit{}, 0, 0, false
 	}
 	return b.Limit, time.Duration(instant(now) - b.changed), time.Duration(instant(now) - b.at), true
@@ -104,9 +107,9 @@
 
 // usableSlots is how many slots the requests keep that the target takes: by Little's law, those
 // of its limit where it names one.
-func (l *Live) usableSlots(now time.Time) float64 {
+func (l *Live) usableSlots() float64 {
 	slots := float64(l.Slots)
-	if named := l.Limit(now); named.Named && l.Service() > 0 {
+	if named := l.Limit(); named.Named && l.Service() > 0 {
 		return min(slots, named.Rate*l.Service().Seconds())
 	}
 	return slots
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -38,6 +38,8 @@
 	runs       atomic.Uint64 // bits of the part of the requests that it runs
 	lost       atomic.Pointer[loss]
 	limit      atomic.Pointer[belief] // nil before the first word of a limit
+	// unclear says that an answer named a limit that is none.
+	unclear atomic.Bool
 }
 
 // loss ends when the target is found to be out of reach.
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -306,11 +306,11 @@
 
 // UsableSlots is the capacity of the targets that are not suspect: all of it, and what is left
 // of it under the limits that they name.
-func UsableSlots(list []*Live, now time.Time) (all, limited float64) {
+func UsableSlots(list []*Live) (all, limited float64) {
 	for _, l := range list {
 		if l.Sound() {
 			all += float64(l.Slots)
-			limited += l.usableSlots(now)
+			limited += l.usableSlots()
 		}
 	}
 	return all, limited
