--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -200,7 +200,7 @@
 	}
 	p.ListVersion = d.listNewest.Load()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
-	p.Limits = toldLimits(d.targets.All(), time.Now())
+	p.Limits = observedLimits(d.targets.All(), time.Now())
 }
 
 // limiters are the services that divide bounds among the VMs.
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -29,8 +29,8 @@
 	// and some. The platform allows half as much again as the limit in 4 s, and 5.
 	limitBurstTime = time.Second
 	limitBurst     = 3
-	// maxToldLimits bounds what a heartbeat's answer tells of targets' limits.
-	maxToldLimits = 32
+	// maxReportedLimits bounds how many limits a heartbeat's answer reports.
+	maxReportedLimits = 32
 )
 
 // targetLimits holds the limits that targets name as accounts of a limit.Service, which
@@ -125,33 +125,33 @@
 	t.accounts.Store(c)
 }
 
-// toldLimits returns what targets have told this VM of their limits; of many, those that
+// observedLimits returns the limits that targets' answers told this VM; of many, those that
 // changed last.
-func toldLimits(all []*target.Live, now time.Time) []member.TargetLimit {
-	type told struct {
+func observedLimits(all []*target.Live, now time.Time) []member.TargetLimit {
+	type observed struct {
 		member.TargetLimit
 		lasts time.Duration
 	}
-	var list []told
+	var list []observed
 	for _, l := range all {
-		word, lasts, age, ok := l.LimitHeard(now)
+		named, lasts, age, ok := l.LimitObserved(now)
 		if !ok {
 			continue
 		}
 		at := now.Add(-age)
-		list = append(list, told{member.TargetLimit{Target: l.ID, Born: l.Born, Named: word.Named, Rate: word.Rate, Earliest: at, Latest: at}, lasts})
+		list = append(list, observed{member.TargetLimit{Target: l.ID, Born: l.Born, Named: named.Named, Rate: named.Rate, Earliest: at, Latest: at}, lasts})
 	}
-	slices.SortFunc(list, func(a, b told) int {
+	slices.SortFunc(list, func(a, b observed) int {
 		return cmp.Or(cmp.Compare(a.lasts, b.lasts), cmp.Compare(a.Target, b.Target))
 	})
 	var out []member.TargetLimit
-	for _, l := range list[:min(len(list), maxToldLimits)] {
+	for _, l := range list[:min(len(list), maxReportedLimits)] {
 		out = append(out, l.TargetLimit)
 	}
 	return out
 }
 
-// followLimits takes in what the other VMs heard of targets' limits.
+// followLimits takes in the limits that the other VMs observed.
 func (d *Daemon) followLimits(now time.Time) {
 	view := d.members.View()
 	for i := range view.Peers {
@@ -160,7 +160,7 @@
 			l := d.targets.Find(r.Target, r.Born)
 			report := target.Report{Limit: target.Limit{Rate: r.Rate, Named: r.Named}, Earliest: r.Earliest, Latest: r.Latest}
 			if l != nil && l.LimitReported(report) {
-				d.log.Info().Str("target", l.ID).Bool("limited", r.Named).Float64("rate", r.Rate).Str("told_by", p.ID).
+				d.log.Info().Str("target", l.ID).Bool("limited", r.Named).Float64("rate", r.Rate).Str("reported_by", p.ID).
 					Dur("age_ms", now.Sub(r.Latest)).Msg("target changes its limit")
 			}
 		}
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -81,19 +81,19 @@
 	}
 }
 
-// TestHeartbeatsTellTheNewestLimits guards against heartbeats that grow with the number of
+// TestHeartbeatsReportTheNewestLimits guards against heartbeats that grow with the number of
 // limited targets, and against news that does not get through.
-func TestHeartbeatsTellTheNewestLimits(t *testing.T) {
+func TestHeartbeatsReportTheNewestLimits(t *testing.T) {
 	now := time.Now()
 	var all []*target.Live
-	for i := range 3 * maxToldLimits {
+	for i := range 3 * maxReportedLimits {
 		l := &target.Live{Target: target.Target{ID: fmt.Sprint("i-", i)}}
 		l.LimitNamed(5, now.Add(time.Duration(i)*time.Millisecond))
 		all = append(all, l)
 	}
 	all[0].LimitNamed(4, now.Add(time.Second))
-	told := toldLimits(all, now.Add(2*time.Second))
-	if len(told) != maxToldLimits || told[0].Target != "i-0" || told[0].Rate != 4 || told[1].Target != fmt.Sprint("i-", len(all)-1) {
-		t.Errorf("%d told, the first ones %+v", len(told), told[:2])
+	reported := observedLimits(all, now.Add(2*time.Second))
+	if len(reported) != maxReportedLimits || reported[0].Target != "i-0" || reported[0].Rate != 4 || reported[1].Target != fmt.Sprint("i-", len(all)-1) {
+		t.Errorf("%d reported, the first ones %+v", len(reported), reported[:2])
 	}
 }
--- a/pkg/ingress/limit.go
+++ b/pkg/ingress/limit.go
@@ -64,9 +64,9 @@
 	// maxSpare is the part of what may be saved up of a limit that the least urgent requests
 	// leave to the others.
 	maxSpare = 0.5
-	// sparedNot is the part of the less urgent requests that leave nothing: the platform's
+	// unsparedPart is the part of the less urgent requests that leave nothing: the platform's
 	// gate fails where a kind of request starves.
-	sparedNot = 0.2
+	unsparedPart = 0.2
 )
 
 // urgency orders requests: the client account's rank goes before the route's, and 0 is the
@@ -114,7 +114,7 @@
 func (c *call) spare() float64 {
 	all := c.state.urgencies[c.pool]
 	at, found := slices.BinarySearchFunc(all, urgencyOf(c.account, c.route), urgency.compare)
-	if at == 0 || !found || rand.Float64() < sparedNot {
+	if at == 0 || !found || rand.Float64() < unsparedPart {
 		return 0
 	}
 	return maxSpare * float64(at) / float64(len(all)-1)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -240,7 +240,7 @@
 		l.SetCold(info.ColdFor, now)
 	}
 	l.Answered(!info.NotRun, now)
-	c.hearLimit(l, resp.StatusCode, info, now)
+	c.observeLimit(l, resp.StatusCode, info, now)
 	switch {
 	case info.NotRun:
 		return c.shed(l, resp, info)
@@ -252,9 +252,9 @@
 	return c.keep(ctx, l, resp)
 }
 
-// hearLimit takes in what an answer says of its target's limit. Only an answer that is surely
+// observeLimit takes in what an answer says of its target's limit. Only an answer that is surely
 // the target's own and ran says that there is none.
-func (c *call) hearLimit(l *target.Live, status int, info AnswerInfo, now time.Time) {
+func (c *call) observeLimit(l *target.Live, status int, info AnswerInfo, now time.Time) {
 	own := !info.OtherInstance && (info.InstanceID == "" || info.InstanceID == l.ID) && (info.Sealed || !success(status))
 	changed := false
 	switch {
--- a/pkg/ingress/wire.go
+++ b/pkg/ingress/wire.go
@@ -44,7 +44,7 @@
 	// ColdFor is how much longer the target is slow.
 	ColdFor time.Duration
 	// Limit is how many requests a second the target takes from all VMs together. It says
-	// nothing where LimitUnclear: then the answer's word on it cannot be read.
+	// nothing where LimitUnclear: then what the answer names is no limit.
 	Limit        target.Limit
 	LimitUnclear bool
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -58,7 +58,7 @@
 	SlotsHeld int
 	// Pools is its part of each pool at the last heartbeat.
 	Pools []PoolLoad
-	// Limits is what targets had told it of their limits by then.
+	// Limits are those that it had observed by then.
 	Limits []TargetLimit
 	// Seen is when the last heartbeat that settled State was sent.
 	Seen clock.Time
@@ -81,8 +81,8 @@
 	BoundTo string
 }
 
-// TargetLimit is a target's word on the requests that it takes from all VMs together, as a VM
-// heard it.
+// TargetLimit is a limit on the requests that a target takes from all VMs together, as a VM
+// observed it.
 type TargetLimit struct {
 	Target string
 	// Born is the Unix millisecond of the target's start; 0 is unknown.
@@ -91,7 +91,7 @@
 	Named bool
 	// Rate is in requests a second.
 	Rate float64
-	// Earliest and Latest bound when the VM heard it.
+	// Earliest and Latest bound when the VM did.
 	Earliest, Latest time.Time
 }
 
--- a/pkg/target/limit.go
+++ b/pkg/target/limit.go
@@ -1,41 +1,39 @@
 package target
 
-import (
-	"time"
-)
+import "time"
 
-// limitNews is how old a target's word may be that is told to the other VMs: several times the
-// longest time between two heartbeats.
-const limitNews = 10 * time.Second
+// maxReportAge is how old an observed limit may be that is reported to the other VMs: several
+// times the longest time between two heartbeats.
+const maxReportAge = 10 * time.Second
 
-// Limit is what a target says of the requests that it takes from all VMs together.
+// Limit is how many requests a target takes from all VMs together, by its own answers.
 type Limit struct {
 	// Rate is in requests a second. It means nothing unless Named.
 	Rate  float64
 	Named bool
 }
 
-// Report is a target's word on its limit as another VM heard it.
+// Report is a target's limit as another VM observed it.
 type Report struct {
 	Limit
-	// Earliest and Latest bound when the VM heard it.
+	// Earliest and Latest bound when the VM did.
 	Earliest, Latest time.Time
 }
 
-// belief is what a VM holds of a target's limit.
-type belief struct {
+// limitState is a target's limit as this VM knows it.
+type limitState struct {
 	Limit
-	at int64 // instant of the word, or before it
-	// heard says that the target told this VM itself; changed is the instant at which that
-	// was something new.
-	heard   bool
-	changed int64
+	at int64 // instant at which the target had this limit
+	// observed says that an answer to this VM told it, and changed at which instant an answer
+	// first did.
+	observed bool
+	changed  int64
 }
 
 // LimitNamed takes in that the target named a limit at now. It reports whether that changed
 // the limit.
 func (l *Live) LimitNamed(rate float64, now time.Time) bool {
-	return l.hear(Limit{Rate: rate, Named: true}, now, now)
+	return l.observeLimit(Limit{Rate: rate, Named: true}, now, now)
 }
 
 // LimitUnnamed takes in an answer without a limit to a request that was sent at sent. It
@@ -44,32 +42,32 @@
 	if b := l.limit.Load(); b == nil || !b.Named {
 		return false
 	}
-	return l.hear(Limit{}, sent, now)
+	return l.observeLimit(Limit{}, sent, now)
 }
 
-// LimitUnclear notes an answer whose word on the limit says nothing. It reports whether that is
-// the first one.
+// LimitUnclear notes an answer that names a limit which can't be read. It reports whether that
+// is the first one.
 func (l *Live) LimitUnclear() bool { return !l.unclear.Swap(true) }
 
-// hear takes in the target's own word, which was true at some moment since at.
-func (l *Live) hear(word Limit, at, now time.Time) (changed bool) {
+// observeLimit takes in what an answer tells, which was true at some moment since at.
+func (l *Live) observeLimit(limit Limit, at, now time.Time) (changed bool) {
 	for {
 		old := l.limit.Load()
-		next := &belief{Limit: word, at: instant(at), heard: true, changed: instant(now)}
+		next := &limitState{Limit: limit, at: instant(at), observed: true, changed: instant(now)}
 		switch {
-		case old == nil && !word.Named, old != nil && old.at > instant(at):
+		case old == nil && !limit.Named, old != nil && old.at > instant(at):
 			return false
-		case old != nil && old.heard && old.Limit == word:
+		case old != nil && old.observed && old.Limit == limit:
 			next.changed = old.changed
 		}
 		if l.limit.CompareAndSwap(old, next) {
-			return old == nil || old.Limit != word
+			return old == nil || old.Limit != limit
 		}
 	}
 }
 
-// LimitReported takes in what another VM heard. It reports whether that changed the limit.
-// Where it is not certain which word is newer, the target counts as limited.
+// LimitReported takes in what another VM observed. It returns whether that changed the limit.
+// Where it is not certain which observation is newer, the target counts as limited.
 func (l *Live) LimitReported(r Report) bool {
 	at := instant(r.Earliest)
 	if r.Named {
@@ -80,7 +78,7 @@
 		if old == nil && !r.Named || old != nil && old.at >= at {
 			return false
 		}
-		if l.limit.CompareAndSwap(old, &belief{Limit: r.Limit, at: at}) {
+		if l.limit.CompareAndSwap(old, &limitState{Limit: r.Limit, at: at}) {
 			return old == nil || old.Limit != r.Limit
 		}
 	}
@@ -95,11 +93,11 @@
 	return Limit{}
 }
 
-// LimitHeard returns the target's last word to this VM itself, for how long it has been that
-// and how old it is; ok is false where there is none worth telling.
-func (l *Live) LimitHeard(now time.Time) (word Limit, lasts, age time.Duration, ok bool) {
+// LimitObserved returns the limit that the target's answers told this VM, for how long they have
+// and how old the last one is; ok is false where there is none to report.
+func (l *Live) LimitObserved(now time.Time) (limit Limit, lasts, age time.Duration, ok bool) {
 	b := l.limit.Load()
-	if b == nil || !b.heard || instant(now)-b.at > int64(limitNews) {
+	if b == nil || !b.observed || instant(now)-b.at > int64(maxReportAge) {
 		return Limit{}, 0, 0, false
 	}
 	return b.Limit, time.Duration(instant(now) - b.changed), time.Duration(instant(now) - b.at), true
--- a/pkg/target/limit_test.go
+++ b/pkg/target/limit_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestLimitFollowsTheNewestWord guards against a limit that an older answer ends, or that
+// TestLimitFollowsTheNewestAnswer guards against a limit that an older answer ends, or that
 // goes on after the target has stopped naming it.
-func TestLimitFollowsTheNewestWord(t *testing.T) {
+func TestLimitFollowsTheNewestAnswer(t *testing.T) {
 	start := time.Now()
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	named := func(l *Live, rate float64, ms int) { l.LimitNamed(rate, at(ms)) }
@@ -20,7 +20,7 @@
 		do   func(l *Live)
 		want Limit
 	}{
-		{"no word", func(*Live) {}, Limit{}},
+		{"never named", func(*Live) {}, Limit{}},
 		{"named", func(l *Live) { named(l, 5, 0) }, five},
 		{"changed", func(l *Live) { named(l, 9, 0); named(l, 5, 50) }, five},
 		{"ended", func(l *Live) { named(l, 5, 0); l.LimitUnnamed(at(10), at(50)) }, Limit{}},
@@ -48,18 +48,18 @@
 	}
 }
 
-// TestOnlyOwnWordsAreTold guards against reports that go round among VMs and never age.
-func TestOnlyOwnWordsAreTold(t *testing.T) {
+// TestOnlyOwnObservationsAreReported guards against reports that go round among VMs and never age.
+func TestOnlyOwnObservationsAreReported(t *testing.T) {
 	start := time.Now()
 	l := &Live{}
 	l.LimitReported(Report{Limit: Limit{Rate: 5, Named: true}, Earliest: start, Latest: start})
-	if _, _, _, ok := l.LimitHeard(start); ok {
-		t.Error("a report of another VM is told as this VM's own")
+	if _, _, _, ok := l.LimitObserved(start); ok {
+		t.Error("a report of another VM is reported as this VM's own")
 	}
 	l.LimitNamed(5, start.Add(time.Second))
-	word, lasts, age, ok := l.LimitHeard(start.Add(3 * time.Second))
-	if !ok || !word.Named || word.Rate != 5 || lasts != 2*time.Second || age != 2*time.Second {
-		t.Errorf("told %+v for %v, %v old, %v", word, lasts, age, ok)
+	limit, lasts, age, ok := l.LimitObserved(start.Add(3 * time.Second))
+	if !ok || !limit.Named || limit.Rate != 5 || lasts != 2*time.Second || age != 2*time.Second {
+		t.Errorf("told %+v for %v, %v old, %v", limit, lasts, age, ok)
 	}
 }
 
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -37,7 +37,7 @@
 	unfinished atomic.Int32
 	runs       atomic.Uint64 // bits of the part of the requests that it runs
 	lost       atomic.Pointer[loss]
-	limit      atomic.Pointer[belief] // nil before the first word of a limit
+	limit      atomic.Pointer[limitState] // nil before a limit was named
 	// unclear says that an answer named a limit that is none.
 	unclear atomic.Bool
 }
