--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -91,6 +91,8 @@
 	targets *target.Registry
 	// targetLimits divides the limits that targets name.
 	targetLimits *targetLimits
+	// observed are the limits that heartbeats report.
+	observed atomic.Pointer[[]member.TargetLimit]
 	client       *forward.Client
 	ingress      *ingress.Server
 	state        atomic.Pointer[ingress.State]
@@ -200,7 +202,9 @@
 	}
 	p.ListVersion = d.listNewest.Load()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
-	p.Limits = observedLimits(d.targets.All(), time.Now())
+	if l := d.observed.Load(); l != nil {
+		p.Limits = *l
+	}
 }
 
 // limiters are the services that divide bounds among the VMs.
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -151,7 +151,7 @@
 	return out
 }
 
-// followLimits takes in the limits that the other VMs observed.
+// followLimits takes in the limits that the other VMs observed, and keeps what this VM reports.
 func (d *Daemon) followLimits(now time.Time) {
 	view := d.members.View()
 	for i := range view.Peers {
@@ -165,5 +165,8 @@
 			}
 		}
 	}
-	d.targetLimits.follow(d.targets.All())
+	all := d.targets.All()
+	observed := observedLimits(all, now)
+	d.observed.Store(&observed)
+	d.targetLimits.follow(all)
 }
