--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -93,9 +93,9 @@
 	targetLimits *targetLimits
 	// observed are the limits that heartbeats report.
 	observed atomic.Pointer[[]member.TargetLimit]
-	client       *forward.Client
-	ingress      *ingress.Server
-	state        atomic.Pointer[ingress.State]
+	client   *forward.Client
+	ingress  *ingress.Server
+	state    atomic.Pointer[ingress.State]
 	// known is closed when the first configuration, list of targets and list of VMs have
 	// been read.
 	known     chan struct{}
