placement: no crash when the targets of all regions take nothing

Cause: made the parts of the regions jump with the targets that there are, not with what limits leave of them; with nothing left the parts are none, and moving none towards two indexed past their end. Parts that come anew are taken as they are, and a target with a limit of 0 keeps a little of its capacity.

--- a/pkg/placement/balance.go
+++ b/pkg/placement/balance.go
@@ -160,7 +160,7 @@
 // Update takes in the regions as they are at now and returns the parts in force.
 func (b *Balancer) Update(home string, regions []Region, now time.Time) []Part {
 	want := Split(home, regions)
-	if b.jumps(regions) {
+	if b.jumps(regions) || len(b.parts) != len(want) { // there are none while no region has capacity
 		b.parts = want
 	} else {
 		b.parts = approach(b.parts, want, maxShiftRate*now.Sub(b.at).Seconds())
--- a/pkg/placement/balance_test.go
+++ b/pkg/placement/balance_test.go
@@ -124,3 +124,18 @@
 		t.Error(diff)
 	}
 }
+
+// TestCapacityThatIsGoneForAWhile guards against a crash when the targets of all regions take
+// nothing for a while, though they are there.
+func TestCapacityThatIsGoneForAWhile(t *testing.T) {
+	b, now := &Balancer{}, time.Now()
+	update := func(slots float64) []Part {
+		now = now.Add(time.Second)
+		return b.Update("east", []Region{{Name: "east", Slots: slots, Sound: 9}, {Name: "west", Slots: slots, Sound: 9}}, now)
+	}
+	for _, slots := range []float64{9, 0, 9} {
+		if got, want := len(update(slots)), min(2, int(slots)); got != want {
+			t.Errorf("%d parts with %v slots, want %d", got, slots, want)
+		}
+	}
+}
--- a/pkg/target/limit.go
+++ b/pkg/target/limit.go
@@ -103,12 +103,16 @@
 	return b.Limit, time.Duration(instant(now) - b.changed), time.Duration(instant(now) - b.at), true
 }
 
+// minUsableSlots keeps a target that names a limit of 0 in its region's capacity: it is asked now
+// and then, and a region of such targets is better than none.
+const minUsableSlots = 0.01
+
 // usableSlots is how many slots the requests keep that the target takes: by Little's law, those
 // of its limit where it names one.
 func (l *Live) usableSlots() float64 {
 	slots := float64(l.Slots)
 	if named := l.Limit(); named.Named && l.Service() > 0 {
-		return min(slots, named.Rate*l.Service().Seconds())
+		return min(slots, max(minUsableSlots, named.Rate*l.Service().Seconds()))
 	}
 	return slots
 }
