ingress: the test of endless answers waits for their bytes and not for a time

The caller's time now doubles until they have come; what is asserted is the same, and one look more that the target does not go out of use too soon. Its target no longer sends as fast as the machine can.

--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -136,46 +136,80 @@
 		piece := make([]byte, 64<<10)
 		for err == nil {
 			_, err = c.Write(piece)
+			time.Sleep(time.Millisecond) // it has no use for all of the machine
 		}
 	}
 }
 
+// fetch sends a request and returns how many bytes of the answer came, and whether it ended well.
+func (w *world) fetch(patience time.Duration) (n int64, whole bool) {
+	w.t.Helper()
+	ids++
+	r, err := http.NewRequest(http.MethodGet, w.front.URL+"/safe/x", nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "host.example"
+	for name, value := range map[string]string{hID: fmt.Sprint("id-", ids), hKey: testKey, hPatience: fmt.Sprint(patience.Milliseconds())} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	n, err = io.Copy(io.Discard, resp.Body)
+	return n, err == nil
+}
+
 // TestTargetOfEndlessAnswersIsLeft guards against a target that stays in use though its answers
 // never end, or break off after their beginning was passed on.
 func TestTargetOfEndlessAnswersIsLeft(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\n"
 	long := strconv.Itoa(2 * maxKeptAnswer)
-	for name, handle := range map[string]func(net.Conn){
-		"never ends": endless(head + "\r\n"),
-		"breaks off": func(c net.Conn) {
+	for _, tt := range []struct {
+		name   string
+		handle func(net.Conn)
+		least  int64 // bytes from which on an answer is the target's fault
+	}{
+		{"never ends", endless(head + "\r\n"), endlessAnswer + maxKeptAnswer},
+		{"breaks off", func(c net.Conn) {
 			defer c.Close()
 			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				_, _ = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get(hID))+"Content-Length: "+long+"\r\n\r\n"+strings.Repeat("x", maxKeptAnswer+1000))
 			}
-		},
+		}, maxKeptAnswer},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t)
-			w.raw("i-bad", "fd-e", handle)
+			w.raw("i-bad", "fd-e", tt.handle)
 			bad := w.targets.Snapshot().Pools[testPool]["east"][0]
-			whole := 0
-			for range 2 * 3 {
-				_, _, err := w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hPatience, "500") })
-				if err == nil {
-					whole++
+			// A machine that is busy takes longer for as many bytes.
+			atFault := func() {
+				t.Helper()
+				for patience := 500 * time.Millisecond; patience < time.Minute; patience *= 2 {
+					n, whole := w.fetch(patience)
+					if whole {
+						t.Errorf("%d bytes look complete", n)
+					}
+					if n >= tt.least {
+						return
+					}
 				}
+				t.Fatalf("not %d bytes in a minute", tt.least)
+			}
+			const enough = 3
+			for range enough {
 				if bad.Suspect() {
-					break
+					t.Error("the target went out of use too soon")
 				}
-			}
-			if whole > 0 && !bad.Suspect() {
-				t.Errorf("%d answers looked complete", whole)
+				atFault()
 			}
 			if !bad.Suspect() {
 				t.Error("the target is still in use")
 			}
 			bad.Cleared(0, time.Now())
-			_, _, _ = w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hPatience, "500") })
+			atFault()
 			if !bad.Suspect() {
 				t.Error("a target whose health check is good needs as many bad answers again")
 			}
