--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -71,27 +71,26 @@
 
 // Admit counts a request to a target that names a limit.
 func (t *targetLimits) Admit(ctx context.Context, l *target.Live, named target.Limit, spare float64) limit.Decision {
-	t.set(l, named)
-	return t.service.AdmitSparing(ctx, limitName(l), spare)
+	return t.service.AdmitSparing(ctx, t.set(l, named), spare)
 }
 
 // AdmitLocally does so without asking another VM.
 func (t *targetLimits) AdmitLocally(l *target.Live, named target.Limit, spare float64) limit.Decision {
-	t.set(l, named)
-	return t.service.AdmitLocally(limitName(l), spare)
+	return t.service.AdmitLocally(t.set(l, named), spare)
 }
 
-// set keeps the account of a limited target.
-func (t *targetLimits) set(l *target.Live, named target.Limit) {
+// set keeps the account of a limited target and returns its name.
+func (t *targetLimits) set(l *target.Live, named target.Limit) string {
 	a := limitAccount(l, named)
 	if old := t.accounts.Load().Accounts[a.Name]; old != nil && old.Rate == a.Rate {
-		return
+		return a.Name
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := maps.Clone(t.accounts.Load().Accounts)
 	next[a.Name] = a
 	t.store(next)
+	return a.Name
 }
 
 // follow makes the accounts those of the limited targets.
