--- a/pkg/limit/ledger.go
+++ b/pkg/limit/ledger.go
@@ -204,9 +204,6 @@
 	return sum
 }
 
-// take admits one request if there is a token.
-func (l *ledger) take(now clock.Time) bool { return l.takeSparing(0, now) }
-
 // takeSparing admits one request if there is a token beyond a part of the bucket.
 func (l *ledger) takeSparing(part float64, now clock.Time) bool {
 	if now.Before(l.change) {
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -11,6 +11,9 @@
 	"crocusramp.dev/crocusramp/pkg/lease"
 )
 
+// take admits one request if there is a token.
+func (l *ledger) take(now clock.Time) bool { return l.takeSparing(0, now) }
+
 // newLedger returns a full ledger that has the share from t=0 on.
 func newLedger(s share) *ledger {
 	l := &ledger{}
