--- a/api/peer/v1/request.twirp.go
+++ b/api/peer/v1/request.twirp.go
@@ -29,8 +29,8 @@
 // Request carries what VMs tell each other about requests. The requests
 // themselves are handed over as plain HTTP, with a HandOver in a header.
 type Request interface {
-	// ReportDeath tells of a target that died while it ran a request.
-	ReportDeath(context.Context, *ReportDeathRequest) (*ReportDeathResponse, error)
+	// ReportDeaths tells of targets that died while they ran requests.
+	ReportDeaths(context.Context, *ReportDeathsRequest) (*ReportDeathsResponse, error)
 }
 
 // =======================
@@ -68,7 +68,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "crocusramp.peer.v1", "Request")
 	urls := [1]string{
-		serviceURL + "ReportDeath",
+		serviceURL + "ReportDeaths",
 	}
 
 	return &requestProtobufClient{
@@ -79,26 +79,26 @@
 	}
 }
 
-func (c *requestProtobufClient) ReportDeath(ctx context.Context, in *ReportDeathRequest) (*ReportDeathResponse, error) {
+func (c *requestProtobufClient) ReportDeaths(ctx context.Context, in *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "crocusramp.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Request")
-	ctx = ctxsetters.WithMethodName(ctx, "ReportDeath")
-	caller := c.callReportDeath
+	ctx = ctxsetters.WithMethodName(ctx, "ReportDeaths")
+	caller := c.callReportDeaths
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReportDeathRequest) (*ReportDeathResponse, error) {
+		caller = func(ctx context.Context, req *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReportDeathRequest)
+					typedReq, ok := req.(*ReportDeathsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathsRequest) when calling interceptor")
 					}
-					return c.callReportDeath(ctx, typedReq)
+					return c.callReportDeaths(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReportDeathResponse)
+				typedResp, ok := resp.(*ReportDeathsResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathsResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -108,8 +108,8 @@
 	return caller(ctx, in)
 }
 
-func (c *requestProtobufClient) callReportDeath(ctx context.Context, in *ReportDeathRequest) (*ReportDeathResponse, error) {
-	out := new(ReportDeathResponse)
+func (c *requestProtobufClient) callReportDeaths(ctx context.Context, in *ReportDeathsRequest) (*ReportDeathsResponse, error) {
+	out := new(ReportDeathsResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -160,7 +160,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "crocusramp.peer.v1", "Request")
 	urls := [1]string{
-		serviceURL + "ReportDeath",
+		serviceURL + "ReportDeaths",
 	}
 
 	return &requestJSONClient{
@@ -171,26 +171,26 @@
 	}
 }
 
-func (c *requestJSONClient) ReportDeath(ctx context.Context, in *ReportDeathRequest) (*ReportDeathResponse, error) {
+func (c *requestJSONClient) ReportDeaths(ctx context.Context, in *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "crocusramp.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Request")
-	ctx = ctxsetters.WithMethodName(ctx, "ReportDeath")
-	caller := c.callReportDeath
+	ctx = ctxsetters.WithMethodName(ctx, "ReportDeaths")
+	caller := c.callReportDeaths
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReportDeathRequest) (*ReportDeathResponse, error) {
+		caller = func(ctx context.Context, req *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReportDeathRequest)
+					typedReq, ok := req.(*ReportDeathsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathsRequest) when calling interceptor")
 					}
-					return c.callReportDeath(ctx, typedReq)
+					return c.callReportDeaths(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReportDeathResponse)
+				typedResp, ok := resp.(*ReportDeathsResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathsResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -200,8 +200,8 @@
 	return caller(ctx, in)
 }
 
-func (c *requestJSONClient) callReportDeath(ctx context.Context, in *ReportDeathRequest) (*ReportDeathResponse, error) {
-	out := new(ReportDeathResponse)
+func (c *requestJSONClient) callReportDeaths(ctx context.Context, in *ReportDeathsRequest) (*ReportDeathsResponse, error) {
+	out := new(ReportDeathsResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -314,8 +314,8 @@
 	}
 
 	switch method {
-	case "ReportDeath":
-		s.serveReportDeath(ctx, resp, req)
+	case "ReportDeaths":
+		s.serveReportDeaths(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -324,7 +324,7 @@
 	}
 }
 
-func (s *requestServer) serveReportDeath(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *requestServer) serveReportDeaths(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -332,9 +332,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveReportDeathJSON(ctx, resp, req)
+		s.serveReportDeathsJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveReportDeathProtobuf(ctx, resp, req)
+		s.serveReportDeathsProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -342,9 +342,9 @@
 	}
 }
 
-func (s *requestServer) serveReportDeathJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *requestServer) serveReportDeathsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReportDeath")
+	ctx = ctxsetters.WithMethodName(ctx, "ReportDeaths")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -357,29 +357,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ReportDeathRequest)
+	reqContent := new(ReportDeathsRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Request.ReportDeath
+	handler := s.Request.ReportDeaths
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReportDeathRequest) (*ReportDeathResponse, error) {
+		handler = func(ctx context.Context, req *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReportDeathRequest)
+					typedReq, ok := req.(*ReportDeathsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathsRequest) when calling interceptor")
 					}
-					return s.Request.ReportDeath(ctx, typedReq)
+					return s.Request.ReportDeaths(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReportDeathResponse)
+				typedResp, ok := resp.(*ReportDeathsResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathsResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -388,7 +388,7 @@
 	}
 
 	// Call service method
-	var respContent *ReportDeathResponse
+	var respContent *ReportDeathsResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -399,7 +399,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportDeathResponse and nil error while calling ReportDeath. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportDeathsResponse and nil error while calling ReportDeaths. nil responses are not supported"))
 		return
 	}
 
@@ -425,9 +425,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *requestServer) serveReportDeathProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *requestServer) serveReportDeathsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReportDeath")
+	ctx = ctxsetters.WithMethodName(ctx, "ReportDeaths")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -439,28 +439,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ReportDeathRequest)
+	reqContent := new(ReportDeathsRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Request.ReportDeath
+	handler := s.Request.ReportDeaths
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReportDeathRequest) (*ReportDeathResponse, error) {
+		handler = func(ctx context.Context, req *ReportDeathsRequest) (*ReportDeathsResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReportDeathRequest)
+					typedReq, ok := req.(*ReportDeathsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportDeathsRequest) when calling interceptor")
 					}
-					return s.Request.ReportDeath(ctx, typedReq)
+					return s.Request.ReportDeaths(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReportDeathResponse)
+				typedResp, ok := resp.(*ReportDeathsResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportDeathsResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -469,7 +469,7 @@
 	}
 
 	// Call service method
-	var respContent *ReportDeathResponse
+	var respContent *ReportDeathsResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -480,7 +480,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportDeathResponse and nil error while calling ReportDeath. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportDeathsResponse and nil error while calling ReportDeaths. nil responses are not supported"))
 		return
 	}
 
@@ -505,7 +505,7 @@
 }
 
 func (s *requestServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *requestServer) ProtocGenTwirpVersion() string {
@@ -519,30 +519,34 @@
 	return baseServicePath(s.pathPrefix, "crocusramp.peer.v1", "Request")
 }
 
-var twirpFileDescriptor3 = []byte{
-	// 372 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0x31, 0xaf, 0xd3, 0x30,
-	0x10, 0xc7, 0x15, 0xda, 0x34, 0xed, 0xb5, 0x93, 0xa1, 0x60, 0x90, 0x10, 0xa5, 0x03, 0x74, 0x40,
-	0x89, 0x0a, 0x23, 0x5b, 0xc5, 0xd0, 0x0e, 0x08, 0x29, 0x03, 0x03, 0x03, 0x91, 0x93, 0x5c, 0x89,
-	0x85, 0x52, 0x1b, 0xdb, 0x89, 0x78, 0x9f, 0xee, 0x49, 0xef, 0x93, 0x3d, 0xf9, 0x9c, 0xea, 0xf5,
-	0xa9, 0xc3, 0x9b, 0x92, 0xdf, 0xdf, 0x77, 0xbe, 0xfb, 0x9f, 0x0f, 0x96, 0x1a, 0xd1, 0x64, 0xfd,
-	0x36, 0x33, 0xf8, 0xaf, 0x43, 0xeb, 0x52, 0x6d, 0x94, 0x53, 0x8c, 0x55, 0x46, 0x55, 0x9d, 0x35,
-	0xa2, 0xd5, 0xa9, 0x8f, 0x48, 0xfb, 0xed, 0xfa, 0x36, 0x82, 0xe9, 0x5e, 0x9c, 0xea, 0x1f, 0x3d,
-	0x1a, 0xf6, 0x16, 0x60, 0xc8, 0x28, 0x64, 0xcd, 0xa3, 0x55, 0xb4, 0x99, 0xe5, 0xb3, 0x41, 0x39,
-	0xd4, 0x8c, 0x43, 0x22, 0xaa, 0x4a, 0x75, 0x27, 0xc7, 0x9f, 0xd1, 0xd9, 0x19, 0xd9, 0x0b, 0x88,
-	0x8d, 0xea, 0x1c, 0xf2, 0x11, 0xe9, 0x01, 0xfc, 0x75, 0x4e, 0xb6, 0xa8, 0x3a, 0x57, 0xb4, 0x96,
-	0x8f, 0x57, 0xd1, 0x66, 0x94, 0xcf, 0x06, 0xe5, 0xbb, 0xf5, 0x49, 0xce, 0x48, 0xac, 0x79, 0xbc,
-	0x1a, 0xf9, 0x24, 0x02, 0xf6, 0x12, 0x26, 0x4e, 0x56, 0x7f, 0xd1, 0xf1, 0x09, 0xdd, 0x35, 0x10,
-	0x7b, 0x05, 0xc9, 0xd1, 0xa8, 0xb6, 0xe8, 0x5b, 0x9e, 0x84, 0x03, 0x8f, 0x3f, 0xdb, 0xf5, 0x5d,
-	0x04, 0x2c, 0x47, 0xad, 0x8c, 0xfb, 0x86, 0xc2, 0x35, 0x79, 0x68, 0x97, 0x31, 0x18, 0x97, 0xc2,
-	0x22, 0xb9, 0x58, 0xe4, 0xf4, 0xcf, 0xde, 0xc3, 0x42, 0x1b, 0x3c, 0xca, 0xff, 0x45, 0x79, 0xe3,
-	0xd0, 0x92, 0x8b, 0x38, 0x9f, 0x07, 0x6d, 0xe7, 0x25, 0xf6, 0x0e, 0x06, 0x2c, 0x1a, 0x61, 0x1b,
-	0xf2, 0xb3, 0xc8, 0x21, 0x48, 0x7b, 0x61, 0x1b, 0xea, 0x4f, 0x98, 0x3f, 0xe8, 0xc8, 0x90, 0xef,
-	0x8f, 0x88, 0xbd, 0x86, 0x69, 0xed, 0xeb, 0xfb, 0xc9, 0xc5, 0x61, 0x3a, 0xc4, 0x87, 0x3a, 0x94,
-	0x95, 0xca, 0x14, 0x24, 0x58, 0x32, 0x46, 0x65, 0xa5, 0x32, 0xd4, 0xb3, 0x5d, 0x2f, 0xe1, 0xf9,
-	0x23, 0x0f, 0x56, 0xab, 0x93, 0xc5, 0xcf, 0x12, 0x92, 0xb3, 0x9f, 0xdf, 0x30, 0xbf, 0x88, 0x60,
-	0x1f, 0xd2, 0xeb, 0xc7, 0x4c, 0xaf, 0xc7, 0xf0, 0xe6, 0xe3, 0x93, 0x71, 0xa1, 0xd4, 0x2e, 0xfd,
-	0xf5, 0xe9, 0x22, 0xb2, 0xc6, 0x3e, 0x7b, 0xc0, 0x4c, 0x68, 0x99, 0x0d, 0x3b, 0xf5, 0xd5, 0x7f,
-	0x75, 0x59, 0x4e, 0x68, 0xa7, 0xbe, 0xdc, 0x07, 0x00, 0x00, 0xff, 0xff, 0xaa, 0x4a, 0x99, 0x50,
-	0x6c, 0x02, 0x00, 0x00,
+var twirpFileDescriptor2 = []byte{
+	// 434 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x52, 0x4f, 0x6f, 0xd3, 0x30,
+	0x1c, 0x55, 0xda, 0x25, 0x59, 0x7f, 0xab, 0x38, 0x98, 0x6d, 0x18, 0x10, 0xa2, 0xe4, 0x42, 0x0f,
+	0x28, 0x51, 0xc7, 0x81, 0x03, 0xb7, 0x89, 0xc3, 0x38, 0x00, 0x92, 0x11, 0x1c, 0x10, 0x52, 0xe4,
+	0x26, 0xbf, 0xb5, 0x16, 0x4b, 0x6d, 0x6c, 0x27, 0x82, 0xef, 0xc4, 0x77, 0xe0, 0xab, 0x21, 0xff,
+	0xc9, 0x28, 0xa2, 0xd2, 0x4e, 0xc9, 0x7b, 0x7e, 0xbf, 0x3f, 0xef, 0xd9, 0x70, 0xa6, 0x10, 0x75,
+	0x35, 0xac, 0x2a, 0x8d, 0xdf, 0x7b, 0x34, 0xb6, 0x54, 0x5a, 0x5a, 0x49, 0x48, 0xa3, 0x65, 0xd3,
+	0x1b, 0xcd, 0x3b, 0x55, 0x3a, 0x45, 0x39, 0xac, 0x8a, 0xdf, 0x09, 0x1c, 0x5f, 0xf1, 0x5d, 0xfb,
+	0x61, 0x40, 0x4d, 0x9e, 0x00, 0xc4, 0x8a, 0x5a, 0xb4, 0x34, 0x59, 0x24, 0xcb, 0x19, 0x9b, 0x45,
+	0xe6, 0x6d, 0x4b, 0x28, 0xe4, 0xbc, 0x69, 0x64, 0xbf, 0xb3, 0x74, 0xe2, 0xcf, 0x46, 0x48, 0x4e,
+	0x21, 0xd5, 0xb2, 0xb7, 0x48, 0xa7, 0x9e, 0x0f, 0xc0, 0xb5, 0xb3, 0xa2, 0x43, 0xd9, 0xdb, 0xba,
+	0x33, 0xf4, 0x68, 0x91, 0x2c, 0xa7, 0x6c, 0x16, 0x99, 0x77, 0xc6, 0x15, 0x59, 0x2d, 0xb0, 0xa5,
+	0xe9, 0x62, 0xea, 0x8a, 0x3c, 0x20, 0xe7, 0x90, 0x59, 0xd1, 0x7c, 0x43, 0x4b, 0x33, 0xdf, 0x2b,
+	0x22, 0xf2, 0x00, 0xf2, 0x6b, 0x2d, 0xbb, 0x7a, 0xe8, 0x68, 0x1e, 0x0e, 0x1c, 0xfc, 0xdc, 0x15,
+	0xbf, 0x12, 0xc8, 0x3f, 0xf6, 0x46, 0x61, 0x63, 0x09, 0x81, 0xa3, 0x35, 0x37, 0xe8, 0x57, 0x9f,
+	0x33, 0xff, 0x4f, 0x9e, 0xc1, 0x5c, 0x69, 0xbc, 0x16, 0x3f, 0xea, 0xf5, 0x4f, 0x8b, 0xc6, 0xaf,
+	0x9e, 0xb2, 0x93, 0xc0, 0x5d, 0x3a, 0x8a, 0x3c, 0x85, 0x08, 0xeb, 0x2d, 0x37, 0x5b, 0x6f, 0x62,
+	0xce, 0x20, 0x50, 0x57, 0xdc, 0x6c, 0xc9, 0x0a, 0xb2, 0x16, 0xb9, 0xdd, 0x3a, 0x17, 0xd3, 0xe5,
+	0xc9, 0xc5, 0xc3, 0xf2, 0xff, 0x28, 0xcb, 0x37, 0x4e, 0xc1, 0xa2, 0xd0, 0xfb, 0xd0, 0x82, 0xdf,
+	0x18, 0x9a, 0xfa, 0x81, 0x11, 0x15, 0x5f, 0x21, 0xf5, 0x42, 0x72, 0x0f, 0x26, 0xb7, 0x21, 0x4f,
+	0x44, 0x30, 0xce, 0xf5, 0x06, 0xc7, 0x70, 0x23, 0x72, 0x31, 0x29, 0x2d, 0xa4, 0xf6, 0x6b, 0xa5,
+	0x2c, 0x00, 0x72, 0x06, 0x19, 0xdf, 0x60, 0xdd, 0x8f, 0xb9, 0xa6, 0x7c, 0x83, 0x9f, 0x4c, 0xf1,
+	0x1e, 0xee, 0x33, 0x54, 0x52, 0x5b, 0x3f, 0xc3, 0xb0, 0x70, 0x77, 0xe4, 0x15, 0x1c, 0x9b, 0x10,
+	0x91, 0xa1, 0x89, 0x77, 0xf0, 0xf8, 0x90, 0x83, 0x18, 0x23, 0xbb, 0x15, 0x17, 0xe7, 0x70, 0xfa,
+	0x6f, 0x3f, 0xa3, 0xe4, 0xce, 0xe0, 0xc5, 0x0d, 0xe4, 0x63, 0x6f, 0x0e, 0xf3, 0x7d, 0x09, 0x79,
+	0x7e, 0xa8, 0xf3, 0x81, 0xa5, 0x1e, 0x2d, 0xef, 0x16, 0x86, 0x69, 0x97, 0xe5, 0x97, 0x17, 0x7b,
+	0xd2, 0x16, 0x87, 0xea, 0x2f, 0xac, 0xb8, 0x12, 0x55, 0x7c, 0xef, 0xaf, 0xdd, 0x57, 0xad, 0xd7,
+	0x99, 0x7f, 0xef, 0x2f, 0xff, 0x04, 0x00, 0x00, 0xff, 0xff, 0xb7, 0x76, 0x86, 0xa3, 0x08, 0x03,
+	0x00, 0x00,
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -27,6 +27,7 @@
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
@@ -34,7 +35,7 @@
 )
 
 const (
-	// fleetTable holds a row for each VM.
+	// fleetTable holds a row for each VM, and one for each request that is kept back.
 	fleetTable = "crocusramp_vms"
 	// storeShare is how many VMs the store's rates are divided among.
 	storeShare = 128
@@ -91,6 +92,8 @@
 	targets *target.Registry
 	// targetLimits divides the limits that targets name.
 	targetLimits *targetLimits
+	quarantine   *quarantine.List
+	suspects     *suspects
 	// observed are the limits that heartbeats report.
 	observed atomic.Pointer[[]member.TargetLimit]
 	client   *forward.Client
@@ -161,6 +164,10 @@
 		Config: d, Slots: d.fleet, Members: d.members, Peers: d.dialer, Clock: d.clock, Loop: d.loop, Log: d.log, Metrics: d.metrics,
 		StartTokens: d.fleet.startTokens,
 	})
+	d.quarantine = quarantine.NewList(quarantine.Config{
+		Size: maxSuspects, Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, Answered: maxAnswered, Clock: d.clock,
+	})
+	d.suspects = newSuspects(d)
 	d.targets = target.NewRegistry(s.FailureDomains, time.Now())
 	d.targetLimits = newTargetLimits()
 	d.targetLimits.service = limit.NewService(limit.Config{
@@ -178,7 +185,7 @@
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Known: d.known, Targets: d.targets, Parts: d.partsOf, Limiter: d.limiter,
-		TargetLimiter: d.targetLimits, Fleet: d.fleet, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
+		TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
@@ -205,6 +212,7 @@
 	if l := d.observed.Load(); l != nil {
 		p.Limits = *l
 	}
+	p.Suspects = d.suspects.reported()
 }
 
 // limiters are the services that divide bounds among the VMs.
@@ -243,6 +251,7 @@
 	d.loop.Go(background, d.probeSuspects)
 	d.loop.Go(background, d.balance)
 	d.loop.Go(background, d.sweepFleet)
+	d.loop.Go(background, d.suspects.keep)
 	d.loop.Go(background, d.closeIdle)
 	d.loop.Go(background, func(ctx context.Context) { every(ctx, targetSweep, d.client.Sweep) })
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
@@ -264,7 +273,7 @@
 func (d *Daemon) listen() error {
 	s := d.settings.Load()
 	peers := http.NewServeMux()
-	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler, d.targetLimits.service.Handler} {
+	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler, d.targetLimits.service.Handler, d.suspects.reports.Handler} {
 		prefix, handler := service()
 		peers.Handle(prefix, handler)
 	}
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -197,7 +197,7 @@
 func (r *registry) stale(now clock.Time) []Registration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if vms := list(&r.vms); len(vms) == 0 || vms[0].ID != r.self.ID {
+	if !r.first() {
 		return nil
 	}
 	var out []Registration
@@ -209,6 +209,12 @@
 	return out
 }
 
+// first reports whether this VM is the one that does what one VM has to do.
+func (r *registry) first() bool {
+	vms := list(&r.vms)
+	return len(vms) > 0 && vms[0].ID == r.self.ID
+}
+
 // list returns registrations, or none while they are not known.
 func list(p *atomic.Pointer[[]Registration]) []Registration {
 	if l := p.Load(); l != nil {
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -239,6 +239,9 @@
 	first := true
 	return func(u platform.Update) {
 		for _, c := range u.Changes {
+			if d.suspects.apply(c) {
+				continue
+			}
 			if c.Removed {
 				delete(d.vms, c.Key)
 				continue
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -5,7 +5,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,13 +51,10 @@
 	return config.Snapshot{Config: t.accounts.Load(), Fresh: true}
 }
 
-// limitName names an incarnation of a target.
-func limitName(l *target.Live) string { return l.ID + "@" + strconv.FormatInt(l.Born, 36) }
-
 // limitAccount is what the fleet may send to a target.
 func limitAccount(l *target.Live, named target.Limit) *config.Account {
 	rate := min(max(named.Rate, minTargetRate), maxTargetRate)
-	return &config.Account{Name: limitName(l), Rate: rate, Burst: rate*limitBurstTime.Seconds() + limitBurst, Regions: []string{l.Region}}
+	return &config.Account{Name: l.Incarnation(), Rate: rate, Burst: rate*limitBurstTime.Seconds() + limitBurst, Regions: []string{l.Region}}
 }
 
 // near returns the region of a limited target.
--- a/pkg/edge/limits_test.go
+++ b/pkg/edge/limits_test.go
@@ -60,18 +60,18 @@
 	limits := newTargetLimits()
 	l.LimitNamed(5, now)
 	limits.follow([]*target.Live{l, other})
-	first := limits.Snapshot().Accounts[limitName(l)]
-	if first == nil || first.Rate != 5 || limits.near(limitName(l)) != "east" || len(limits.Snapshot().Accounts) != 1 {
+	first := limits.Snapshot().Accounts[l.Incarnation()]
+	if first == nil || first.Rate != 5 || limits.near(l.Incarnation()) != "east" || len(limits.Snapshot().Accounts) != 1 {
 		t.Fatalf("accounts %v", limits.Snapshot().Accounts)
 	}
 	limits.follow([]*target.Live{l, other})
 	limits.set(l, l.Limit())
-	if limits.Snapshot().Accounts[limitName(l)] != first {
+	if limits.Snapshot().Accounts[l.Incarnation()] != first {
 		t.Error("the account was made anew")
 	}
 	l.LimitNamed(2, now.Add(time.Second))
 	limits.set(l, l.Limit())
-	if got := limits.Snapshot().Accounts[limitName(l)].Rate; got != 2 {
+	if got := limits.Snapshot().Accounts[l.Incarnation()].Rate; got != 2 {
 		t.Errorf("the limit fell to 2, the account has %v", got)
 	}
 	l.LimitUnnamed(now.Add(2*time.Second), now.Add(3*time.Second))
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -126,8 +125,7 @@
 func (s *Server) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(runPrefix+"/", s.serveHandedOver)
-	rpc := peerpb.NewRequestServer(&deathReports{s.quarantine}, twirp.WithServerPathPrefix(rpcPrefix))
-	mux.Handle(rpc.PathPrefix(), rpc)
+	mux.Handle(s.deaths.Handler())
 	return mux
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -17,6 +17,7 @@
 	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/deathreport"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
@@ -105,6 +106,7 @@
 	meters     *meters
 	budget     *retry.Budget
 	quarantine *quarantine.List
+	deaths     *deathreport.Service
 	session    *claim.Session
 	// claims is nil without a table.
 	claims *claim.Store
@@ -124,6 +126,7 @@
 	s.abandoned, s.abandon = context.WithCancel(context.Background())
 	c.Quarantine.Clock = c.Clock
 	s.quarantine = quarantine.NewList(c.Quarantine)
+	s.deaths = deathreport.New(deathreport.Config{List: s.quarantine, Members: c.Members, Peers: c.Peers, Log: c.Log, PathPrefix: rpcPrefix})
 	self := c.Members.View().Self
 	s.session = claim.NewSession(claim.SessionConfig{VM: self.ID, Incarnation: self.Incarnation, Clock: c.Clock})
 	if c.Table != nil {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -12,7 +12,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -127,6 +129,28 @@
 	return &Client{config: c, idle: map[string][]*conn{}}
 }
 
+// Refuses reports whether nothing listens at an address any more. A connection that is alive
+// answers without a dial, and one that the dial opens is kept. An address that neither accepts nor
+// refuses in time is not known to refuse.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	if c.holdsAlive(address) {
+		return false
+	}
+	t, _, err := c.get(ctx, address, "", 0)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.put(address, t)
+	return false
+}
+
+// holdsAlive reports whether an idle connection to an address is alive.
+func (c *Client) holdsAlive(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.idle[address], (*conn).alive)
+}
+
 // Drop closes the idle connections to an address whose target is gone.
 func (c *Client) Drop(address string) {
 	c.mu.Lock()
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -42,9 +42,15 @@
 	pool    string
 	object  uint64
 
-	body     []byte // the kept body
-	stream   io.ReadCloser
-	streamed bool
+	body []byte // the kept body
+	// stream is a body that is passed on while it comes, head what was read of it first, and
+	// streamHash the hash of what was passed on.
+	stream     io.ReadCloser
+	head       []byte
+	streamHash *bodyHash
+	streamed   bool
+	// bodyTaken says that body or stream hold the body.
+	bodyTaken bool
 
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
@@ -59,6 +65,11 @@
 	sentAt     time.Time      // of the last one
 	repeats    repeats
 	mayHaveRun bool
+	// prior is how many targets are known to have died with the request, suspect its fingerprint
+	// where there are any. It is on trial where it is sent on probation.
+	prior   int
+	suspect string
+	trial   bool
 	// grey says that the last target refused the request although it had room.
 	grey     bool
 	limited  limited // of the last choice
@@ -166,8 +177,13 @@
 	return n
 }
 
-// readBody reads the request's body as far as it is kept.
+// readBody reads the request's body as far as it is kept, or as it takes to judge the request.
 func (c *call) readBody(ctx context.Context) *answer {
+	if c.bodyTaken {
+		return nil
+	}
+	c.bodyTaken = true
+	keep := int64(max(maxKeptBody, c.judgedBytes()))
 	c.progress.enter(stageBody, "")
 	limit := c.state.CallerLimits.MaxBodyBytes
 	if limit > 0 && c.r.ContentLength > limit {
@@ -181,12 +197,12 @@
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	c.r.Body = endNoter{c.r.Body, &c.bodyRead}
-	if c.r.ContentLength > maxKeptBody {
-		c.stream = c.r.Body
+	if c.r.ContentLength > keep && keep == maxKeptBody {
+		c.pass(nil)
 		return nil
 	}
 	stop := context.AfterFunc(ctx, c.stopReading)
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxKeptBody+1))
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, keep+1))
 	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -196,14 +212,20 @@
 		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
 	case err != nil:
 		return refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, "the body could not be read")
-	case len(body) > maxKeptBody:
-		c.stream = readCloser{io.MultiReader(bytes.NewReader(body), c.r.Body), c.r.Body}
+	case int64(len(body)) > keep:
+		c.pass(body)
 	default:
 		c.body = body
 	}
 	return nil
 }
 
+// pass makes the body one that is passed on while it comes, after the part that was read.
+func (c *call) pass(head []byte) {
+	c.head, c.streamHash = head, newBodyHash()
+	c.stream = readCloser{io.TeeReader(io.MultiReader(bytes.NewReader(head), c.r.Body), c.streamHash), c.r.Body}
+}
+
 // stopReading makes a blocked read of the caller's body return. The caller's connection
 // cannot carry another request afterwards.
 func (c *call) stopReading() {
@@ -399,6 +421,9 @@
 	if len(c.limited.targets) > 0 {
 		e.Strs("limited", c.limited.targets)
 	}
+	if c.suspect != "" {
+		e.Str("fingerprint", c.suspect).Int("prior", c.prior).Bool("trial", c.trial)
+	}
 	if a.own {
 		e.Str("reason", string(a.reason)).Dur("retry_ms", a.retry)
 	}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
@@ -77,6 +79,22 @@
 }
 func (f *fakeFleet) RepeatLimit() retry.PoolLimit { return f.repeats }
 
+// fakeSuspects is the part of the only VM.
+type fakeSuspects struct {
+	list *quarantine.List
+	// tried counts trials.
+	tried atomic.Int32
+}
+
+func (f *fakeSuspects) Report(p quarantine.Fingerprint, d quarantine.Death) bool {
+	return f.list.Note(p, d)
+}
+func (f *fakeSuspects) Acquit(quarantine.Fingerprint) {}
+func (f *fakeSuspects) Try(_ context.Context, p quarantine.Fingerprint) bool {
+	f.list.Tried(p, int(f.tried.Add(1)))
+	return true
+}
+
 // fakeLimiter refuses the accounts that it names, until a time where that is set.
 type fakeLimiter map[string]time.Time
 
@@ -137,9 +155,13 @@
 	fleet   *fakeFleet
 	limiter fakeLimiter
 	limits  *fakeTargetLimiter
-	front   *httptest.Server
-	state   *State
-	all     map[string]*fakeTarget
+	// suspects reports to quarantine, which has a clock of its own.
+	suspects   *fakeSuspects
+	quarantine *quarantine.List
+	clock      *clock.Fake
+	front      *httptest.Server
+	state      *State
+	all        map[string]*fakeTarget
 }
 
 const testPool = "s"
@@ -176,6 +198,9 @@
 		all:    map[string]*fakeTarget{},
 		limits: &fakeTargetLimiter{left: map[string]int{}, asked: map[string]int{}},
 	}
+	w.clock = clock.NewFake(1)
+	w.quarantine = quarantine.NewList(quarantine.Config{Duration: 10 * time.Second, MaxTrials: 2, Backoff: 6, Answered: 64, Clock: w.clock})
+	w.suspects = &fakeSuspects{list: w.quarantine}
 	w.state = NewState(testConfig(), nil)
 	w.targets.SetServices(w.state.Services)
 	client := forward.NewClient(forward.Config{EchoHeader: hID, SkipCrossed: true, AllowUnframed: true})
@@ -190,7 +215,7 @@
 			}
 			return placement.Split("east", regions)
 		},
-		TargetLimiter: w.limits, Fleet: w.fleet, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
+		TargetLimiter: w.limits, Fleet: w.fleet, Quarantine: w.quarantine, Suspects: w.suspects, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewUnstartedServer(w.server)
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -61,6 +61,9 @@
 			c.cancel(errCallerLeft)
 			return c.ended(ctx)
 		}
+		if a := c.judge(ctx); a != nil {
+			return a
+		}
 		t := c.send(ctx, l)
 		if t.answer != nil {
 			return t.answer
@@ -72,6 +75,9 @@
 		if a := c.ended(ctx); a != nil {
 			return a
 		}
+		if a := c.keepBack(ctx); a != nil {
+			return a
+		}
 		if len(c.sent) >= attempts || !c.mayRepeat(t) {
 			return c.giveUp("the targets refused the request; it has not run")
 		}
@@ -81,7 +87,7 @@
 
 // mayRepeat reports whether the request may go to another target after t.
 func (c *call) mayRepeat(t *try) bool {
-	if !c.repeatable() || (!t.notRun && !c.idempotent()) {
+	if !c.repeatable() || (!t.notRun && !c.idempotent()) || (c.trial && t.arrived) {
 		return false
 	}
 	if time.Until(c.arrived.Add(c.patience())) < minAttempt {
@@ -184,6 +190,9 @@
 		stop()
 		l.End()
 		if failure.Ended && ctx.Err() == nil {
+			if failure.Wrote && l.Ended() {
+				c.diedWith(l)
+			}
 			return &try{arrived: failure.Wrote, notRun: !failure.Wrote, err: fmt.Errorf("target %s: %w", l.ID, errLost)}
 		}
 		return c.failed(l, failure)
@@ -217,6 +226,10 @@
 	if f.Ended {
 		return t
 	}
+	if f.Died && c.s.hasEnded(l) {
+		c.diedWith(l)
+		return t
+	}
 	answers := f.Silent && l.AnsweredSince(c.sentAt) // on other connections
 	unreachable := (!f.Wrote && !answers) || errors.Is(f.Err, syscall.ETIMEDOUT) || errors.Is(f.Err, syscall.EHOSTUNREACH)
 	if errors.Is(f.Err, forward.ErrCallerBody) {
@@ -311,6 +324,7 @@
 		err = context.Cause(ctx) // from here on a stop lets the answer go on
 	}
 	if long && err == nil {
+		c.answered()
 		a.body = body.Bytes()
 		a.stream = &passedOn{Response: resp, l: l}
 		return &try{answer: a}
@@ -329,6 +343,7 @@
 		return &try{arrived: true, err: fmt.Errorf("target %s: answer broke off: %w", l.ID, err)}
 	}
 	c.s.demand.took(c.demandKey(), l.Served(time.Since(c.sentAt), c.load))
+	c.answered()
 	a.body = body.Bytes()
 	c.soften(a)
 	return &try{answer: a}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/sync/singleflight"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
@@ -23,6 +24,7 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/route"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -82,6 +84,16 @@
 	AdmitLocally(l *target.Live, named target.Limit, spare float64) limit.Decision
 }
 
+// Suspects knows, over all VMs, the requests that targets ran when they died.
+type Suspects interface {
+	// Report takes in a death that this VM saw. It reports whether it makes the request suspect.
+	Report(f quarantine.Fingerprint, d quarantine.Death) bool
+	// Try reports whether a request on probation may be sent now, as the only one of all VMs.
+	Try(ctx context.Context, f quarantine.Fingerprint) bool
+	// Acquit is told that a target answered a suspect.
+	Acquit(f quarantine.Fingerprint)
+}
+
 // Config holds what a Server works with.
 type Config struct {
 	Wire   Wire
@@ -98,6 +110,9 @@
 	// TargetLimiter bounds the requests to targets that name a limit.
 	TargetLimiter TargetLimiter
 	Fleet         Fleet
+	// Quarantine judges requests; Suspects reports to it.
+	Quarantine *quarantine.List
+	Suspects   Suspects
 	// IdleSince is since when no process of this VM but this one has sent requests; 0 where
 	// none ran before.
 	IdleSince clock.Time
@@ -117,7 +132,9 @@
 	spill    *spill
 	counters counters
 	inflight *inflight
-	started  time.Time
+	// ends finds out once for all requests at a target whether its process has ended.
+	ends    singleflight.Group
+	started time.Time
 	// refuseAt, once set, is when a VM that stops begins to refuse new requests.
 	refuseAt atomic.Pointer[time.Time]
 }
@@ -130,6 +147,9 @@
 	// limits counts the changes of targets' limits that answers told, passedOver how often a
 	// target was passed over for its limit.
 	limits, passedOver metrics.Counter
+	// ends counts the targets that ended while they ran requests, quarantined the requests that
+	// were kept back, and trials those that were sent on probation.
+	ends, quarantined, trials metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -149,6 +169,7 @@
 		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
 		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
 		limits: counter("target_limit_changes"), passedOver: counter("limited_targets_passed_over"),
+		ends: counter("target_ends"), quarantined: counter("quarantined"), trials: counter("trials"),
 	}}
 }
 
@@ -248,6 +269,9 @@
 		c.pool = split.choose(c.hash())
 	}
 	c.s.budget.Count(c.pool, c.s.cfg.Fleet.RepeatLimit(), c.s.cfg.Clock.Now())
+	if a := c.keepBack(ctx); a != nil { // before it counts against the account's rate
+		return a
+	}
 	if c.account != nil && c.account.Rate > 0 {
 		if d := c.admitAccount(ctx, c.account.Name); !d.Admitted {
 			return refuse(http.StatusTooManyRequests, outcome.ReasonRateLimited, d.RetryAfter, "the client account is over its rate")
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -97,8 +97,13 @@
 }
 
 // reset reads a request and resets the connection, as a target that crashes.
-func reset(c net.Conn) {
-	_, _ = http.ReadRequest(bufio.NewReader(c))
+func reset(c net.Conn) { resetNoting(c, func() {}) }
+
+// resetNoting does so and notes the request; a connection that carries none is none.
+func resetNoting(c net.Conn, note func()) {
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+		note()
+	}
 	_ = c.(*net.TCPConn).SetLinger(0)
 	c.Close()
 }
@@ -345,7 +350,7 @@
 	arrivals := make(chan string, 1000)
 	for i := range targets {
 		id := fmt.Sprint("i-", i)
-		w.raw(id, "fd-e", func(c net.Conn) { arrivals <- id; reset(c) })
+		w.raw(id, "fd-e", func(c net.Conn) { resetNoting(c, func() { arrivals <- id }) })
 	}
 	w.expect(502, "GET", "/safe/x")
 	if n := len(arrivals); n != 2 {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 )
 
 // State is what a VM knows of a peer.
@@ -60,6 +61,9 @@
 	Pools []PoolLoad
 	// Limits are those that it had observed by then.
 	Limits []TargetLimit
+	// Suspects are the requests that it knew then to be quarantined or on probation. Their deaths'
+	// ages are as of then.
+	Suspects []quarantine.Case
 	// Seen is when the last heartbeat that settled State was sent.
 	Seen clock.Time
 	// Missed is how many heartbeats in a row it did not answer.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -14,6 +14,7 @@
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/quarantine/codec"
 	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
@@ -230,6 +231,9 @@
 			Target: l.Target, Born: l.Born, Named: l.Named, Rate: l.Rate, AgeUs: time.Since(l.Latest).Microseconds(),
 		})
 	}
+	for _, c := range p.Suspects {
+		info.Suspects = append(info.Suspects, codec.Encode(c))
+	}
 	return info
 }
 
@@ -262,5 +266,11 @@
 			Earliest: sent.Add(-age), Latest: received.Add(-age),
 		})
 	}
+	for _, s := range i.GetSuspects() {
+		// One that can't be read is of a later version of the product.
+		if c, err := codec.Decode(s); err == nil {
+			p.Suspects = append(p.Suspects, c)
+		}
+	}
 	return p
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -9,10 +9,16 @@
 // request had nothing to do with, as when a region fails. A suspect that a
 // target answers is cleared: what kills targets kills each that runs it, while
 // a popular request is there whenever a target dies.
+//
+// A request with which several targets died is on probation whatever its score:
+// it is sent only as a trial, one at a time in the whole fleet. A quarantine ends
+// with a trial, too, where trials are used.
 package quarantine
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +46,26 @@
 	return Fingerprint{Base: b, PrefixBytes: len(prefix), PrefixHash: sha256.Sum256(prefix)}
 }
 
+// shortBytes is the length of a fingerprint's name.
+const shortBytes = 16
+
+// short identifies a fingerprint in little space.
+type short [shortBytes]byte
+
+func (f *Fingerprint) short() (s short) {
+	h := sha256.New()
+	h.Write(f.Base[:])
+	h.Write(f.PrefixHash[:])
+	copy(s[:], h.Sum(nil))
+	return s
+}
+
+// String names the fingerprint in logs and in the platform's store.
+func (f Fingerprint) String() string {
+	s := f.short()
+	return hex.EncodeToString(s[:])
+}
+
 // Death is the death of a target that ran a request.
 type Death struct {
 	// ID is unique; a death that is reported twice counts once.
@@ -47,6 +73,17 @@
 	Target string
 	// Prior is how many deaths were known of the request when it was sent.
 	Prior int
+	// Age is how long ago the target died.
+	Age time.Duration
+}
+
+// Case is what is known of a suspect.
+type Case struct {
+	Fingerprint
+	Deaths []Death
+	// Trials is how often it was sent on probation.
+	Trials int
+	Judgement
 }
 
 // Judgement is what is known of a request.
@@ -55,6 +92,8 @@
 	Deaths int
 	// Quarantined requests must not be sent.
 	Quarantined bool
+	// Probation says that the request may be sent only as a trial.
+	Probation bool
 	// RetryAfter is the time to the end of the quarantine.
 	RetryAfter time.Duration
 }
@@ -76,6 +115,9 @@
 	// fingerprints with one base.
 	maxDeaths   = 8
 	maxVariants = 8
+	// probationDeaths is how many targets die with a request before it is sent only on trial.
+	// The platform's rules count the retries that come after as many.
+	probationDeaths = 3
 	// maxEvents bounds the list of the latest deaths of any target.
 	maxEvents = 64
 )
@@ -98,7 +140,16 @@
 	// Memory is how long a suspect is remembered after its last death. One
 	// that was quarantined and kills again is quarantined at once. Default 1 h.
 	Memory time.Duration
-	Clock  clock.Clock
+	// MaxTrials is how often a request is tried that was quarantined or is on
+	// probation; after the last trial it is quarantined for as long as it is
+	// remembered. Default 0: there are no trials, and a request is free after Duration.
+	MaxTrials int
+	// Backoff is the factor by which each trial prolongs Duration. Default 1.
+	Backoff int
+	// Answered is how many answered requests are remembered, for 15 to 30 s; the first
+	// death after an answer does not make a request suspect. Default 0, about 50 B each.
+	Answered int
+	Clock    clock.Clock
 }
 
 // List holds the suspects. It is safe for concurrent use.
@@ -121,6 +172,9 @@
 	if c.Memory == 0 {
 		c.Memory = defaultMemory
 	}
+	if c.Backoff == 0 {
+		c.Backoff = 1
+	}
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
@@ -128,7 +182,7 @@
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
-	return &List{config: c, state: &state{suspects: suspects}}
+	return &List{config: c, state: &state{suspects: suspects, answered: answered{capacity: c.Answered}}}
 }
 
 // Empty reports whether nothing was ever suspect, without a lock.
@@ -140,7 +194,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, v := range l.state.variants(b) {
-		n, known = max(n, v.fingerprint.PrefixBytes), true
+		if !v.cleared() {
+			n, known = max(n, v.fingerprint.PrefixBytes), true
+		}
 	}
 	return n, known
 }
@@ -152,18 +208,97 @@
 	return l.state.judge(b, prefix, l.config.Clock.Now(), &l.config)
 }
 
-// Clear forgets a suspect that a target has answered.
+// Clear ends the suspicion of a request that a target has answered. The deaths that are known of
+// it do not count again.
 func (l *List) Clear(b Base, prefix []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.clear(b, prefix)
+	l.state.clear(func(v *suspect) bool { return v.fingerprint.Base == b && v.matches(prefix) }, b)
+}
+
+// Answered notes that a target answered a request. It reports whether the request was suspect.
+func (l *List) Answered(f Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.answered.add(f.short(), l.config.Clock.Now())
+	return l.state.clear(func(v *suspect) bool { return v.fingerprint == f }, f.Base)
 }
 
 // Note records that a target died while it ran the request. It reports whether
-// the death was not known before.
+// the death was not known before and makes the request suspect.
 func (l *List) Note(f Fingerprint, d Death) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.config.Clock.Now()
+	if d.Prior == 0 && l.state.answered.excuse(f.short(), now) {
+		return false
+	}
 	l.used.Store(true)
-	return l.state.note(f, d, l.config.Clock.Now(), l.config.Memory)
+	return l.state.note(f, d, now, l.config.Memory)
+}
+
+// Find returns the case of a fingerprint; ok is false where it is not suspect.
+func (l *List) Find(f Fingerprint) (c Case, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.state.find(f); v != nil {
+		c = l.state.describe(v, l.config.Clock.Now(), &l.config)
+	}
+	return c, c.Judgement.Deaths > 0
+}
+
+// Restore takes in a case that was kept outside the processes; its deaths count as of now. A
+// request that this List has cleared stays so.
+func (l *List) Restore(c Case) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Clock.Now()
+	l.used.Store(true)
+	for _, d := range c.Deaths {
+		d.Age = 0
+		l.state.note(c.Fingerprint, d, now, l.config.Memory)
+	}
+	if v := l.state.find(c.Fingerprint); v != nil && !v.cleared() {
+		v.convicted = v.convicted || c.Quarantined
+		v.tried(c.Trials, now)
+	}
+}
+
+// Tried notes that a request has been tried so many times; the last trial is new.
+func (l *List) Tried(f Fingerprint, trials int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.state.find(f); v != nil {
+		v.tried(trials, l.config.Clock.Now())
+	}
+}
+
+// Cases returns the requests that are quarantined or on probation, those with the latest deaths
+// first.
+func (l *List) Cases() []Case {
+	if l.Empty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Clock.Now()
+	var out []Case
+	for _, variants := range l.state.suspects.Values() {
+		for _, v := range variants {
+			if c := l.state.describe(v, now, &l.config); c.Quarantined || c.Probation {
+				out = append(out, c)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Case) int { return int(min(max(a.age()-b.age(), -1), 1)) })
+	return out
+}
+
+// age is that of the latest death.
+func (c *Case) age() time.Duration {
+	youngest := c.Deaths[0].Age
+	for _, d := range c.Deaths {
+		youngest = min(youngest, d.Age)
+	}
+	return youngest
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -188,3 +188,103 @@
 		t.Error("the popular request is taken for the poison")
 	}
 }
+
+// withTrials returns a fleet whose quarantine ends with trials.
+func withTrials() *fleet {
+	f := newFleet()
+	f.list = NewList(Config{Clock: f.clock, Duration: 10 * time.Second, MaxTrials: 2, Backoff: 6, Answered: 64})
+	return f
+}
+
+// TestThirdDeathIsOnProbation has a request crash three targets while others die, too: it must not
+// be sent as before.
+func TestThirdDeathIsOnProbation(t *testing.T) {
+	f := withTrials()
+	for i := range 3 {
+		f.dies(fmt.Sprintf("t%d", i), map[int]int{1: min(i, 1), 10: 0, 11: min(i, 1)})
+		f.dies(fmt.Sprintf("other%d", i), map[int]int{20 + i: 0})
+	}
+	if j := f.list.Judge(base(1), nil); !j.Probation && !j.Quarantined {
+		t.Errorf("got %+v", j)
+	}
+	for i := range 3 {
+		if j := f.list.Judge(base(20+i), nil); j.Probation || j.Quarantined {
+			t.Errorf("request %d, one death: %+v", 20+i, j)
+		}
+	}
+}
+
+// TestTrials has a quarantine end with a trial, and be longer after each.
+func TestTrials(t *testing.T) {
+	f := withTrials()
+	f.dies("t1", map[int]int{1: 0})
+	f.dies("t2", map[int]int{1: 1})
+	p := NewFingerprint(base(1), nil)
+	for trial, hold := range []time.Duration{10 * time.Second, time.Minute} {
+		if j := f.list.Judge(base(1), nil); !j.Quarantined || j.RetryAfter > hold {
+			t.Fatalf("before trial %d: %+v", trial+1, j)
+		}
+		f.clock.Advance(hold)
+		if j := f.list.Judge(base(1), nil); j.Quarantined || !j.Probation {
+			t.Fatalf("%v later: %+v", hold, j)
+		}
+		f.list.Tried(p, trial+1)
+		if j := f.list.Judge(base(1), nil); !j.Quarantined {
+			t.Fatalf("while trial %d runs: %+v", trial+1, j)
+		}
+		f.dies(fmt.Sprint("t", 3+trial), map[int]int{1: 2 + trial})
+	}
+	f.clock.Advance(20 * time.Minute)
+	if j := f.list.Judge(base(1), nil); !j.Quarantined || j.Probation {
+		t.Errorf("after the last trial: %+v", j)
+	}
+	f.clock.Advance(defaultMemory)
+	if j := f.list.Judge(base(1), nil); j.Deaths != 0 {
+		t.Errorf("remembered for ever: %+v", j)
+	}
+}
+
+// TestAnswerEndsTheSuspicion guards against a suspicion that the reports of other VMs bring back.
+func TestAnswerEndsTheSuspicion(t *testing.T) {
+	f := withTrials()
+	f.dies("t1", map[int]int{1: 0})
+	f.dies("t2", map[int]int{1: 1})
+	p := NewFingerprint(base(1), nil)
+	c, ok := f.list.Find(p)
+	if !ok || !c.Quarantined || len(c.Deaths) != 2 || len(f.list.Cases()) != 1 {
+		t.Fatalf("%+v", c)
+	}
+	if !f.list.Answered(p) || f.list.Answered(p) {
+		t.Error("not suspect once")
+	}
+	for _, d := range c.Deaths {
+		f.list.Note(p, d)
+	}
+	f.list.Restore(c)
+	if j := f.list.Judge(base(1), nil); j != (Judgement{}) {
+		t.Errorf("got %+v", j)
+	}
+	other := withTrials()
+	other.list.Restore(c)
+	if j := other.list.Judge(base(1), nil); !j.Quarantined {
+		t.Errorf("another process knows %+v", j)
+	}
+}
+
+// TestAnAnswerExcusesOneDeath has a request that was answered die with targets.
+func TestAnAnswerExcusesOneDeath(t *testing.T) {
+	f := withTrials()
+	p := NewFingerprint(base(1), nil)
+	f.list.Answered(p)
+	if f.list.Note(p, Death{ID: "t1@1", Target: "t1"}) {
+		t.Error("suspect by the first death after an answer")
+	}
+	if !f.list.Note(p, Death{ID: "t2@1", Target: "t2"}) {
+		t.Error("not suspect by the second")
+	}
+	f.list.Answered(p)
+	f.clock.Advance(3 * answeredPeriod)
+	if !f.list.Note(p, Death{ID: "t3@1", Target: "t3"}) {
+		t.Error("an old answer excuses a death")
+	}
+}
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -14,19 +14,38 @@
 type state struct {
 	suspects *lru.Cache[Base, []*suspect]
 	// events are the latest deaths of targets, the oldest first.
-	events []event
+	events   []event
+	answered answered
 }
 
 // suspect is a request that was running when a target died.
 type suspect struct {
 	fingerprint Fingerprint
 	deaths      []seen
+	// convicted says that it was quarantined by what another process knew.
+	convicted bool
+	trials    int
+	triedAt   clock.Time // of the last trial, where there was one
 }
 
-// seen is a death and when it was noted here.
+// tried notes that the suspect has been tried so many times.
+func (v *suspect) tried(trials int, now clock.Time) {
+	if trials > v.trials {
+		v.trials, v.triedAt = trials, now
+	}
+}
+
+// seen is a death and when it happened.
 type seen struct {
 	Death
 	at clock.Time
+	// cleared deaths do not count any more.
+	cleared bool
+}
+
+// cleared reports whether no death speaks against the suspect.
+func (v *suspect) cleared() bool {
+	return !slices.ContainsFunc(v.deaths, func(d seen) bool { return !d.cleared })
 }
 
 // event is the death of a target together with a request that it ran.
@@ -43,6 +62,16 @@
 	return v
 }
 
+// find returns the suspect with a fingerprint, or nil.
+func (s *state) find(f Fingerprint) *suspect {
+	for _, v := range s.variants(f.Base) {
+		if v.fingerprint == f {
+			return v
+		}
+	}
+	return nil
+}
+
 // judge returns the worst of what is known of the fingerprints that match.
 func (s *state) judge(b Base, prefix []byte, now clock.Time, c *Config) Judgement {
 	var worst Judgement
@@ -53,6 +82,7 @@
 		j := s.judgeSuspect(v, now, c)
 		worst.Deaths = max(worst.Deaths, j.Deaths)
 		worst.Quarantined = worst.Quarantined || j.Quarantined
+		worst.Probation = worst.Probation || j.Probation
 		worst.RetryAfter = max(worst.RetryAfter, j.RetryAfter)
 	}
 	return worst
@@ -63,28 +93,70 @@
 	return n <= len(prefix) && sha256.Sum256(prefix[:n]) == v.fingerprint.PrefixHash
 }
 
-func (s *state) clear(b Base, prefix []byte) {
-	left := slices.DeleteFunc(slices.Clone(s.variants(b)), func(v *suspect) bool { return v.matches(prefix) })
-	if len(left) == 0 {
-		s.suspects.Remove(b)
-		return
+// clear ends the suspicion of the suspects with a base that match. It reports whether there were
+// any.
+func (s *state) clear(matches func(*suspect) bool, b Base) (found bool) {
+	for _, v := range s.variants(b) {
+		if v.cleared() || !matches(v) {
+			continue
+		}
+		found = true
+		v.trials, v.convicted = 0, false
+		for i := range v.deaths {
+			v.deaths[i].cleared = true
+		}
 	}
-	s.suspects.Add(b, left)
+	return found
 }
 
 func (s *state) judgeSuspect(v *suspect, now clock.Time, c *Config) Judgement {
-	last := v.deaths[len(v.deaths)-1].at
-	if now.Sub(last) > c.Memory {
+	var last clock.Time
+	targets := map[string]bool{}
+	j := Judgement{}
+	for _, d := range v.deaths {
+		if !d.cleared {
+			j.Deaths++
+			targets[d.Target] = true
+			last = max(last, d.at)
+		}
+	}
+	if j.Deaths == 0 || now.Sub(last) > c.Memory {
 		return Judgement{}
 	}
-	j := Judgement{Deaths: len(v.deaths)}
-	left := last.Add(c.Duration).Sub(now)
-	if left > 0 && s.score(v) >= s.needed(v, last) {
+	convicted := v.convicted || s.score(v) >= s.needed(v, last)
+	doubtful := c.MaxTrials > 0 && (convicted || len(targets) >= probationDeaths)
+	hold := c.Duration
+	if v.trials > 0 {
+		last = max(last, v.triedAt)
+		for range v.trials {
+			hold *= time.Duration(c.Backoff)
+		}
+	}
+	if c.MaxTrials > 0 && v.trials >= c.MaxTrials {
+		hold = c.Memory
+	}
+	left := last.Add(hold).Sub(now)
+	switch {
+	case left > 0 && (convicted || (doubtful && v.trials > 0)):
 		j.Quarantined, j.RetryAfter = true, left
+	case doubtful:
+		j.Probation = true
 	}
 	return j
 }
 
+// describe returns what is known of a suspect.
+func (s *state) describe(v *suspect, now clock.Time, c *Config) Case {
+	out := Case{Fingerprint: v.fingerprint, Trials: v.trials, Judgement: s.judgeSuspect(v, now, c)}
+	for _, d := range v.deaths {
+		if !d.cleared {
+			d.Death.Age = now.Sub(d.at)
+			out.Deaths = append(out.Deaths, d.Death)
+		}
+	}
+	return out
+}
+
 // score adds up the deaths that speak against the suspect. Reports may arrive
 // in any order or not at all, so the first death counts also where only later
 // ones are known.
@@ -92,6 +164,7 @@
 	score := 1.0
 	for _, d := range v.deaths {
 		switch {
+		case d.cleared:
 		case d.Prior == 0:
 			// It was running already when its first target died.
 		case s.shared(v, d):
@@ -149,15 +222,19 @@
 	if slices.ContainsFunc(v.deaths, func(k seen) bool { return k.ID == d.ID }) {
 		return false
 	}
+	at := now.Add(-d.Age)
+	if d.Age > memory {
+		return false
+	}
 	if n := len(v.deaths); n > 0 && now.Sub(v.deaths[n-1].at) > memory {
-		v.deaths = nil
+		v.deaths, v.trials, v.convicted = nil, 0, false
 	}
-	v.deaths = append(v.deaths, seen{d, now})
+	v.deaths = append(v.deaths, seen{Death: d, at: at})
 	if len(v.deaths) > maxDeaths {
 		v.deaths = v.deaths[1:]
 	}
 	s.suspects.Add(f.Base, variants)
-	s.events = append(s.events, event{target: d.Target, at: now, again: d.Prior > 0, fingerprint: f})
+	s.events = append(s.events, event{target: d.Target, at: at, again: d.Prior > 0, fingerprint: f})
 	if len(s.events) > maxEvents {
 		s.events = s.events[1:]
 	}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -30,6 +31,7 @@
 	coldUntil atomic.Int64 // instant, 0 for none
 	suspect   atomic.Bool
 	replaced  atomic.Bool
+	ended     atomic.Bool
 	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
 	answered  atomic.Int64 // instant of the last answer, 0 for none
@@ -132,6 +134,20 @@
 // Sound reports whether the target is neither suspect nor replaced.
 func (l *Live) Sound() bool { return !l.Suspect() && !l.Replaced() }
 
+// Incarnation names this incarnation of the target.
+func (l *Live) Incarnation() string { return l.ID + "@" + strconv.FormatInt(l.Born, 36) }
+
+// SetEnded notes that the target's process has ended, which makes it suspect. It reports whether
+// that was not known.
+func (l *Live) SetEnded() bool {
+	first := !l.ended.Swap(true)
+	l.Failed(true)
+	return first
+}
+
+// Ended reports whether the target's process is known to have ended.
+func (l *Live) Ended() bool { return l.ended.Load() }
+
 // SetReplaced takes the target out of use.
 func (l *Live) SetReplaced() { l.replaced.Store(true) }
 
@@ -222,6 +238,7 @@
 func (l *Live) Cleared(cold time.Duration, now time.Time) {
 	l.failures.Store(0)
 	l.SetCold(cold, now)
+	l.ended.Store(false)
 	l.suspect.Store(false)
 }
 
