target, ingress: a target that leaves or wants nothing for a time gets nothing

Targets saw requests after they had said in answers that they leave, or that they want nothing for a time (Server-Leaving, Retry-After with 503).

The word outlives what the list says. A refusal for want of such targets names the time after which the first wants requests again.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -79,7 +79,7 @@
 	}
 	var regions []placement.Region
 	for _, name := range d.regions {
-		all, limited := target.UsableSlots(byRegion[name])
+		all, limited := target.UsableSlots(byRegion[name], time.Now())
 		regions = append(regions, placement.Region{Name: name, Slots: limited, Sound: all, Work: work[name], Bound: bound[name]})
 	}
 	return regions
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -25,7 +25,7 @@
 // probeSuspects asks the suspect targets whether they are well, until ctx ends.
 func (d *Daemon) probeSuspects(ctx context.Context) {
 	for {
-		for _, l := range d.targets.Suspects() {
+		for _, l := range d.targets.Suspects(time.Now()) {
 			d.loop.Go(ctx, func(ctx context.Context) { d.probe(ctx, l) })
 		}
 		select {
@@ -62,6 +62,12 @@
 	if info.Limit.Named && info.InstanceID == l.ID {
 		l.LimitNamed(info.Limit.Rate, time.Now())
 	}
+	if mine := info.InstanceID == l.ID || (info.InstanceID == "" && !info.OtherInstance); mine {
+		if info.Leaving && l.SetLeaving() {
+			d.log.Info().Str("target", l.ID).Msg("target says that it leaves")
+		}
+		l.Rest(info.RestFor, time.Now())
+	}
 	// A target that is full says so without saying who it is.
 	full := info.NotRun && !info.OtherInstance && info.InstanceID == ""
 	switch {
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -25,7 +25,7 @@
 	pool := s.Pools[c.pool]
 	parts := c.s.cfg.Parts(c.pool)
 	regions := placement.ChooseRegions(c.hash(), parts, func(region string) bool {
-		return c.allowed(region) && slices.ContainsFunc(pool[region], c.canUse)
+		return c.allowed(region) && slices.ContainsFunc(pool[region], func(l *target.Live) bool { return c.canUse(l, now) })
 	})
 	if c.route.Bulky {
 		regions = placement.HomeFirst(regions, c.s.cfg.Region, parts)
@@ -34,7 +34,7 @@
 		if i > 0 && !c.s.spill.may(now) {
 			return nil
 		}
-		if l := c.chooseIn(ctx, c.usable(pool[region]), i > 0, now); l != nil {
+		if l := c.chooseIn(ctx, c.usable(pool[region], now), i > 0, now); l != nil {
 			if i > 0 {
 				c.s.spill.took(now)
 			}
@@ -50,19 +50,21 @@
 	if !c.grey {
 		return nil
 	}
-	if l := c.sent[len(c.sent)-1]; s.Lists(l) && !l.Cold(now) && l.MayRun() {
+	if l := c.sent[len(c.sent)-1]; s.Admits(l, now) && !l.Cold(now) && l.MayRun() {
 		return l
 	}
 	return nil
 }
 
-// canUse reports whether a target has neither failed nor been tried.
-func (c *call) canUse(l *target.Live) bool { return l.Sound() && !slices.Contains(c.sent, l) }
+// canUse reports whether a target takes work and was not tried.
+func (c *call) canUse(l *target.Live, now time.Time) bool {
+	return l.TakesWork(now) && !slices.Contains(c.sent, l)
+}
 
-func (c *call) usable(list []*target.Live) []*target.Live {
+func (c *call) usable(list []*target.Live, now time.Time) []*target.Live {
 	var out []*target.Live
 	for _, l := range list {
-		if c.canUse(l) {
+		if c.canUse(l, now) {
 			out = append(out, l)
 		}
 	}
@@ -88,7 +90,7 @@
 			return nil
 		}
 		l := candidates[chosen]
-		if (!l.Cold(now) || c.takeCold(l, now)) && c.takeLimited(ctx, l) {
+		if c.take(ctx, l, now) {
 			c.load = occupancy[chosen].Load
 			return l
 		}
@@ -113,6 +115,33 @@
 	return out
 }
 
+// take counts the request to what a target takes that is cold or limited. It reports false where
+// there is none left.
+func (c *call) take(ctx context.Context, l *target.Live, now time.Time) bool {
+	return (!l.Cold(now) || c.takeCold(l, now)) && c.takeLimited(ctx, l)
+}
+
+// awaited is how long it takes until the first of the targets wants requests again that the request
+// may run on; 0 where one does now or none is there.
+func (c *call) awaited(now time.Time) (wait time.Duration) {
+	for region, list := range c.s.cfg.Targets.Snapshot().Pools[c.pool] {
+		if !c.allowed(region) {
+			continue
+		}
+		for _, l := range list {
+			rest := l.Resting(now)
+			switch {
+			case !l.Sound() || l.Leaving():
+			case rest == 0:
+				return 0
+			case wait == 0 || rest < wait:
+				wait = rest
+			}
+		}
+	}
+	return wait
+}
+
 // takeCold takes this VM's part of what a cold target bears.
 func (c *call) takeCold(l *target.Live, now time.Time) bool {
 	service := c.state.Services[l.Pool]
--- a/pkg/ingress/limit.go
+++ b/pkg/ingress/limit.go
@@ -33,7 +33,7 @@
 	d := c.admitLimited(ctx, l, named)
 	if d.Admitted {
 		// It may have left while another VM was asked.
-		return c.s.cfg.Targets.Snapshot().Lists(l)
+		return c.s.cfg.Targets.Snapshot().Admits(l, time.Now())
 	}
 	c.s.counters.passedOver.Inc(1)
 	if len(c.limited.targets) == 0 || d.RetryAfter < c.limited.wait {
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -64,6 +64,9 @@
 		if a := c.judge(ctx); a != nil {
 			return a
 		}
+		if c.trial && !c.s.cfg.Targets.Snapshot().Admits(l, time.Now()) { // it left while the store was asked
+			continue
+		}
 		t := c.send(ctx, l)
 		if t.answer != nil {
 			return t.answer
@@ -160,6 +163,9 @@
 // refuseFull says when to come back. Callers are spread over a span, so that they do
 // not come back together.
 func (c *call) refuseFull(reason outcome.Reason, detail string) *answer {
+	if wait := c.awaited(time.Now()); wait > 0 {
+		return refuse(http.StatusServiceUnavailable, reason, wait+rand.N(fullRetryMax-fullRetryMin), "the targets want no requests for a time")
+	}
 	if c.grey {
 		return refuse(http.StatusServiceUnavailable, reason, greyRetryMin+rand.N(greyRetryMax-greyRetryMin), detail)
 	}
@@ -254,6 +260,9 @@
 	}
 	l.Answered(!info.NotRun, now)
 	c.observeLimit(l, resp.StatusCode, info, now)
+	if info.own(l, resp.StatusCode) {
+		c.observeWants(l, info, now)
+	}
 	switch {
 	case info.NotRun:
 		return c.shed(l, resp, info)
@@ -268,10 +277,9 @@
 // observeLimit takes in what an answer says of its target's limit. Only an answer that is surely
 // the target's own and ran says that there is none.
 func (c *call) observeLimit(l *target.Live, status int, info AnswerInfo, now time.Time) {
-	own := !info.OtherInstance && (info.InstanceID == "" || info.InstanceID == l.ID) && (info.Sealed || !success(status))
 	changed := false
 	switch {
-	case !own:
+	case !info.own(l, status):
 	case info.LimitUnclear:
 		if l.LimitUnclear() {
 			c.s.cfg.Log.Warn().Str("request", c.info.ID).Str("target", l.ID).Msg("the limit that a target names cannot be read; the one before holds")
@@ -288,6 +296,27 @@
 	}
 }
 
+// own reports whether an answer is surely the target's own.
+func (a *AnswerInfo) own(l *target.Live, status int) bool {
+	return !a.OtherInstance && (a.InstanceID == "" || a.InstanceID == l.ID) && (a.Sealed || !success(status))
+}
+
+// observeWants takes in what an answer says of how much its target wants.
+func (c *call) observeWants(l *target.Live, info AnswerInfo, now time.Time) {
+	if info.Leaving && l.SetLeaving() {
+		c.s.counters.leaving.Inc(1)
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Int("running", l.Running()).Msg("target says that it leaves")
+	}
+	if info.RestFor > 0 {
+		first := l.Resting(now) == 0
+		l.Rest(info.RestFor, now)
+		if first {
+			c.s.counters.rests.Inc(1)
+			c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Dur("for_ms", info.RestFor).Msg("target wants nothing for a time")
+		}
+	}
+}
+
 func success(status int) bool { return status >= 200 && status < 300 }
 
 // shed takes in a target's word that it did not run the request.
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -361,7 +361,7 @@
 			t.Fatal(err)
 		}
 	}
-	if n := len(w.targets.Suspects()); n != targets {
+	if n := len(w.targets.Suspects(time.Now())); n != targets {
 		t.Errorf("%d targets are suspect, want all %d", n, targets)
 	}
 	before := len(arrivals)
--- a/pkg/ingress/wire.go
+++ b/pkg/ingress/wire.go
@@ -47,6 +47,11 @@
 	// nothing where LimitUnclear: then what the answer names is no limit.
 	Limit        target.Limit
 	LimitUnclear bool
+	// Leaving says that the target leaves and takes no new requests.
+	Leaving bool
+	// RestFor is for how long the target, which turned the request away, wants nothing more from
+	// this VM.
+	RestFor time.Duration
 }
 
 // Wire translates the headers that callers and targets speak.
--- a/pkg/target/limit_test.go
+++ b/pkg/target/limit_test.go
@@ -69,19 +69,19 @@
 	now := time.Now()
 	l := &Live{Target: Target{Slots: 9}}
 	l.LimitNamed(10, now)
-	if _, got := UsableSlots([]*Live{l}); got != 9 {
+	if _, got := UsableSlots([]*Live{l}, time.Now()); got != 9 {
 		t.Errorf("%v slots before the service time is known, want 9", got)
 	}
 	l.Served(200*time.Millisecond, 0)
-	if _, got := UsableSlots([]*Live{l}); got != 2 {
+	if _, got := UsableSlots([]*Live{l}, time.Now()); got != 2 {
 		t.Errorf("%v slots, want 2: 10 requests a second of 0.2 s", got)
 	}
 	l.LimitNamed(0, now)
-	if _, got := UsableSlots([]*Live{l}); got <= 0 {
+	if _, got := UsableSlots([]*Live{l}, time.Now()); got <= 0 {
 		t.Errorf("%v slots with a limit of 0, want more than none", got)
 	}
 	l.LimitNamed(1000, now.Add(time.Second))
-	if _, got := UsableSlots([]*Live{l}); got != 9 {
+	if _, got := UsableSlots([]*Live{l}, time.Now()); got != 9 {
 		t.Errorf("%v slots with a limit beyond them, want 9", got)
 	}
 }
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -32,6 +32,8 @@
 	suspect   atomic.Bool
 	replaced  atomic.Bool
 	ended     atomic.Bool
+	leaving   atomic.Bool
+	restUntil atomic.Int64 // instant, 0 for none
 	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
 	failures  atomic.Int32
 	answered  atomic.Int64 // instant of the last answer, 0 for none
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -94,9 +94,9 @@
 	return r
 }
 
-// Lists reports whether an incarnation may be used and is sound.
-func (s *Snapshot) Lists(l *Live) bool {
-	return l.Sound() && slices.Contains(s.Pools[l.Pool][l.Region], l)
+// Admits reports whether requests may be sent to an incarnation at now.
+func (s *Snapshot) Admits(l *Live, now time.Time) bool {
+	return l.TakesWork(now) && slices.Contains(s.Pools[l.Pool][l.Region], l)
 }
 
 // Snapshot returns the present picture. It is never nil.
@@ -129,6 +129,7 @@
 // enter makes the record of an entry; fresh is false for an incarnation whose
 // entry had vanished.
 func (r *Registry) enter(e Entry) (rec *record, fresh bool) {
+	before := r.records[e.ID]
 	rec = &record{}
 	r.records[e.ID] = rec
 	if g, ok := r.graves[e.ID]; ok && g.live.same(&e) && e.Born != 0 {
@@ -137,6 +138,9 @@
 		return rec, false
 	}
 	rec.live = r.newLive(e)
+	if before != nil && before.live.Born == e.Born {
+		rec.live.inherit(before.live)
+	}
 	return rec, true
 }
 
@@ -304,16 +308,19 @@
 	return out
 }
 
-// UsableSlots is the capacity of the targets that are not suspect: all of it, and what is left
-// of it under the limits that they name.
-func UsableSlots(list []*Live) (all, limited float64) {
+// UsableSlots is the capacity of the targets that are neither suspect nor leave: all of it, and what
+// they take of it at now.
+func UsableSlots(list []*Live, now time.Time) (all, wanted float64) {
 	for _, l := range list {
-		if l.Sound() {
-			all += float64(l.Slots)
-			limited += l.usableSlots()
+		if !l.Sound() || l.Leaving() {
+			continue
+		}
+		all += float64(l.Slots)
+		if l.Resting(now) == 0 {
+			wanted += l.usableSlots()
 		}
 	}
-	return all, limited
+	return all, wanted
 }
 
 // All returns the listed targets.
@@ -337,13 +344,14 @@
 	return nil
 }
 
-// Suspects returns the listed targets that are suspect.
-func (r *Registry) Suspects() []*Live {
+// Suspects returns the listed targets that are suspect and may be asked at now whether they are
+// well.
+func (r *Registry) Suspects(now time.Time) []*Live {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []*Live
 	for _, rec := range r.records {
-		if rec.live.Suspect() && !rec.live.Replaced() && !rec.draining {
+		if l := rec.live; l.Suspect() && !l.Replaced() && !l.Leaving() && l.Resting(now) == 0 && !rec.draining {
 			out = append(out, rec.live)
 		}
 	}
