--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -39,8 +39,9 @@
 	// the VMs leave it to the one that saw the latest death.
 	keepPeriod   = 500 * time.Millisecond
 	witnessDelay = 2 * time.Second
-	// tryTimeout bounds a trial's write to the store.
+	// tryTimeout bounds a trial's write to the store, and askPause the number of these writes.
 	tryTimeout = time.Second
+	askPause   = time.Second
 
 	suspectPrefix = "suspect-"
 )
@@ -69,6 +70,11 @@
 	// since is when each suspect without a row was first kept back.
 	since map[string]clock.Time
 	own   map[string]bool // suspects of whose deaths this VM saw one
+	// asked is when a trial of each suspect was last asked for.
+	asked map[string]clock.Time
+	// heard is when the heartbeat of each VM was sent that was taken in last. The balancing
+	// goroutine owns it.
+	heard map[string]clock.Time
 }
 
 // suspectRow is a suspect's row as this VM knows it.
@@ -84,12 +90,13 @@
 		list: d.quarantine, store: d.store, clock: d.clock, log: d.log, first: d.fleet.first,
 		reports:   deathreport.New(deathreport.Config{List: d.quarantine, Members: d.members, Peers: d.dialer, Log: d.log}),
 		witnessed: make(chan struct{}, 1), rows: map[string]*suspectRow{}, since: map[string]clock.Time{}, own: map[string]bool{},
+		asked: map[string]clock.Time{}, heard: map[string]clock.Time{},
 	}
 }
 
 func suspectKey(f quarantine.Fingerprint) string { return suspectPrefix + f.String() }
 
-// row is a case in the fleet's table.
+// suspectRowOf is a case in the fleet's table.
 func suspectRowOf(c quarantine.Case) platform.Row {
 	c.Judgement = quarantine.Judgement{Quarantined: c.Quarantined}
 	value, err := json.Marshal(c)
@@ -166,23 +173,28 @@
 // whose write finds the row as this VM knows it.
 func (s *suspects) Try(ctx context.Context, f quarantine.Fingerprint) bool {
 	c, ok := s.list.Find(f)
-	if !ok || c.Trials >= maxTrials {
+	if !ok {
 		return false
 	}
+	key, now := suspectKey(f), s.clock.Now()
 	s.mu.Lock()
 	version := int64(0)
-	if row := s.rows[suspectKey(f)]; row != nil {
+	if row := s.rows[key]; row != nil {
 		version, c.Trials = row.version, max(c.Trials, row.Trials)
 	}
+	at, asked := s.asked[key]
+	ask := c.Trials < maxTrials && (!asked || now.Sub(at) >= askPause)
+	if ask {
+		s.asked[key] = now
+	}
 	s.mu.Unlock()
-	c.Trials++
-	if c.Trials > maxTrials {
+	if !ask {
 		return false
 	}
+	c.Trials++
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	err := s.write(ctx, c, version)
-	s.list.Tried(f, c.Trials)
 	s.log.Info().Err(err).Stringer("fingerprint", f).Int("trial", c.Trials).Bool("granted", err == nil).Msg("a trial is asked for")
 	return err == nil
 }
@@ -231,8 +243,13 @@
 // hear takes in what the other VMs' heartbeats told.
 func (s *suspects) hear(view *member.View) {
 	for i := range view.Peers {
-		for _, c := range view.Peers[i].Suspects {
-			s.reports.TakeIn(c, view.Peers[i].ID)
+		p := &view.Peers[i]
+		if len(p.Suspects) == 0 || s.heard[p.ID] == p.Seen {
+			continue
+		}
+		s.heard[p.ID] = p.Seen
+		for _, c := range p.Suspects {
+			s.reports.TakeIn(c, p.ID)
 		}
 	}
 }
@@ -280,6 +297,7 @@
 	s.since = since
 	if len(cases) == 0 {
 		clear(s.own)
+		clear(s.asked)
 	}
 	return out
 }
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -68,6 +68,7 @@
 		list: list, store: store, clock: c, log: zerolog.Nop(), first: func() bool { return true },
 		reports:   deathreport.New(deathreport.Config{List: list, Members: noPeers{}, Log: zerolog.Nop()}),
 		witnessed: make(chan struct{}, 1), rows: map[string]*suspectRow{}, since: map[string]clock.Time{}, own: map[string]bool{},
+		asked: map[string]clock.Time{}, heard: map[string]clock.Time{},
 	}
 }
 
@@ -141,8 +142,18 @@
 	store, c := &fakeStore{rows: map[string]platform.Row{}, away: true}, clock.NewFake(1)
 	s := newTestSuspects(store, c)
 	s.twoDeaths()
-	if s.Try(t.Context(), poison) {
-		t.Error("a trial was granted")
+	for range 3 {
+		if s.Try(t.Context(), poison) {
+			t.Error("a trial was granted")
+		}
+	}
+	if store.writes != 1 {
+		t.Errorf("the store was asked %d times for as many requests", store.writes)
+	}
+	store.away = false
+	c.Advance(askPause)
+	if !s.Try(t.Context(), poison) {
+		t.Error("no trial when the store is back")
 	}
 }
 
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -20,6 +20,7 @@
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peek"
 	"crocusramp.dev/crocusramp/pkg/placement"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
@@ -67,9 +68,10 @@
 	mayHaveRun bool
 	// prior is how many targets are known to have died with the request, suspect its fingerprint
 	// where there are any. It is on trial where it is sent on probation.
-	prior   int
-	suspect string
-	trial   bool
+	prior    int
+	suspect  string
+	trial    bool
+	baseHash quarantine.Base // zero until it is asked for
 	// grey says that the last target refused the request although it had room.
 	grey     bool
 	limited  limited // of the last choice
--- a/pkg/ingress/poison.go
+++ b/pkg/ingress/poison.go
@@ -26,11 +26,15 @@
 // base hashes what is known of the request before its body is read. What differs between the
 // attempts of a caller is not part of it: the ID, the deadline, the object.
 func (c *call) base() quarantine.Base {
+	if c.baseHash != (quarantine.Base{}) {
+		return c.baseHash
+	}
 	account := ""
 	if c.account != nil {
 		account = c.account.Name
 	}
-	return sha256.Sum256(fmt.Appendf(nil, "%q %q %q %q %d", account, c.r.Method, c.r.Host, c.r.RequestURI, c.r.ContentLength))
+	c.baseHash = sha256.Sum256(fmt.Appendf(nil, "%q %q %q %q %d", account, c.r.Method, c.r.Host, c.r.RequestURI, c.r.ContentLength))
+	return c.baseHash
 }
 
 // bodyHash hashes the first maxJudgedBody bytes that are written to it.
@@ -160,7 +164,7 @@
 		Int("running", l.Running()).Bool("suspect", suspect).Msg("target died while it ran a request")
 }
 
-// answered takes in that a target answered the request.
+// answered takes in that a target answered the request. No body may be under way to the target.
 func (c *call) answered() {
 	if c.streamed && !c.bodyRead.Load() {
 		return
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -353,7 +353,9 @@
 		err = context.Cause(ctx) // from here on a stop lets the answer go on
 	}
 	if long && err == nil {
-		c.answered()
+		if !c.streamed { // else the body may still be under way
+			c.answered()
+		}
 		a.body = body.Bytes()
 		a.stream = &passedOn{Response: resp, l: l}
 		return &try{answer: a}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -230,11 +230,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Clock.Now()
+	l.used.Store(true)
+	if !l.state.note(f, d, now, l.config.Memory) {
+		return false
+	}
 	if d.Prior == 0 && l.state.answered.excuse(f.short(), now) {
+		l.state.find(f).last().cleared = true
 		return false
 	}
-	l.used.Store(true)
-	return l.state.note(f, d, now, l.config.Memory)
+	return true
 }
 
 // Find returns the case of a fingerprint; ok is false where it is not suspect.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -279,6 +279,9 @@
 	if f.list.Note(p, Death{ID: "t1@1", Target: "t1"}) {
 		t.Error("suspect by the first death after an answer")
 	}
+	if f.list.Note(p, Death{ID: "t1@1", Target: "t1"}) {
+		t.Error("suspect by a report heard twice")
+	}
 	if !f.list.Note(p, Death{ID: "t2@1", Target: "t2"}) {
 		t.Error("not suspect by the second")
 	}
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -43,6 +43,9 @@
 	cleared bool
 }
 
+// last is the death that was noted last.
+func (v *suspect) last() *seen { return &v.deaths[len(v.deaths)-1] }
+
 // cleared reports whether no death speaks against the suspect.
 func (v *suspect) cleared() bool {
 	return !slices.ContainsFunc(v.deaths, func(d seen) bool { return !d.cleared })
