edge: a target that names a limit of less than 0.75 a second is asked that often

Now three requests in 4 s, of which one more may come at once: at most 4.75 in 4 s, 5 are allowed whatever the target names.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -19,9 +19,10 @@
 	// limiterName names the service that divides targets' limits among VMs.
 	limiterName = "target_limit"
 	// minTargetRate is how many requests a second the fleet sends to a target whatever it
-	// names, so that it hears when the limit ends. The platform allows 5 requests in 4 s
-	// beyond the limit.
-	minTargetRate = 0.25
+	// names, so that it hears within two seconds when the limit ends, and minLimitBurst how many
+	// more may come at once then. The platform allows 5 requests in 4 s beyond the limit.
+	minTargetRate = 0.75
+	minLimitBurst = 1
 	// maxTargetRate is a limit that no target comes near; larger ones are taken for it.
 	maxTargetRate = 1e6
 	// limitBurstTime and limitBurst say how many requests may come at once: those of a second
@@ -53,8 +54,11 @@
 
 // limitAccount is what the fleet may send to a target.
 func limitAccount(l *target.Live, named target.Limit) *config.Account {
-	rate := min(max(named.Rate, minTargetRate), maxTargetRate)
-	return &config.Account{Name: l.Incarnation(), Rate: rate, Burst: rate*limitBurstTime.Seconds() + limitBurst, Regions: []string{l.Region}}
+	rate, burst := min(named.Rate, maxTargetRate), limitBurst
+	if rate < minTargetRate {
+		rate, burst = minTargetRate, minLimitBurst
+	}
+	return &config.Account{Name: l.Incarnation(), Rate: rate, Burst: rate*limitBurstTime.Seconds() + float64(burst), Regions: []string{l.Region}}
 }
 
 // near returns the region of a limited target.
