--- /dev/null
+++ b/pkg/deathreport/deathreport_test.go
@@ -0,0 +1,71 @@
+package deathreport
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
+)
+
+// peers is a view of other VMs.
+type peers []member.Peer
+
+func (p peers) View() *member.View { return &member.View{Peers: p} }
+
+var fingerprint = quarantine.NewFingerprint(quarantine.Base{1}, []byte("body"))
+
+// TestDeathsReachTheLivePeers: what one VM saw, every other one judges by; one that is silent keeps
+// nobody waiting.
+func TestDeathsReachTheLivePeers(t *testing.T) {
+	other := New(Config{List: quarantine.NewList(quarantine.Config{}), Members: peers{}, Log: zerolog.Nop()})
+	mux := http.NewServeMux()
+	mux.Handle(other.Handler())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	one := New(Config{
+		List: quarantine.NewList(quarantine.Config{}), Peers: peer.NewDialer(nil), Log: zerolog.Nop(),
+		Members: peers{{ID: "silent", State: member.Silent, PeerAddress: "192.0.2.1:1"}, {ID: "other", State: member.Live, PeerAddress: address}},
+	})
+	for i, id := range []string{"a@1", "b@1", "b@1"} {
+		if got := one.Report(fingerprint, quarantine.Death{ID: id, Target: id[:1], Prior: min(i, 1)}); got != (i < 2) {
+			t.Errorf("report %d: suspect %v", i, got)
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		c, _ := other.cfg.List.Find(fingerprint)
+		if c.Quarantined && len(c.Deaths) == 2 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the other VM knows %+v", c)
+		}
+	}
+}
+
+// TestMalformedReports: what can't be read changes nothing.
+func TestMalformedReports(t *testing.T) {
+	hash := make([]byte, 32)
+	death := []*peerpb.Death{{Id: "a@1", Target: "a"}}
+	for name, s := range map[string]*peerpb.Suspect{
+		"short base":      {Base: hash[:3], PrefixHash: hash, Deaths: death},
+		"no prefix hash":  {Base: hash, Deaths: death},
+		"negative prefix": {Base: hash, PrefixHash: hash, PrefixBytes: -1, Deaths: death},
+		"endless prefix":  {Base: hash, PrefixHash: hash, PrefixBytes: 1 << 30, Deaths: death},
+		"death of none":   {Base: hash, PrefixHash: hash, Deaths: []*peerpb.Death{{Id: "a@1"}}},
+	} {
+		list := quarantine.NewList(quarantine.Config{})
+		service := New(Config{List: list, Members: peers{}, Log: zerolog.Nop()})
+		if _, err := service.ReportDeaths(t.Context(), &peerpb.ReportDeathsRequest{Suspects: []*peerpb.Suspect{s}}); err == nil || !list.Empty() {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -22,7 +22,7 @@
 	every(ctx, balancePeriod, func() {
 		now := time.Now()
 		d.followLimits(now)
-		d.suspects.hear(d.members.View())
+		d.suspects.exchange(d.members.View())
 		d.rebalance(balancers, now)
 		d.fleet.refresh(d.clock.Now())
 	})
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -165,7 +165,7 @@
 		StartTokens: d.fleet.startTokens,
 	})
 	d.quarantine = quarantine.NewList(quarantine.Config{
-		Size: maxSuspects, Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, Answered: maxAnswered, Clock: d.clock,
+		Size: maxSuspects, Memory: suspectMemory, Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, Answered: maxAnswered, Clock: d.clock,
 	})
 	d.suspects = newSuspects(d)
 	d.targets = target.NewRegistry(s.FailureDomains, time.Now())
@@ -212,7 +212,9 @@
 	if l := d.observed.Load(); l != nil {
 		p.Limits = *l
 	}
-	p.Suspects = d.suspects.reported()
+	if c := d.suspects.reported.Load(); c != nil {
+		p.Suspects = *c
+	}
 }
 
 // limiters are the services that divide bounds among the VMs.
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/deathreport"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/quarantine/codec"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -24,6 +27,8 @@
 	// times.
 	quarantineTime    = 10 * time.Second
 	quarantineBackoff = 6
+	// suspectMemory is how long a request is remembered after its last death or trial.
+	suspectMemory = time.Hour
 	// maxTrials is how often it is tried. The platform allows three retries after the third target
 	// has ended, from all VMs and processes together.
 	maxTrials = 2
@@ -75,12 +80,16 @@
 	// heard is when the heartbeat of each VM was sent that was taken in last. The balancing
 	// goroutine owns it.
 	heard map[string]clock.Time
+	// reported is what heartbeats tell.
+	reported atomic.Pointer[[]quarantine.Case]
 }
 
 // suspectRow is a suspect's row as this VM knows it.
 type suspectRow struct {
 	quarantine.Case
 	version int64
+	// since is when this VM read this version of it.
+	since clock.Time
 	// acquitted says that the row is to be removed.
 	acquitted bool
 }
@@ -98,8 +107,7 @@
 
 // suspectRowOf is a case in the fleet's table.
 func suspectRowOf(c quarantine.Case) platform.Row {
-	c.Judgement = quarantine.Judgement{Quarantined: c.Quarantined}
-	value, err := json.Marshal(c)
+	value, err := proto.Marshal(codec.Encode(c))
 	if err != nil {
 		panic(fmt.Sprintf("edge: encode suspect: %v", err))
 	}
@@ -128,11 +136,14 @@
 
 // adopt takes in a row. The caller holds mu.
 func (s *suspects) adopt(row platform.Row) {
-	next := &suspectRow{version: row.Version}
-	if err := json.Unmarshal(row.Value, &next.Case); err != nil || suspectKey(next.Fingerprint) != row.Key {
-		s.log.Warn().Err(err).Str("row", row.Key).Msg("a suspect's row is passed over")
+	var kept peerpb.Suspect
+	err := proto.Unmarshal(row.Value, &kept)
+	c, decodeErr := codec.Decode(&kept)
+	if err != nil || decodeErr != nil || suspectKey(c.Fingerprint) != row.Key {
+		s.log.Warn().Err(errors.Join(err, decodeErr)).Str("row", row.Key).Msg("a suspect's row is passed over")
 		return
 	}
+	next := &suspectRow{Case: c, version: row.Version, since: s.clock.Now()}
 	if old := s.rows[row.Key]; old != nil {
 		if old.version > row.Version {
 			return
@@ -141,7 +152,7 @@
 	}
 	s.rows[row.Key] = next
 	s.list.Restore(next.Case)
-	s.log.Warn().Str("fingerprint", next.String()).Bool("quarantined", next.Quarantined).Int("trials", next.Trials).Int64("row", row.Version).
+	s.log.Warn().Str("fingerprint", next.String()).Bool("convicted", next.Convicted).Int("trials", next.Trials).Int64("row", row.Version).
 		Strs("targets", targetsOf(next.Case)).Msg("request is kept back")
 }
 
@@ -234,10 +245,12 @@
 	}
 }
 
-// reported returns what heartbeats tell.
-func (s *suspects) reported() []quarantine.Case {
+// exchange takes in what the other VMs' heartbeats told, and renews what this VM's tell.
+func (s *suspects) exchange(view *member.View) {
+	s.hear(view)
 	cases := s.list.Cases()
-	return cases[:min(len(cases), maxReportedSuspects)]
+	cases = cases[:min(len(cases), maxReportedSuspects)]
+	s.reported.Store(&cases)
 }
 
 // hear takes in what the other VMs' heartbeats told.
@@ -302,15 +315,18 @@
 	return out
 }
 
-// removeRows removes the rows of requests that a target has answered, and on one VM those of
-// requests that are forgotten.
+// removeRows removes the rows of requests that a target has answered, and on one VM those whose
+// time is over. A request that this VM has forgotten sooner, among many others, it learns anew.
 func (s *suspects) removeRows(ctx context.Context) {
-	first := s.first()
+	first, now := s.first(), s.clock.Now()
 	s.mu.Lock()
 	var t platform.Transaction
 	for key, row := range s.rows {
-		_, known := s.list.Find(row.Fingerprint)
-		if row.acquitted || (!known && first) {
+		over := now.Sub(row.since) > suspectMemory
+		if _, known := s.list.Find(row.Fingerprint); !known && !over && !row.acquitted {
+			s.list.Restore(row.Case)
+		}
+		if row.acquitted || (over && first) {
 			t.Expect = append(t.Expect, platform.Row{Table: fleetTable, Key: key, Version: row.version})
 			t.Remove = append(t.Remove, platform.Row{Table: fleetTable, Key: key})
 		}
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -63,7 +63,7 @@
 func (noPeers) View() *member.View { return &member.View{} }
 
 func newTestSuspects(store *fakeStore, c *clock.Fake) *suspects {
-	list := quarantine.NewList(quarantine.Config{Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, Answered: maxAnswered, Clock: c})
+	list := quarantine.NewList(quarantine.Config{Size: maxSuspects, Memory: suspectMemory, Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, Answered: maxAnswered, Clock: c})
 	return &suspects{
 		list: list, store: store, clock: c, log: zerolog.Nop(), first: func() bool { return true },
 		reports:   deathreport.New(deathreport.Config{List: list, Members: noPeers{}, Log: zerolog.Nop()}),
@@ -137,6 +137,28 @@
 	}
 }
 
+// TestRowOutlivesAFloodOfSuspects guards against a row that is removed, and its request freed on all
+// VMs, as one VM has had to forget it among many others.
+func TestRowOutlivesAFloodOfSuspects(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	s := newTestSuspects(store, c)
+	s.twoDeaths()
+	s.writeMissing(t)
+	for i := range 4 * maxSuspects {
+		f := quarantine.NewFingerprint(quarantine.Base{2, byte(i), byte(i >> 8)}, nil)
+		s.Report(f, quarantine.Death{ID: "c@1", Target: "c"})
+	}
+	s.writeMissing(t)
+	if _, known := s.list.Find(poison); len(store.all()) != 1 || !known {
+		t.Errorf("%d rows, known %v", len(store.all()), known)
+	}
+	c.Advance(suspectMemory + time.Second)
+	s.writeMissing(t)
+	if n := len(store.all()); n != 0 {
+		t.Errorf("%d rows are left for ever", n)
+	}
+}
+
 // TestNoTrialWithoutTheStore: where the store cannot decide among the VMs, none sends.
 func TestNoTrialWithoutTheStore(t *testing.T) {
 	store, c := &fakeStore{rows: map[string]platform.Row{}, away: true}, clock.NewFake(1)
--- a/pkg/member/prober_test.go
+++ b/pkg/member/prober_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/peer"
+	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
@@ -94,3 +96,17 @@
 		t.Error("a VM whose port refuses connections does not count as dead")
 	}
 }
+
+// TestHeartbeatsCarrySuspects guards against VMs that start later, or were not reached by reports,
+// and know nothing of a request that crashes targets.
+func TestHeartbeatsCarrySuspects(t *testing.T) {
+	f := quarantine.NewFingerprint(quarantine.Base{1}, []byte("body"))
+	told := Peer{ID: "vm-1", Suspects: []quarantine.Case{{
+		Fingerprint: f, Trials: 1, Deaths: []quarantine.Death{{ID: "a@1", Target: "a", Prior: 1, Age: 2 * time.Second}},
+	}}}
+	now := time.Now()
+	heard := fromProto(toProto(told), now, now)
+	if diff := cmp.Diff(told.Suspects, heard.Suspects); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/pkg/quarantine/codec/codec.go
+++ b/pkg/quarantine/codec/codec.go
@@ -1,4 +1,4 @@
-// Package codec translates what VMs tell each other of suspect requests.
+// Package codec translates what VMs tell each other of suspect requests and keep of them.
 package codec
 
 import (
@@ -19,18 +19,18 @@
 // errMalformed reports a suspect that can't be read.
 var errMalformed = errors.New("base and prefix_hash must be SHA-256 hashes, prefix_bytes in range, and deaths have an id and a target")
 
-// Encode returns what peers are told of a case.
+// Encode returns what is told or kept of a case.
 func Encode(c quarantine.Case) *peerpb.Suspect {
-	out := &peerpb.Suspect{Base: c.Base[:], PrefixBytes: int32(c.PrefixBytes), PrefixHash: c.PrefixHash[:], Trials: int32(c.Trials)}
+	out := &peerpb.Suspect{Base: c.Base[:], PrefixBytes: int32(c.PrefixBytes), PrefixHash: c.PrefixHash[:], Trials: int32(c.Trials), Convicted: c.Convicted}
 	for _, d := range c.Deaths {
 		out.Deaths = append(out.Deaths, &peerpb.Death{Id: d.ID, Target: d.Target, Prior: int32(d.Prior), AgeUs: d.Age.Microseconds()})
 	}
 	return out
 }
 
-// Decode reads what a peer told. It fails where any of it is malformed.
+// Decode reads what was told or kept. It fails where any of it is malformed.
 func Decode(s *peerpb.Suspect) (quarantine.Case, error) {
-	c := quarantine.Case{Trials: max(int(s.GetTrials()), 0)}
+	c := quarantine.Case{Trials: max(int(s.GetTrials()), 0), Convicted: s.GetConvicted()}
 	c.PrefixBytes = int(s.GetPrefixBytes())
 	if copy(c.Base[:], s.GetBase()) != len(c.Base) || copy(c.PrefixHash[:], s.GetPrefixHash()) != len(c.PrefixHash) ||
 		c.PrefixBytes < 0 || c.PrefixBytes > maxPrefixBytes {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -83,6 +83,8 @@
 	Deaths []Death
 	// Trials is how often it was sent on probation.
 	Trials int
+	// Convicted says that the deaths quarantine it, now or before a trial.
+	Convicted bool
 	Judgement
 }
 
@@ -263,7 +265,7 @@
 		l.state.note(c.Fingerprint, d, now, l.config.Memory)
 	}
 	if v := l.state.find(c.Fingerprint); v != nil && !v.cleared() {
-		v.convicted = v.convicted || c.Quarantined
+		v.convicted = v.convicted || c.Convicted || c.Trials > 0
 		v.tried(c.Trials, now)
 	}
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -291,3 +291,38 @@
 		t.Error("an old answer excuses a death")
 	}
 }
+
+// BenchmarkAnswered is what each answered request costs.
+func BenchmarkAnswered(b *testing.B) {
+	l := NewList(Config{Answered: 4096})
+	body := make([]byte, 300)
+	b.ReportAllocs()
+	for i := range b.N {
+		body[0], body[1] = byte(i), byte(i>>8)
+		l.Answered(NewFingerprint(base(1), body))
+	}
+}
+
+// BenchmarkCases is what is done four times a second while there are suspects, all of them innocent.
+func BenchmarkCases(b *testing.B) {
+	l := NewList(Config{MaxTrials: 2, Size: 256})
+	for i := range 256 {
+		l.Note(NewFingerprint(base(i), nil), Death{ID: fmt.Sprint(i), Target: fmt.Sprint(i % 30)})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		l.Cases()
+	}
+}
+
+// BenchmarkJudge is what each request costs while others are suspect.
+func BenchmarkJudge(b *testing.B) {
+	l := NewList(Config{MaxTrials: 2})
+	for i := range 64 {
+		l.Note(NewFingerprint(base(i), nil), Death{ID: fmt.Sprint(i), Target: fmt.Sprint(i)})
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		l.Judge(base(i%128), nil)
+	}
+}
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -43,6 +43,20 @@
 	cleared bool
 }
 
+// targets is how many targets died with the suspect.
+func (v *suspect) targets() int {
+	if len(v.deaths) < probationDeaths {
+		return len(v.deaths)
+	}
+	targets := map[string]bool{}
+	for _, d := range v.deaths {
+		if !d.cleared {
+			targets[d.Target] = true
+		}
+	}
+	return len(targets)
+}
+
 // last is the death that was noted last.
 func (v *suspect) last() *seen { return &v.deaths[len(v.deaths)-1] }
 
@@ -114,20 +128,18 @@
 
 func (s *state) judgeSuspect(v *suspect, now clock.Time, c *Config) Judgement {
 	var last clock.Time
-	targets := map[string]bool{}
 	j := Judgement{}
 	for _, d := range v.deaths {
 		if !d.cleared {
 			j.Deaths++
-			targets[d.Target] = true
 			last = max(last, d.at)
 		}
 	}
 	if j.Deaths == 0 || now.Sub(last) > c.Memory {
 		return Judgement{}
 	}
-	convicted := v.convicted || s.score(v) >= s.needed(v, last)
-	doubtful := c.MaxTrials > 0 && (convicted || len(targets) >= probationDeaths)
+	convicted := s.convicts(v, last)
+	doubtful := c.MaxTrials > 0 && (convicted || v.targets() >= probationDeaths)
 	hold := c.Duration
 	if v.trials > 0 {
 		last = max(last, v.triedAt)
@@ -148,15 +160,27 @@
 	return j
 }
 
+// convicts reports whether the deaths up to the last one quarantine a suspect.
+func (s *state) convicts(v *suspect, last clock.Time) bool {
+	if v.convicted {
+		return true
+	}
+	score := s.score(v)
+	return score >= threshold && score >= s.needed(v, last) // most are far from the threshold
+}
+
 // describe returns what is known of a suspect.
 func (s *state) describe(v *suspect, now clock.Time, c *Config) Case {
 	out := Case{Fingerprint: v.fingerprint, Trials: v.trials, Judgement: s.judgeSuspect(v, now, c)}
+	var last clock.Time
 	for _, d := range v.deaths {
 		if !d.cleared {
+			last = max(last, d.at)
 			d.Death.Age = now.Sub(d.at)
 			out.Deaths = append(out.Deaths, d.Death)
 		}
 	}
+	out.Convicted = len(out.Deaths) > 0 && s.convicts(v, last)
 	return out
 }
 
