--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -266,6 +266,11 @@
 	if c.Refuses(t.Context(), address) {
 		t.Error("a target that listens refuses")
 	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
 	l.Close()
 	if !c.Refuses(t.Context(), address) {
 		t.Error("nothing listens; a connection that is still alive was believed")
