deathreport: in large fleets reports are gathered longer

By reading: each report is a call to every peer, so many targets that die at once would cost a VM of a fleet of 90 a round of 89 calls every 10 ms. Now 1 ms a peer; up to 10 peers as before.

--- a/pkg/deathreport/deathreport.go
+++ b/pkg/deathreport/deathreport.go
@@ -24,9 +24,12 @@
 	sendTimeout = 2 * time.Second
 	// sendConcurrency bounds the reports under way to peers.
 	sendConcurrency = 16
-	// gatherTime is how long reports are gathered: the requests of one target fail together. It is
-	// short against the time in which callers come back.
-	gatherTime = 10 * time.Millisecond
+	// minGatherTime is the least time for which reports are gathered: the requests of one target
+	// fail together. gatherPerPeer prolongs it in large fleets, where many targets may die at
+	// once and each report is a call to every peer. Both are short against the time in which
+	// callers come back.
+	minGatherTime = 10 * time.Millisecond
+	gatherPerPeer = time.Millisecond
 	// maxPending bounds what one report holds. The heartbeats make up for the rest.
 	maxPending = 64
 )
@@ -85,7 +88,8 @@
 	s.pending = append(s.pending, codec.Encode(quarantine.Case{Fingerprint: f, Deaths: []quarantine.Death{d}}))
 	if !s.sending {
 		s.sending = true
-		time.AfterFunc(gatherTime, s.send)
+		peers := len(s.cfg.Members.View().Peers)
+		time.AfterFunc(max(minGatherTime, time.Duration(peers)*gatherPerPeer), s.send)
 	}
 	return true
 }
