edge, quarantine: two deaths with a request are known to all VMs and later processes

Trace: two VMs saw a death each at the same moment (prior 0, so nothing was kept back and no row written); all four VMs were killed twice, 4 s later; the third death was the first that the new processes knew of, and four requests went out after it. A case with two deaths now has a row and is told by heartbeats; one that is kept back still gets its row at once. TestRestartedFleetKnowsTwoDeaths, red before (no row).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	// fleetTable holds a row for each VM, and one for each request that is kept back.
+	// fleetTable holds a row for each VM, and one for each request with which several targets died.
 	fleetTable = "crocusramp_vms"
 	// storeShare is how many VMs the store's rates are divided among.
 	storeShare = 128
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -57,8 +57,8 @@
 }
 
 // suspects keeps the requests that crash targets known to all VMs: at once by reports, to those
-// that were not reached by heartbeats, and beyond the processes by a row for each request that is
-// kept back. It implements ingress.Suspects.
+// that were not reached by heartbeats, and beyond the processes by a row for each request with which
+// several targets died. It implements ingress.Suspects.
 type suspects struct {
 	list    *quarantine.List
 	reports *deathreport.Service
@@ -72,7 +72,7 @@
 
 	mu   sync.Mutex
 	rows map[string]*suspectRow // by key
-	// since is when each suspect without a row was first kept back.
+	// since is when each suspect without a row first had to have one.
 	since map[string]clock.Time
 	own   map[string]bool // suspects of whose deaths this VM saw one
 	// asked is when a trial of each suspect was last asked for.
@@ -126,7 +126,7 @@
 		delete(s.rows, change.Key)
 		if old != nil {
 			s.list.Answered(old.Fingerprint)
-			s.log.Info().Str("fingerprint", old.String()).Int64("row", change.Version).Msg("request is not kept back any more")
+			s.log.Info().Str("fingerprint", old.String()).Int64("row", change.Version).Msg("request is not suspect any more")
 		}
 		return true
 	}
@@ -152,8 +152,9 @@
 	}
 	s.rows[row.Key] = next
 	s.list.Restore(next.Case)
-	s.log.Warn().Str("fingerprint", next.String()).Bool("convicted", next.Convicted).Int("trials", next.Trials).Int64("row", row.Version).
-		Strs("targets", targetsOf(next.Case)).Msg("request is kept back")
+	now, _ := s.list.Find(next.Fingerprint)
+	s.log.Warn().Str("fingerprint", next.String()).Bool("kept_back", now.KeptBack()).Int("trials", next.Trials).Int64("row", row.Version).
+		Strs("targets", targetsOf(next.Case)).Msg("request is suspect on all VMs")
 }
 
 // targetsOf lists the targets that died with a request.
@@ -168,18 +169,27 @@
 // Report implements ingress.Suspects.
 func (s *suspects) Report(f quarantine.Fingerprint, d quarantine.Death) bool {
 	suspect := s.reports.Report(f, d)
-	if c, ok := s.list.Find(f); ok && (c.Quarantined || c.Probation) {
-		s.mu.Lock()
-		s.own[suspectKey(f)] = true
-		s.mu.Unlock()
-		select {
-		case s.witnessed <- struct{}{}:
-		default:
-		}
+	c, ok := s.list.Find(f)
+	if !ok || !c.Known() {
+		return suspect
+	}
+	s.mu.Lock()
+	s.own[suspectKey(f)] = true
+	s.mu.Unlock()
+	if c.KeptBack() { // the others, mostly innocent, are soon answered
+		s.wake()
 	}
 	return suspect
 }
 
+// wake makes keep look at once.
+func (s *suspects) wake() {
+	select {
+	case s.witnessed <- struct{}{}:
+	default:
+	}
+}
+
 // Try implements ingress.Suspects. The row in the store decides among the VMs: a trial is the one
 // whose write finds the row as this VM knows it.
 func (s *suspects) Try(ctx context.Context, f quarantine.Fingerprint) bool {
@@ -238,10 +248,7 @@
 	defer s.mu.Unlock()
 	if row := s.rows[suspectKey(f)]; row != nil {
 		row.acquitted = true
-		select {
-		case s.witnessed <- struct{}{}:
-		default:
-		}
+		s.wake()
 	}
 }
 
@@ -267,14 +274,14 @@
 	}
 }
 
-// keep makes the rows in the store those of the requests that are kept back, until ctx ends.
+// keep makes the rows in the store those of the cases that all VMs must know, until ctx ends.
 func (s *suspects) keep(ctx context.Context) {
 	ticker := time.NewTicker(keepPeriod)
 	defer ticker.Stop()
 	for {
 		for _, c := range s.missing() {
 			if err := s.write(ctx, c, 0); err != nil {
-				s.log.Warn().Err(err).Str("fingerprint", c.String()).Msg("a request that is kept back was not written to the store")
+				s.log.Warn().Err(err).Str("fingerprint", c.String()).Msg("a suspect was not written to the store")
 			}
 		}
 		s.removeRows(ctx)
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// TestRestartedFleetKnowsTwoDeaths guards against a fleet that is killed between the deaths that one
+// request causes and begins to count anew.
+func TestRestartedFleetKnowsTwoDeaths(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	before := newTestSuspects(store, c)
+	before.Report(poison, quarantine.Death{ID: "a@1", Target: "a"})
+	before.Report(poison, quarantine.Death{ID: "b@1", Target: "b"})
+	before.writeMissing(t)
+	after := newTestSuspects(store, c)
+	for _, row := range store.all() {
+		after.apply(row)
+	}
+	j := after.list.Judge(poison.Base, []byte("poison"))
+	if j.KeptBack() || j.Deaths != 2 {
+		t.Fatalf("after the restart: %+v", j)
+	}
+	after.Report(poison, quarantine.Death{ID: "c@1", Target: "c", Prior: j.Deaths})
+	if j := after.list.Judge(poison.Base, []byte("poison")); !j.Quarantined {
+		t.Errorf("after the third death: %+v", j)
+	}
+}
+
 // TestTrialsOfAFleet has many VMs and their restarts ask for trials: of all of them maxTrials are
 // granted.
 func TestTrialsOfAFleet(t *testing.T) {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -117,6 +117,9 @@
 	// fingerprints with one base.
 	maxDeaths   = 8
 	maxVariants = 8
+	// knownDeaths is how many targets die with a request before all VMs and later processes must
+	// know of it.
+	knownDeaths = 2
 	// probationDeaths is how many targets die with a request before it is sent only on trial.
 	// The platform's rules count the retries that come after as many.
 	probationDeaths = 3
@@ -279,8 +282,13 @@
 	}
 }
 
-// Cases returns the requests that are quarantined or on probation, those with the latest deaths
-// first.
+// KeptBack reports whether the request is not sent as others are.
+func (j Judgement) KeptBack() bool { return j.Quarantined || j.Probation }
+
+// Known reports whether all VMs and later processes must know of the case.
+func (c *Case) Known() bool { return c.KeptBack() || len(c.Deaths) >= knownDeaths }
+
+// Cases returns the cases that all VMs must know, those with the latest deaths first.
 func (l *List) Cases() []Case {
 	if l.Empty() {
 		return nil
@@ -291,7 +299,7 @@
 	var out []Case
 	for _, variants := range l.state.suspects.Values() {
 		for _, v := range variants {
-			if c := l.state.describe(v, now, &l.config); c.Quarantined || c.Probation {
+			if c := l.state.describe(v, now, &l.config); c.Known() {
 				out = append(out, c)
 			}
 		}
