--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -66,7 +66,7 @@
 		if info.Leaving && l.SetLeaving() {
 			d.log.Info().Str("target", l.ID).Msg("target says that it leaves")
 		}
-		l.Rest(info.RestFor, time.Now())
+		l.BackOff(info.RetryAfter, time.Now())
 	}
 	// A target that is full says so without saying who it is.
 	full := info.NotRun && !info.OtherInstance && info.InstanceID == ""
--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -16,7 +16,8 @@
 // one run. They were cut by the exit of the process.
 func TestFailedListenerStopsGracefully(t *testing.T) {
 	free := func() string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// An address of its own: the kernel offers the port again to whoever listens on 127.0.0.1.
+		l, err := net.Listen("tcp", "127.0.0.8:0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -129,13 +129,13 @@
 			continue
 		}
 		for _, l := range list {
-			rest := l.Resting(now)
+			left := l.BackoffLeft(now)
 			switch {
 			case !l.Sound() || l.Leaving():
-			case rest == 0:
+			case left == 0:
 				return 0
-			case wait == 0 || rest < wait:
-				wait = rest
+			case wait == 0 || left < wait:
+				wait = left
 			}
 		}
 	}
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -32,7 +32,7 @@
 	hInstance, hAccount             = "Test-Instance", "Test-Account"
 	hSeal, hNotRun, hLoad, hCold    = "Test-Seal", "Test-Not-Run", "Test-Load", "Test-Cold"
 	hRetryAfter, hLimit             = "Test-Retry-After", "Test-Limit"
-	hLeaving, hRest                 = "Test-Leaving", "Test-Rest"
+	hLeaving, hRetry                = "Test-Leaving", "Test-Rest"
 	testKey, testAccount, otherName = "k1", "a1", "a2"
 )
 
@@ -57,9 +57,9 @@
 	load, err := strconv.Atoi(h.Get(hLoad))
 	cold, _ := time.ParseDuration(h.Get(hCold))
 	rate, limitErr := strconv.ParseFloat(h.Get(hLimit), 64)
-	rest, _ := time.ParseDuration(h.Get(hRest))
+	rest, _ := time.ParseDuration(h.Get(hRetry))
 	return AnswerInfo{
-		Leaving: h.Get(hLeaving) != "", RestFor: rest,
+		Leaving: h.Get(hLeaving) != "", RetryAfter: rest,
 		Limit: target.Limit{Rate: rate, Named: limitErr == nil}, Sealed: h.Get(hSeal) != "", NotRun: h.Get(hNotRun) != "" || status == http.StatusMisdirectedRequest,
 		OtherInstance: status == http.StatusMisdirectedRequest, Load: load, LoadKnown: err == nil, ColdFor: cold,
 	}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -307,12 +307,12 @@
 		c.s.counters.leaving.Inc(1)
 		c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Int("running", l.Running()).Msg("target says that it leaves")
 	}
-	if info.RestFor > 0 {
-		first := l.Resting(now) == 0
-		l.Rest(info.RestFor, now)
+	if info.RetryAfter > 0 {
+		first := l.BackoffLeft(now) == 0
+		l.BackOff(info.RetryAfter, now)
 		if first {
-			c.s.counters.rests.Inc(1)
-			c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Dur("for_ms", info.RestFor).Msg("target wants nothing for a time")
+			c.s.counters.backoffs.Inc(1)
+			c.s.cfg.Log.Info().Str("request", c.info.ID).Str("target", l.ID).Dur("for_ms", info.RetryAfter).Msg("target wants nothing for a time")
 		}
 	}
 }
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -150,8 +150,8 @@
 	// ends counts the targets that ended while they ran requests, quarantined the requests that
 	// were kept back, and trials those that were sent on probation.
 	ends, quarantined, trials metrics.Counter
-	// leaving counts the targets that said they leave, rests the times in which one wanted nothing.
-	leaving, rests metrics.Counter
+	// leaving counts the targets that said they leave, backoffs the times in which one wanted nothing.
+	leaving, backoffs metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -172,7 +172,7 @@
 		repeats: counter("repeats"), repeatsFree: counter("repeats_free"), repeatsDenied: counter("repeats_denied"),
 		limits: counter("target_limit_changes"), passedOver: counter("limited_targets_passed_over"),
 		ends: counter("target_ends"), quarantined: counter("quarantined"), trials: counter("trials"),
-		leaving: counter("targets_leaving"), rests: counter("target_rests"),
+		leaving: counter("targets_leaving"), backoffs: counter("target_backoffs"),
 	}}
 }
 
--- a/pkg/ingress/wants_test.go
+++ b/pkg/ingress/wants_test.go
@@ -38,8 +38,8 @@
 	w.raw("i-gone", "fd-e", answering("HTTP/1.1 421 X\r\nTest-Id: %s\r\nTest-Leaving: 1\r\nTest-Rest: 5s\r\nContent-Length: 0\r\n\r\n"))
 	w.expect(http.StatusServiceUnavailable, "GET", "/safe/x")
 	for _, l := range w.targets.All() {
-		if l.Leaving() || l.Resting(time.Now()) > 0 {
-			t.Errorf("%s leaves %v, rests %v", l.ID, l.Leaving(), l.Resting(time.Now()))
+		if l.Leaving() || l.BackoffLeft(time.Now()) > 0 {
+			t.Errorf("%s leaves %v, rests %v", l.ID, l.Leaving(), l.BackoffLeft(time.Now()))
 		}
 	}
 }
@@ -49,8 +49,8 @@
 func TestTargetsThatWantNothingForATime(t *testing.T) {
 	w := newWorld(t)
 	const rest = 600 * time.Millisecond
-	east := w.add("i-east", "fd-e", saying(hRest, rest.String(), shed))
-	west := w.add("i-west", "fd-w", saying(hRest, rest.String(), shed))
+	east := w.add("i-east", "fd-e", saying(hRetry, rest.String(), shed))
+	west := w.add("i-west", "fd-w", saying(hRetry, rest.String(), shed))
 	object := objectIn(w, "east")
 	since := time.Now()
 	w.expect(http.StatusServiceUnavailable, "GET", "/safe/x", func(r *http.Request) { r.Header.Set(hObject, object) })
--- a/pkg/ingress/wire.go
+++ b/pkg/ingress/wire.go
@@ -49,9 +49,9 @@
 	LimitUnclear bool
 	// Leaving says that the target leaves and takes no new requests.
 	Leaving bool
-	// RestFor is for how long the target, which turned the request away, wants nothing more from
+	// RetryAfter is for how long the target, which turned the request away, wants nothing more from
 	// this VM.
-	RestFor time.Duration
+	RetryAfter time.Duration
 }
 
 // Wire translates the headers that callers and targets speak.
--- a/pkg/target/wants.go
+++ b/pkg/target/backoff.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// maxRestSpread bounds by how much a VM prolongs the time in which a target wants nothing, so that
+// maxBackoffSpread bounds by how much a VM prolongs the time in which a target wants nothing, so that
 // not all VMs come back to it at the same moment.
-const maxRestSpread = 500 * time.Millisecond
+const maxBackoffSpread = 500 * time.Millisecond
 
 // SetLeaving takes in that the target says it leaves. It holds for this incarnation whatever the
 // platform's list says. It reports whether that was not known.
@@ -16,24 +16,24 @@
 // Leaving reports whether the target has said that it leaves.
 func (l *Live) Leaving() bool { return l.leaving.Load() }
 
-// Rest takes in at now that the target wants nothing from this VM for d. Of several words the one
+// BackOff takes in at now that the target wants nothing from this VM for d. Of several words the one
 // that lasts longest holds.
-func (l *Live) Rest(d time.Duration, now time.Time) {
+func (l *Live) BackOff(d time.Duration, now time.Time) {
 	if d <= 0 {
 		return
 	}
-	until := instant(now.Add(d + rand.N(min(d, maxRestSpread)+1)))
+	until := instant(now.Add(d + rand.N(min(d, maxBackoffSpread)+1)))
 	for {
-		old := l.restUntil.Load()
-		if (old != 0 && until <= old) || l.restUntil.CompareAndSwap(old, until) {
+		old := l.backoffUntil.Load()
+		if (old != 0 && until <= old) || l.backoffUntil.CompareAndSwap(old, until) {
 			return
 		}
 	}
 }
 
-// Resting is how much longer the target wants nothing from this VM; 0 where it does not say so.
-func (l *Live) Resting(now time.Time) time.Duration {
-	until := l.restUntil.Load()
+// BackoffLeft is how much longer the target wants nothing from this VM; 0 where it does not say so.
+func (l *Live) BackoffLeft(now time.Time) time.Duration {
+	until := l.backoffUntil.Load()
 	if until == 0 {
 		return 0
 	}
@@ -43,11 +43,11 @@
 // TakesWork reports whether requests may be sent to the target now, as far as its health and its
 // own words go. What it takes while it is cold or limited is counted by those who send.
 func (l *Live) TakesWork(now time.Time) bool {
-	return l.Sound() && !l.Leaving() && l.Resting(now) == 0
+	return l.Sound() && !l.Leaving() && l.BackoffLeft(now) == 0
 }
 
 // inherit takes over what the target has said of itself under an entry that differs otherwise.
 func (l *Live) inherit(from *Live) {
 	l.leaving.Store(from.leaving.Load())
-	l.restUntil.Store(from.restUntil.Load())
+	l.backoffUntil.Store(from.backoffUntil.Load())
 }
--- a/pkg/target/wants_test.go
+++ b/pkg/target/backoff_test.go
@@ -39,28 +39,28 @@
 	}
 }
 
-func TestRest(t *testing.T) {
+func TestBackOff(t *testing.T) {
 	now := time.Now()
 	l := &Live{Target: Target{Slots: 9}}
-	l.Rest(0, now)
-	l.Rest(-time.Second, now)
+	l.BackOff(0, now)
+	l.BackOff(-time.Second, now)
 	if !l.TakesWork(now) {
-		t.Fatal("it rests without a word")
+		t.Fatal("it backs off without a word")
 	}
-	l.Rest(4*time.Second, now)
-	l.Rest(time.Second, now)
-	if rest := l.Resting(now); rest < 4*time.Second || rest > 4*time.Second+maxRestSpread {
-		t.Errorf("rests for %v", rest)
+	l.BackOff(4*time.Second, now)
+	l.BackOff(time.Second, now)
+	if left := l.BackoffLeft(now); left < 4*time.Second || left > 4*time.Second+maxBackoffSpread {
+		t.Errorf("backs off for %v", left)
 	}
 	all, wanted := UsableSlots([]*Live{l}, now)
 	if l.TakesWork(now.Add(3999*time.Millisecond)) || all != 9 || wanted != 0 || l.Suspect() {
 		t.Errorf("takes work, or is suspect: %v, %v usable slots", all, wanted)
 	}
-	if !l.TakesWork(now.Add(4*time.Second + maxRestSpread)) {
-		t.Error("rests on")
+	if !l.TakesWork(now.Add(4*time.Second + maxBackoffSpread)) {
+		t.Error("backs off for longer")
 	}
-	l.Rest(1000*time.Hour, now)
+	l.BackOff(1000*time.Hour, now)
 	if l.TakesWork(now.Add(999 * time.Hour)) {
-		t.Error("a long rest ends early")
+		t.Error("a long time ends early")
 	}
 }
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -23,20 +23,20 @@
 	// Hash is a hash of the ID, for rendezvous hashing.
 	Hash uint64
 
-	since     int64 // instant from which on no other process of this VM sends
-	running   atomic.Int32
-	others    atomic.Int32 // requests of other VMs, as of the last report
-	reportAt  atomic.Int64 // instant of the report, 0 for none
-	service   atomic.Int64 // mean service time in nanoseconds
-	coldUntil atomic.Int64 // instant, 0 for none
-	suspect   atomic.Bool
-	replaced  atomic.Bool
-	ended     atomic.Bool
-	leaving   atomic.Bool
-	restUntil atomic.Int64 // instant, 0 for none
-	nextCold  atomic.Int64 // instant from which the next cold request may go, 0 for none
-	failures  atomic.Int32
-	answered  atomic.Int64 // instant of the last answer, 0 for none
+	since        int64 // instant from which on no other process of this VM sends
+	running      atomic.Int32
+	others       atomic.Int32 // requests of other VMs, as of the last report
+	reportAt     atomic.Int64 // instant of the report, 0 for none
+	service      atomic.Int64 // mean service time in nanoseconds
+	coldUntil    atomic.Int64 // instant, 0 for none
+	suspect      atomic.Bool
+	replaced     atomic.Bool
+	ended        atomic.Bool
+	leaving      atomic.Bool
+	backoffUntil atomic.Int64 // instant, 0 for none
+	nextCold     atomic.Int64 // instant from which the next cold request may go, 0 for none
+	failures     atomic.Int32
+	answered     atomic.Int64 // instant of the last answer, 0 for none
 	// unfinished counts the long answers in a row that did not end as they should.
 	unfinished atomic.Int32
 	runs       atomic.Uint64 // bits of the part of the requests that it runs
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -316,7 +316,7 @@
 			continue
 		}
 		all += float64(l.Slots)
-		if l.Resting(now) == 0 {
+		if l.BackoffLeft(now) == 0 {
 			wanted += l.usableSlots()
 		}
 	}
@@ -351,7 +351,7 @@
 	defer r.mu.Unlock()
 	var out []*Live
 	for _, rec := range r.records {
-		if l := rec.live; l.Suspect() && !l.Replaced() && !l.Leaving() && l.Resting(now) == 0 && !rec.draining {
+		if l := rec.live; l.Suspect() && !l.Replaced() && !l.Leaving() && l.BackoffLeft(now) == 0 && !rec.draining {
 			out = append(out, rec.live)
 		}
 	}
