tests: addresses that are found free are of the process that looks for them

Five tests looked for a free port on 127.0.0.1 and lost it now and then to another process under load (two seen today).

--- a/pkg/dev/path_test.go
+++ b/pkg/dev/path_test.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
+	"crocusramp.dev/crocusramp/internal/freeport"
 	"crocusramp.dev/crocusramp/pkg/daemon"
 	"crocusramp.dev/crocusramp/pkg/standin/target"
 )
@@ -41,23 +42,13 @@
 	return len(p), nil
 }
 
-func freeAddress(tb testing.TB) string {
-	tb.Helper()
-	l, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func startFleet(tb testing.TB) *fleetUnderTest {
 	tb.Helper()
 	f := &fleetUnderTest{}
 	for range 3 {
-		f.callers = append(f.callers, freeAddress(tb))
+		f.callers = append(f.callers, freeport.Address(tb))
 	}
-	command := &daemon.DevCommand{Operators: freeAddress(tb), Callers: f.callers, Targets: 2, LogLevel: "error"}
+	command := &daemon.DevCommand{Operators: freeport.Address(tb), Callers: f.callers, Targets: 2, LogLevel: "error"}
 	ctx, cancel := context.WithCancel(context.Background())
 	out := &output{ready: make(chan string, 1)}
 	ended := make(chan error, 1)
--- a/pkg/edge/stop_test.go
+++ b/pkg/edge/stop_test.go
@@ -3,27 +3,19 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"crocusramp.dev/crocusramp/internal/freeport"
 	"crocusramp.dev/crocusramp/pkg/settings"
 )
 
 // TestFailedListenerStopsGracefully: where one listener fails, requests that came on another
 // one run. They were cut by the exit of the process.
 func TestFailedListenerStopsGracefully(t *testing.T) {
-	free := func() string {
-		// An address of its own: the kernel offers the port again to whoever listens on 127.0.0.1.
-		l, err := net.Listen("tcp", "127.0.0.8:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		return l.Addr().String()
-	}
+	free := func() string { return freeport.Address(t) }
 	s := &settings.Edge{
 		VM:             settings.VM{ID: "vm-0", Region: "east", FailureDomain: "fd-a"},
 		Listen:         settings.EdgeListen{Callers: free(), Locate: free(), Ready: free(), Peers: free()},
--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 
+	"crocusramp.dev/crocusramp/internal/freeport"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -82,13 +83,7 @@
 // TestFailedRetryIsNotCalledNotRun has a first target take an idempotent
 // request and fail, and then no second one to be had.
 func TestFailedRetryIsNotCalledNotRun(t *testing.T) {
-	// An address of its own: the kernel offers the port again to whoever listens on 127.0.0.1.
-	l, err := net.Listen("tcp", "127.0.0.9:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.Close()
-	for _, second := range []string{"", l.Addr().String()} {
+	for _, second := range []string{"", freeport.Address(t)} {
 		v := startVM(t, "vm-1", nil)
 		v.addRaw(t, "t1", func(c net.Conn) { readRequest(t, c) })
 		if second != "" {
--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -18,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	operatorpb "crocusramp.dev/crocusramp/api/operator/v1"
+	"crocusramp.dev/crocusramp/internal/freeport"
 	"crocusramp.dev/crocusramp/pkg/daemon"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/standin/directory"
@@ -49,7 +49,7 @@
 
 func startFleet(b *testing.B, n int) *fleet {
 	b.Helper()
-	f := &fleet{store: standin.New(), operators: freeAddress(b), ended: make(chan error, n)}
+	f := &fleet{store: standin.New(), operators: freeport.Address(b), ended: make(chan error, n)}
 	list := directory.New()
 	store := httptest.NewServer(f.store.Handler())
 	vms := httptest.NewServer(list.Handler())
@@ -106,16 +106,6 @@
 	return f
 }
 
-func freeAddress(b *testing.B) string {
-	b.Helper()
-	l, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // createAccounts makes client accounts once the fleet accepts changes.
 func (f *fleet) createAccounts(b *testing.B) {
 	b.Helper()
