deathreport, edge: a death is told to VMs that leave or were silent, and by heartbeats while it is young

Trace: the deaths came 2 to 4 s apart, each was told to those peers alone that were seen as live, and who knew of one was killed before the next. TestDeathsReachThePeers has a peer that leaves.

--- a/pkg/deathreport/deathreport.go
+++ b/pkg/deathreport/deathreport.go
@@ -69,8 +69,9 @@
 	return server.PathPrefix(), server
 }
 
-// Report notes a death that this VM saw, and tells the live peers in the background, each once. One
-// that is not reached learns it by heartbeats or when the request kills a target there. It reports
+// Report notes a death that this VM saw, and tells the peers in the background, each once: one that
+// leaves or was silent for a while may send requests, too. One that is not reached learns it by
+// heartbeats or when the request kills a target there. It reports
 // whether the death makes the request suspect.
 func (s *Service) Report(f quarantine.Fingerprint, d quarantine.Death) bool {
 	if !s.cfg.List.Note(f, d) {
@@ -94,7 +95,7 @@
 	return true
 }
 
-// send tells the live peers what is pending.
+// send tells the peers what is pending.
 func (s *Service) send() {
 	s.mu.Lock()
 	request := &peerpb.ReportDeathsRequest{Suspects: s.pending}
@@ -105,7 +106,7 @@
 	var g errgroup.Group
 	g.SetLimit(sendConcurrency)
 	for _, p := range s.cfg.Members.View().Peers {
-		if p.State != member.Live {
+		if p.State == member.Gone || p.PeerAddress == "" {
 			continue
 		}
 		g.Go(func() error {
--- a/pkg/deathreport/deathreport_test.go
+++ b/pkg/deathreport/deathreport_test.go
@@ -1,6 +1,7 @@
 package deathreport
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -22,18 +23,23 @@
 
 var fingerprint = quarantine.NewFingerprint(quarantine.Base{1}, []byte("body"))
 
-// TestDeathsReachTheLivePeers: what one VM saw, every other one judges by; one that is silent keeps
-// nobody waiting.
-func TestDeathsReachTheLivePeers(t *testing.T) {
+// TestDeathsReachThePeers: what one VM saw, every other one judges by, also one that leaves; one that
+// is silent keeps nobody waiting.
+func TestDeathsReachThePeers(t *testing.T) {
 	other := New(Config{List: quarantine.NewList(quarantine.Config{}), Members: peers{}, Log: zerolog.Nop()})
 	mux := http.NewServeMux()
 	mux.Handle(other.Handler())
 	server := httptest.NewServer(mux)
 	defer server.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	one := New(Config{
 		List: quarantine.NewList(quarantine.Config{}), Peers: peer.NewDialer(nil), Log: zerolog.Nop(),
-		Members: peers{{ID: "silent", State: member.Silent, PeerAddress: "192.0.2.1:1"}, {ID: "other", State: member.Live, PeerAddress: address}},
+		Members: peers{{ID: "silent", State: member.Silent, PeerAddress: silent.Addr().String()}, {ID: "other", State: member.Leaving, PeerAddress: address}},
 	})
 	for i, id := range []string{"a@1", "b@1", "b@1"} {
 		if got := one.Report(fingerprint, quarantine.Death{ID: id, Target: id[:1], Prior: min(i, 1)}); got != (i < 2) {
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,8 +38,11 @@
 	// targets answered lately: some tens of seconds of a VM's requests.
 	maxSuspects = 256
 	maxAnswered = 4096
-	// maxReportedSuspects bounds how many suspects a heartbeat's answer reports.
+	// maxReportedSuspects bounds how many suspects a heartbeat's answer reports, those of the most
+	// deaths first, and reportedAge the age of a death that is the only one: several times the
+	// longest time between two heartbeats.
 	maxReportedSuspects = 16
+	reportedAge         = 10 * time.Second
 	// maxSuspectRows bounds the rows of suspects in the store.
 	maxSuspectRows = 64
 	// keepPeriod is how often it is looked which suspects the store lacks, and witnessDelay how long
@@ -255,7 +260,8 @@
 // exchange takes in what the other VMs' heartbeats told, and renews what this VM's tell.
 func (s *suspects) exchange(view *member.View) {
 	s.hear(view)
-	cases := s.list.Cases()
+	cases := s.list.Cases(reportedAge)
+	slices.SortStableFunc(cases, func(a, b quarantine.Case) int { return cmp.Compare(len(b.Deaths), len(a.Deaths)) })
 	cases = cases[:min(len(cases), maxReportedSuspects)]
 	s.reported.Store(&cases)
 }
@@ -296,7 +302,7 @@
 
 // missing returns the cases that this VM is to write.
 func (s *suspects) missing() (out []quarantine.Case) {
-	cases := s.list.Cases()
+	cases := s.list.Cases(0)
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/ingress/poison_test.go
+++ b/pkg/ingress/poison_test.go
@@ -202,7 +202,7 @@
 		}
 	}
 	if !w.quarantine.Empty() {
-		t.Errorf("suspects: %+v", w.quarantine.Cases())
+		t.Errorf("suspects: %+v", w.quarantine.Cases(0))
 	}
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -61,7 +61,7 @@
 	Pools []PoolLoad
 	// Limits are those that it had observed by then.
 	Limits []TargetLimit
-	// Suspects are the requests with which, as it knew then, several targets died. Their deaths'
+	// Suspects are the requests with which, as it knew then, targets died lately, or several. Their deaths'
 	// ages are as of then.
 	Suspects []quarantine.Case
 	// Seen is when the last heartbeat that settled State was sent.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -288,8 +288,9 @@
 // Known reports whether all VMs and later processes must know of the case.
 func (c *Case) Known() bool { return c.KeptBack() || len(c.Deaths) >= knownDeaths }
 
-// Cases returns the cases that all VMs must know, those with the latest deaths first.
-func (l *List) Cases() []Case {
+// Cases returns the cases that all VMs must know, and those whose latest death is younger than
+// maxAge; those with the latest deaths first.
+func (l *List) Cases(maxAge time.Duration) []Case {
 	if l.Empty() {
 		return nil
 	}
@@ -299,7 +300,7 @@
 	var out []Case
 	for _, variants := range l.state.suspects.Values() {
 		for _, v := range variants {
-			if c := l.state.describe(v, now, &l.config); c.Known() {
+			if c := l.state.describe(v, now, &l.config); len(c.Deaths) > 0 && (c.Known() || c.age() < maxAge) {
 				out = append(out, c)
 			}
 		}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -251,7 +251,7 @@
 	f.dies("t2", map[int]int{1: 1})
 	p := NewFingerprint(base(1), nil)
 	c, ok := f.list.Find(p)
-	if !ok || !c.Quarantined || len(c.Deaths) != 2 || len(f.list.Cases()) != 1 {
+	if !ok || !c.Quarantined || len(c.Deaths) != 2 || len(f.list.Cases(0)) != 1 {
 		t.Fatalf("%+v", c)
 	}
 	if !f.list.Answered(p) || f.list.Answered(p) {
@@ -311,7 +311,7 @@
 	}
 	b.ReportAllocs()
 	for range b.N {
-		l.Cases()
+		l.Cases(0)
 	}
 }
 
