edge: the row of a suspect follows what the VMs know of it

Trace: the row was written with two of the three deaths that the VMs knew, while others died too, so that two kept nothing back; it was never written again, and all VMs were killed. TestRowTellsAllDeaths, red before (2 deaths after the restart).

--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -77,7 +77,7 @@
 
 	mu   sync.Mutex
 	rows map[string]*suspectRow // by key
-	// since is when each suspect without a row first had to have one.
+	// since is when each suspect first had to have a row that it lacks.
 	since map[string]clock.Time
 	own   map[string]bool // suspects of whose deaths this VM saw one
 	// asked is when a trial of each suspect was last asked for.
@@ -286,7 +286,7 @@
 	defer ticker.Stop()
 	for {
 		for _, c := range s.missing() {
-			if err := s.write(ctx, c, 0); err != nil {
+			if err := s.write(ctx, c.Case, c.version); err != nil {
 				s.log.Warn().Err(err).Str("fingerprint", c.String()).Msg("a suspect was not written to the store")
 			}
 		}
@@ -300,8 +300,14 @@
 	}
 }
 
-// missing returns the cases that this VM is to write.
-func (s *suspects) missing() (out []quarantine.Case) {
+// behind reports whether the row lacks what this VM knows of the case.
+func (r *suspectRow) behind(c *quarantine.Case) bool {
+	return len(c.Deaths) > len(r.Deaths) || (c.Convicted && !r.Convicted)
+}
+
+// missing returns the cases that this VM is to write, each with the version of the row that it
+// takes the place of.
+func (s *suspects) missing() (out []suspectRow) {
 	cases := s.list.Cases(0)
 	now := s.clock.Now()
 	s.mu.Lock()
@@ -309,15 +315,22 @@
 	since := map[string]clock.Time{}
 	for _, c := range cases {
 		key := suspectKey(c.Fingerprint)
-		if s.rows[key] != nil {
+		row := s.rows[key]
+		if row != nil && !row.behind(&c) {
 			continue
 		}
 		since[key] = now
 		if at, ok := s.since[key]; ok {
 			since[key] = at
 		}
-		if len(s.rows)+len(out) < maxSuspectRows && (s.own[key] || now.Sub(since[key]) >= witnessDelay) {
-			out = append(out, c)
+		if !s.own[key] && now.Sub(since[key]) < witnessDelay {
+			continue
+		}
+		switch {
+		case row != nil:
+			out = append(out, suspectRow{Case: c, version: row.version})
+		case len(s.rows)+len(out) < maxSuspectRows:
+			out = append(out, suspectRow{Case: c})
 		}
 	}
 	s.since = since
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -76,7 +76,7 @@
 func (s *suspects) writeMissing(t *testing.T) {
 	t.Helper()
 	for _, c := range s.missing() {
-		if err := s.write(t.Context(), c, 0); err != nil {
+		if err := s.write(t.Context(), c.Case, c.version); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -130,6 +130,31 @@
 	}
 }
 
+// TestRowTellsAllDeaths guards against a row that was written early and a fleet that restarts with
+// less than its VMs knew.
+func TestRowTellsAllDeaths(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	before := newTestSuspects(store, c)
+	for _, id := range []string{"a", "b", "c"} {
+		before.Report(poison, quarantine.Death{ID: id + "@1", Target: id})
+		before.writeMissing(t)
+	}
+	after := newTestSuspects(store, c)
+	for _, row := range store.all() {
+		after.apply(row)
+	}
+	if j := after.list.Judge(poison.Base, []byte("poison")); j.Deaths != 3 || !j.KeptBack() {
+		t.Errorf("after the restart: %+v", j)
+	}
+	if writes := store.writes; writes != 2 {
+		t.Errorf("%d writes", writes)
+	}
+	before.writeMissing(t)
+	if store.writes != 2 {
+		t.Error("written again with nothing new")
+	}
+}
+
 // TestTrialsOfAFleet has many VMs and their restarts ask for trials: of all of them maxTrials are
 // granted.
 func TestTrialsOfAFleet(t *testing.T) {
