--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -200,9 +200,12 @@
 		t.Errorf("%d rows, known %v", len(store.all()), known)
 	}
 	c.Advance(suspectMemory + time.Second)
-	s.writeMissing(t)
-	if n := len(store.all()); n != 0 {
-		t.Errorf("%d rows are left for ever", n)
+	for range 3 { // it must not come back either
+		c.Advance(witnessDelay)
+		s.writeMissing(t)
+		if n := len(store.all()); n != 0 {
+			t.Errorf("%d rows are left for ever", n)
+		}
 	}
 }
 
--- a/pkg/quarantine/codec/codec.go
+++ b/pkg/quarantine/codec/codec.go
@@ -30,7 +30,8 @@
 
 // Decode reads what was told or kept. It fails where any of it is malformed.
 func Decode(s *peerpb.Suspect) (quarantine.Case, error) {
-	c := quarantine.Case{Trials: max(int(s.GetTrials()), 0), Convicted: s.GetConvicted()}
+	c := quarantine.Case{Trials: max(int(s.GetTrials()), 0)}
+	c.Convicted = s.GetConvicted()
 	c.PrefixBytes = int(s.GetPrefixBytes())
 	if copy(c.Base[:], s.GetBase()) != len(c.Base) || copy(c.PrefixHash[:], s.GetPrefixHash()) != len(c.PrefixHash) ||
 		c.PrefixBytes < 0 || c.PrefixBytes > maxPrefixBytes {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -83,8 +83,6 @@
 	Deaths []Death
 	// Trials is how often it was sent on probation.
 	Trials int
-	// Convicted says that the deaths quarantine it, now or before a trial.
-	Convicted bool
 	Judgement
 }
 
@@ -92,6 +90,8 @@
 type Judgement struct {
 	// Deaths is how many targets died with it.
 	Deaths int
+	// Convicted says that the deaths quarantine it, now or before a trial.
+	Convicted bool
 	// Quarantined requests must not be sent.
 	Quarantined bool
 	// Probation says that the request may be sent only as a trial.
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -100,6 +100,7 @@
 		worst.Deaths = max(worst.Deaths, j.Deaths)
 		worst.Quarantined = worst.Quarantined || j.Quarantined
 		worst.Probation = worst.Probation || j.Probation
+		worst.Convicted = worst.Convicted || j.Convicted
 		worst.RetryAfter = max(worst.RetryAfter, j.RetryAfter)
 	}
 	return worst
@@ -138,8 +139,8 @@
 	if j.Deaths == 0 || now.Sub(last) > c.Memory {
 		return Judgement{}
 	}
-	convicted := s.convicts(v, last)
-	doubtful := c.MaxTrials > 0 && (convicted || v.targets() >= probationDeaths)
+	j.Convicted = s.convicts(v, last)
+	doubtful := c.MaxTrials > 0 && (j.Convicted || v.targets() >= probationDeaths)
 	hold := c.Duration
 	if v.trials > 0 {
 		last = max(last, v.triedAt)
@@ -152,7 +153,7 @@
 	}
 	left := last.Add(hold).Sub(now)
 	switch {
-	case left > 0 && (convicted || (doubtful && v.trials > 0)):
+	case left > 0 && (j.Convicted || (doubtful && v.trials > 0)):
 		j.Quarantined, j.RetryAfter = true, left
 	case doubtful:
 		j.Probation = true
@@ -172,15 +173,15 @@
 // describe returns what is known of a suspect.
 func (s *state) describe(v *suspect, now clock.Time, c *Config) Case {
 	out := Case{Fingerprint: v.fingerprint, Trials: v.trials, Judgement: s.judgeSuspect(v, now, c)}
-	var last clock.Time
+	if out.Judgement.Deaths == 0 { // cleared or forgotten
+		return out
+	}
 	for _, d := range v.deaths {
 		if !d.cleared {
-			last = max(last, d.at)
 			d.Death.Age = now.Sub(d.at)
 			out.Deaths = append(out.Deaths, d.Death)
 		}
 	}
-	out.Convicted = len(out.Deaths) > 0 && s.convicts(v, last)
 	return out
 }
 
