internal/freeport: never return an address twice

Cause of a VM that "becomes ready: not in 20s": of 5000 sets of five addresses, six had a duplicate, and a VM with one address for two servers ends at its start. Address now remembers what it returned.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"testing"
 )
 
@@ -16,13 +17,27 @@
 	return fmt.Sprintf("127.1.%d.%d", pid>>8&0xff, max(1, pid&0xff))
 }
 
-// Address returns a loopback address on which nothing listens.
+// maxAttempts bounds the search for a new address.
+const maxAttempts = 1000
+
+// returned holds the addresses that Address has returned. The kernel may choose a port again before
+// anybody listens on it.
+var returned sync.Map
+
+// Address returns a loopback address on which nothing listens, a different one with each call.
 func Address(tb testing.TB) string {
 	tb.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(loopbackHost(), "0"))
-	if err != nil {
-		tb.Fatal(err)
+	for range maxAttempts {
+		l, err := net.Listen("tcp", net.JoinHostPort(loopbackHost(), "0"))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		address := l.Addr().String()
+		l.Close()
+		if _, used := returned.LoadOrStore(address, true); !used {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	tb.Fatalf("found no new address in %d attempts", maxAttempts)
+	return ""
 }
