--- a/pkg/feed/log.go
+++ b/pkg/feed/log.go
@@ -137,11 +137,23 @@
 	if err := s.objects.Put(ctx, objectName(c.Version), data); err != nil {
 		return fmt.Errorf("put %s: %w", objectName(c.Version), err)
 	}
+	for {
+		err := s.advancePointer(ctx, c.Version)
+		var conflict *storage.ConflictError
+		if !errors.As(err, &conflict) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// advancePointer makes the pointer name the snapshot of a version, unless it names the same or a newer
+// one. Error: *storage.ConflictError if another VM has changed it meanwhile.
+func (s *store) advancePointer(ctx context.Context, version int64) error {
 	p, revision, err := s.readPointer(ctx)
-	if err != nil || p.Version >= c.Version {
+	if err != nil || p.Version >= version {
 		return err
 	}
-	value, err := json.Marshal(snapshotPointer{Version: c.Version, Object: objectName(c.Version)})
+	value, err := json.Marshal(snapshotPointer{Version: version, Object: objectName(version)})
 	if err != nil {
 		return err
 	}
