pkg/limit: an exchange that began with an earlier view does not make a VM the home again

In the product: borrowFromHome and refreshAccount stored whether this VM is the home from a view read before they took the account's lock; a VM then refused without asking until the next round (TestLateExchangeKeepsTheHome fails before).

--- a/pkg/limit/exchange.go
+++ b/pkg/limit/exchange.go
@@ -107,10 +107,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, demandLoanPeriod)
 	defer cancel()
+	view := s.cfg.Members.View()
 	homes := map[string]member.Peer{}
 	accounts := map[string][]*account{}
 	for name, a := range *s.accounts.Load() {
-		if home, ok := s.home(name); ok {
+		if home, ok := s.home(name, view); ok {
 			homes[home.ID] = home
 			accounts[home.ID] = append(accounts[home.ID], a)
 		}
@@ -126,7 +127,7 @@
 func (s *Service) borrowFromHome(ctx context.Context, home member.Peer, accounts []*account) {
 	now := s.cfg.Clock.Now()
 	requests := buildRequests(accounts, func(a *account) *peerpb.AccountRequest {
-		a.budget.home = home.ID == s.cfg.Members.View().Self.ID
+		s.updateHome(a)
 		return a.budget.shareRequest(home.Incarnation, now)
 	})
 	if len(requests) == 0 {
--- a/pkg/limit/home.go
+++ b/pkg/limit/home.go
@@ -22,8 +22,7 @@
 // home returns the home of the account: the VM that collects its idle shares. Live VMs of the
 // preferred region come first. VMs with different views may choose different homes; then requests
 // may be refused wrongly, but never too many are admitted. It returns false if no VM is live.
-func (s *Service) home(account string) (member.Peer, bool) {
-	view := s.cfg.Members.View()
+func (s *Service) home(account string, view *member.View) (member.Peer, bool) {
 	preferred := ""
 	if s.cfg.PreferredRegion != nil {
 		preferred = s.cfg.PreferredRegion(account)
@@ -49,6 +48,14 @@
 	return home, found
 }
 
+// updateHome updates whether this VM is the account's home by the present view. The caller holds a.mu,
+// so that no earlier view replaces a later one.
+func (s *Service) updateHome(a *account) {
+	a.view = s.cfg.Members.View()
+	home, ok := s.home(a.budget.name, a.view)
+	a.budget.home = ok && home.ID == a.view.Self.ID
+}
+
 // Homes ranks all live VMs as homes of the account and returns their IDs. The first is the home if
 // no region is preferred; the earlier a VM is in the list, the likelier it holds tokens.
 func (s *Service) Homes(account string) []string {
--- a/pkg/limit/service.go
+++ b/pkg/limit/service.go
@@ -240,10 +240,8 @@
 
 // sync applies the current members, configuration and slots to the budget. The caller holds a.mu.
 func (s *Service) sync(a *account, c *config.Account, now clock.Time) {
-	if view := s.cfg.Members.View(); a.view != view {
-		a.view = view
-		home, ok := s.home(a.budget.name)
-		a.budget.home = ok && home.ID == view.Self.ID
+	if a.view != s.cfg.Members.View() {
+		s.updateHome(a)
 	}
 	h := s.cfg.Slots.Holding()
 	if a.config == c && a.holding == h {
@@ -258,13 +256,14 @@
 
 // requestTokens requests tokens from the home in the background. The caller holds a.mu.
 func (s *Service) requestTokens(a *account, reserve float64, now clock.Time) {
-	home, ok := s.home(a.budget.name)
+	view := s.cfg.Members.View()
+	home, ok := s.home(a.budget.name, view)
 	if !ok {
 		a.budget.denyUntil = now.Add(failedRequestBackoff)
 		a.tokenRequestDone = closedChan
 		return
 	}
-	if home.ID == s.cfg.Members.View().Self.ID {
+	if home.ID == view.Self.ID {
 		a.budget.home = true
 		a.tokenRequestDone = closedChan
 		return
@@ -313,7 +312,6 @@
 // a deleted account is kept until its loans have ended and its buckets would be full, as the
 // account may be created again.
 func (s *Service) refreshAccount(a *account, c *config.Account, view *member.View) bool {
-	home, ok := s.home(a.budget.name)
 	now := s.cfg.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -321,7 +319,7 @@
 		a.keepUntil = now.Add(max(loanDrainTime, a.budget.fillTime()))
 	}
 	s.sync(a, c, now)
-	a.budget.home = ok && home.ID == view.Self.ID
+	s.updateHome(a)
 	a.budget.dropStaleDemand(view)
 	return c != nil || now.Before(a.keepUntil)
 }
--- a/pkg/limit/service_test.go
+++ b/pkg/limit/service_test.go
@@ -191,7 +191,8 @@
 	full, alone := all[other].View(), &member.View{Self: all[other].View().Self}
 	all[other].holding.Store(&lease.Holding{Total: 16})
 	all[other].view.Store(alone)
-	for services[other].Admit(t.Context(), "a").Admitted {
+	// What it has lent before it lost its slots, it owes until the loans end.
+	for services[other].Admit(t.Context(), "a").Admitted || services[other].Shares()[0].Lent > 0 {
 	}
 	for !services[home].Admit(t.Context(), "a").Admitted {
 		time.Sleep(time.Millisecond)
@@ -267,12 +268,12 @@
 	for i := range 50 {
 		name := fmt.Sprint("account-", i)
 		for _, preferred = range []string{"east", "west", "south"} {
-			if home, ok := s.home(name); !ok || home.Region != preferred {
+			if home, ok := s.home(name, src.View()); !ok || home.Region != preferred {
 				t.Errorf("the home of %s is %s in %s, want one in %s", name, home.ID, home.Region, preferred)
 			}
 		}
 		preferred = "north" // where no VM is
-		home, _ := s.home(name)
+		home, _ := s.home(name, src.View())
 		anywhere[home.ID] = true
 	}
 	if len(anywhere) != 5 {
@@ -302,3 +303,24 @@
 		s.borrowFromHomes(b.Context())
 	}
 }
+
+// TestLateExchangeKeepsTheHome guards against a periodic exchange that began with an earlier view of the
+// fleet and makes this VM the home of an account again. It then refused requests without asking the
+// home.
+func TestLateExchangeKeepsTheHome(t *testing.T) {
+	s, src, _ := newService(config.Account{Name: "a", Rate: 10, Burst: 10})
+	alone := &member.View{Self: member.Peer{ID: "self", State: member.Live}}
+	src.view.Store(alone)
+	s.refresh(alone)
+	a, _ := s.account("a")
+	if !a.budget.home {
+		t.Fatal("a VM alone is not the home")
+	}
+	other := &member.View{Self: member.Peer{ID: "self", State: member.Leaving}, Peers: []member.Peer{{ID: "other", State: member.Live}}}
+	src.view.Store(other)
+	s.Admit(t.Context(), "a")
+	s.borrowFromHome(t.Context(), alone.Self, []*account{a}) // of the earlier view
+	if a.budget.home {
+		t.Error("the VM is the home by an earlier view")
+	}
+}
