--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -145,7 +145,10 @@
 	s := d.settings
 	store := platform.NewStore(platform.StoreConfig{
 		Address: s.Platform.Store.Address, ReadsPerSecond: s.Platform.Store.ReadsPerSecond,
-		WritesPerSecond: s.Platform.Store.WritesPerSecond, Metrics: d.registry,
+		WritesPerSecond: s.Platform.Store.WritesPerSecond, Metrics: d.registry, Log: d.log,
+	})
+	store.OnRestore(func(era int64) {
+		d.log.Error().Int64("era", era).Msg("the platform's store was restored from a copy: slots, claims and configuration changes of the lost seconds are gone and may be assigned again; check them")
 	})
 	d.table = platform.NewTable(store)
 	d.members = member.NewProber(member.Config{
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -29,6 +29,7 @@
 	"crocusramp.dev/crocusramp/pkg/peer"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
 	"crocusramp.dev/crocusramp/platform"
@@ -114,23 +115,34 @@
 	// shutdownTracer sends the buffered spans to the collector.
 	shutdownTracer func(context.Context) error
 
-	vms            map[string]Registration // used by the fleet table's watcher only
+	roster         *roster // used by the fleet table's watcher only
 	leaving        atomic.Bool
 	servers        []*http.Server
 	callers        *http.Server
 	listenerErrors chan error
 	conns          *callerConns
 	// listKnown is the store version up to which the list of targets has been read;
-	// listNewest is the version of the newest change to the list itself.
-	listKnown, listNewest atomic.Int64
+	// listNewest is the version of the newest change to the list itself. nil is unknown.
+	listKnown, listNewest atomic.Pointer[storage.Version]
+	evacuations           *evacuations
+	// configSource is the configuration in force as the operators wrote it.
+	configSource atomic.Pointer[[]byte]
+	// recalled is closed once this VM knows whether its peers know later changes than the store.
+	recalled chan struct{}
+	recall   recalledState // valid once recalled is closed
+	// settledEra is the newest era of the store in which, as far as this VM knows, the store lacks
+	// nothing that the fleet knows.
+	settledEra    atomic.Int64
+	configMu      sync.Mutex // serializes applyConfig
+	rowsRewritten metrics.Counter
 }
 
 // New builds a Daemon from the settings that were loaded from path. Run starts it.
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
-		loop: control.NewLoop(), vms: map[string]Registration{}, conns: newCallerConns(), loaded: make(chan struct{}),
-		listenerErrors: make(chan error, maxListeners),
+		loop: control.NewLoop(), roster: newRoster(s.VM.ID), conns: newCallerConns(), loaded: make(chan struct{}),
+		listenerErrors: make(chan error, maxListeners), evacuations: newEvacuations(), recalled: make(chan struct{}),
 	}
 	d.settings.Store(s)
 	d.regions = regionNames(s.FailureDomains)
@@ -154,12 +166,13 @@
 // the other VMs and divide limits among the VMs.
 func (d *Daemon) buildControl() {
 	s := d.settings.Load()
+	d.rowsRewritten = metrics.GetOrRegisterCounter("store.rows_rewritten", d.metrics)
 	d.store = platform.NewStore(platform.StoreConfig{
 		Address: s.Store.Address, ReadsPerSecond: s.Store.ReadsPerSecond / storeRateDivisor,
-		WritesPerSecond: s.Store.WritesPerSecond / storeRateDivisor, Metrics: d.metrics,
+		WritesPerSecond: s.Store.WritesPerSecond / storeRateDivisor, Metrics: d.metrics, Log: d.log,
 	})
 	d.dialer = peer.NewDialer(nil)
-	d.fleet = newRegistry(Registration{ID: s.VM.ID, PeerAddress: s.Listen.Peers}, d.clock.Now(), s.FirstStart, &d.settings)
+	d.fleet = newRegistry(Registration{ID: s.VM.ID, PeerAddress: s.Listen.Peers, Incarnation: d.self.Incarnation}, d.clock.Now(), s.FirstStart, &d.settings)
 	d.members = member.NewProber(member.Config{
 		Self: d.self, Directory: d.fleet, PeerDialer: d.dialer, Loop: d.loop, Clock: d.clock, Log: d.log,
 		UpdateSelf: d.fillStatus, ListPeriod: listPeriod, MaxProbePeriod: maxProbePeriod,
@@ -213,7 +226,9 @@
 	if s := d.state.Load(); s != nil {
 		p.ConfigVersion = s.Version
 	}
-	p.ListVersion = d.listNewest.Load()
+	if v := d.listNewest.Load(); v != nil {
+		p.ListVersion = *v
+	}
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
 	if l := d.reportedLimits.Load(); l != nil {
 		p.Limits = *l
@@ -282,7 +297,7 @@
 func (d *Daemon) listen() error {
 	s := d.settings.Load()
 	peerMux := http.NewServeMux()
-	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler, d.targetLimits.service.Handler, d.suspects.reports.Handler} {
+	for _, service := range []func() (string, http.Handler){d.members.Handler, d.limiter.Handler, d.targetLimits.service.Handler, d.suspects.reports.Handler, d.recallHandler} {
 		prefix, handler := service()
 		peerMux.Handle(prefix, handler)
 	}
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -38,11 +38,18 @@
 	// Left is set by a VM that stops. Its row stays for a while, because VMs that start in
 	// the meantime must take into account that it may come back.
 	Left bool `json:"left,omitempty"`
-	// version is the version of the row in the store.
-	version int64
+	// Incarnation identifies the process that wrote the row.
+	Incarnation string `json:"incarnation,omitempty"`
+	// SettledEra is the newest era of the store that the VM knew to be settled: from then on, the
+	// store lacks nothing that the fleet knows.
+	SettledEra int64 `json:"settled_era,omitempty"`
+	// version is the version of the row in the store. It is zero for a row that was lost in a
+	// restore of the store.
+	version storage.Version
 }
 
-// equal compares two registrations without their versions.
+// equal compares what two registrations tell of the VM. It ignores the incarnation, because a process
+// that replaces a crashed one need not write the row again.
 func (v Registration) equal(w Registration) bool {
 	return v.ID == w.ID && v.PeerAddress == w.PeerAddress && v.Left == w.Left
 }
@@ -203,13 +210,16 @@
 	}
 	var out []Registration
 	for _, v := range loadRegistrations(&r.rows) {
-		if since, ok := r.leftAt[v.ID]; ok && now.Sub(since) >= leftRowRetention {
+		if since, ok := r.leftAt[v.ID]; ok && v.version.Number != 0 && now.Sub(since) >= leftRowRetention {
 			out = append(out, v)
 		}
 	}
 	return out
 }
 
+// hasRow reports whether the registration is still the known one of its VM.
+func (r *registry) hasRow(v Registration) bool { return slices.Contains(loadRegistrations(&r.rows), v) }
+
 // isCoordinator reports whether this VM does the work that only one VM of the fleet should do.
 // That is the registered VM with the lowest ID.
 func (r *registry) isCoordinator() bool {
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -14,6 +14,7 @@
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/settings"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -227,6 +228,7 @@
 func TestRowsOfVMsThatLeftAreRemoved(t *testing.T) {
 	rows := registrations(4)
 	rows[0].Left, rows[2].Left = true, true
+	rows[0].version, rows[2].version = storage.Version{Number: 1}, storage.Version{Number: 1}
 	for i, want := range map[int][]string{1: {"vm-00", "vm-02"}, 3: nil} {
 		r := newTestRegistry(rows[i].ID, true)
 		r.setRows(rows, 0)
@@ -336,7 +338,7 @@
 		{4000, 6, 7, false}, // the timer restarts after a refresh
 		{5600, 6, 8, true},
 	} {
-		if got := b.shouldRefresh(tt.own, tt.newest, at(tt.ms)); got != tt.want {
+		if got := b.shouldRefresh(tt.own < tt.newest, at(tt.ms)); got != tt.want {
 			t.Errorf("at %d ms, own %d, newest %d: shouldRefresh returned %v", tt.ms, tt.own, tt.newest, got)
 		}
 	}
@@ -344,11 +346,11 @@
 
 func TestNewestVersionsOfLivePeers(t *testing.T) {
 	v := &member.View{Peers: []member.Peer{
-		{State: member.Live, ConfigVersion: 3, ListVersion: 9},
-		{State: member.Live, ConfigVersion: 4, ListVersion: 8},
-		{State: member.Silent, ConfigVersion: 99, ListVersion: 99},
+		{State: member.Live, ConfigVersion: 3, ListVersion: storage.Version{Era: 1, Number: 9}},
+		{State: member.Live, ConfigVersion: 4, ListVersion: storage.Version{Era: 2, Number: 8}},
+		{State: member.Silent, ConfigVersion: 99, ListVersion: storage.Version{Era: 3, Number: 99}},
 	}}
-	if config, list := newestVersions(v); config != 4 || list != 9 {
-		t.Errorf("newest versions: config %d, list %d, want 4 and 9", config, list)
+	if config, list := newestVersions(v); config != 4 || list != (storage.Version{Era: 2, Number: 8}) {
+		t.Errorf("newest versions: config %d, list %v, want 4 and 2.8", config, list)
 	}
 }
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +44,9 @@
 
 // shouldRefresh reports whether this VM has lagged behind for longer than maxLag. It then restarts
 // the timer.
-func (t *lagTimer) shouldRefresh(own, newest int64, now time.Time) bool {
+func (t *lagTimer) shouldRefresh(lags bool, now time.Time) bool {
 	switch {
-	case own >= newest:
+	case !lags:
 		t.since = time.Time{}
 	case t.since.IsZero():
 		t.since = now
@@ -63,22 +64,27 @@
 	var configLag, listLag lagTimer
 	every(ctx, comparePeriod, func() {
 		newestConfig, newestList := newestVersions(d.members.View())
-		if configLag.shouldRefresh(d.Snapshot().Version, newestConfig, time.Now()) {
+		if configLag.shouldRefresh(d.Snapshot().Version < newestConfig, time.Now()) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; sending a new request to the store")
 			operators.Refresh()
+			state, _ := d.askPeers(ctx, slices.Clone(loadRegistrations(&d.fleet.vms)))
+			if d.applyRecalledConfigs(state.configs) {
+				d.targets.Publish(storage.Version{})
+			}
 		}
-		if known := d.listKnown.Load(); listLag.shouldRefresh(known, newestList, time.Now()) {
-			d.log.Warn().Int64("list", known).Int64("peers", newestList).Msg("a peer has a newer list of targets; sending a new request to the store")
+		known := d.listKnown.Load()
+		if known != nil && listLag.shouldRefresh(known.Before(newestList), time.Now()) {
+			d.log.Warn().Stringer("list", known).Stringer("peers", newestList).Msg("a peer has a newer list of targets; sending a new request to the store")
 			targets.Refresh()
 		}
 	})
 }
 
 // newestVersions returns the newest versions that live peers reported.
-func newestVersions(view *member.View) (config, list int64) {
+func newestVersions(view *member.View) (config int64, list storage.Version) {
 	for i := range view.Peers {
 		if p := &view.Peers[i]; p.State == member.Live {
-			config, list = max(config, p.ConfigVersion), max(list, p.ListVersion)
+			config, list = max(config, p.ConfigVersion), storage.Latest(list, p.ListVersion)
 		}
 	}
 	return config, list
@@ -86,24 +92,58 @@
 
 // applyOperator applies changes of the operators' table: configurations and evacuations.
 func (d *Daemon) applyOperator(u platform.Update) {
-	changed := false
+	now := time.Now()
+	changed, first := false, !d.evacuations.known.Load()
+	if first {
+		recalled := d.awaitRecall()
+		changed = d.applyRecalledConfigs(recalled.configs)
+		d.applyRecalledEvacuations(recalled.evacuated, now)
+	}
+	if u.Restored {
+		d.evacuations.extend(now)
+		time.AfterFunc(restoredRowHold, d.applyHeldEvacuations)
+	}
 	for _, c := range u.Changes {
 		if domain, ok := platform.EvacuatedDomain(c.Key); ok {
-			d.targets.Evacuate(domain, !c.Removed, time.Now())
-			d.log.Info().Str("failure_domain", domain).Bool("evacuated", !c.Removed).Int64("row", c.Version).Msg("evacuation of a failure domain changed")
-			changed = true
+			changed = d.applyEvacuation(domain, c, u.Restored, now) || changed
 			continue
 		}
 		if platform.IsConfig(c.Key) && !c.Removed {
-			changed = d.applyConfig(c) || changed
+			changed = d.applyConfig(c.Value, c.Version) || changed
 		}
 	}
+	d.evacuations.known.Store(true)
 	if changed {
-		d.targets.Publish(0)
+		d.targets.Publish(storage.Version{})
 	}
 	d.markLoaded()
 }
 
+// applyEvacuation applies the row of a failure domain's evacuation. It reports whether the domain was
+// or is no longer evacuated now.
+func (d *Daemon) applyEvacuation(domain string, c platform.Change, restored bool, now time.Time) bool {
+	on := !c.Removed
+	if restored && d.evacuations.hold(domain, on, now) {
+		d.log.Warn().Str("failure_domain", domain).Bool("evacuated", !on).Stringer("row", c.Version).Dur("for_ms", restoredRowHold).
+			Msg("the restored store has another state of an evacuation; keeping the known one for now")
+		return false
+	}
+	d.evacuations.set(domain, on)
+	d.targets.Evacuate(domain, on, now)
+	d.log.Info().Str("failure_domain", domain).Bool("evacuated", on).Stringer("row", c.Version).Msg("evacuation of a failure domain changed")
+	return true
+}
+
+// applyHeldEvacuations puts the store's state of evacuations in force whose hold has ended.
+func (d *Daemon) applyHeldEvacuations() {
+	now := time.Now()
+	for domain, on := range d.evacuations.expire(now) {
+		d.targets.Evacuate(domain, on, now)
+		d.log.Info().Str("failure_domain", domain).Bool("evacuated", on).Msg("evacuation of a failure domain changed as in the restored store")
+	}
+	d.targets.Publish(storage.Version{})
+}
+
 // markLoaded closes loaded once the configuration, the targets and the VMs have been read.
 func (d *Daemon) markLoaded() {
 	if d.state.Load() != nil && d.targetsRead.Load() && d.fleetRead.Load() {
@@ -113,10 +153,12 @@
 
 // applyConfig puts a configuration in force if it can be decoded and its version is newer than
 // the present one's. It reports whether it did.
-func (d *Daemon) applyConfig(c platform.Change) bool {
-	next, err := platform.DecodeConfig(c.Value)
+func (d *Daemon) applyConfig(value []byte, row storage.Version) bool {
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
+	next, err := platform.DecodeConfig(value)
 	if err != nil {
-		d.log.Error().Err(err).Int64("row", c.Version).Msg("cannot decode the configuration; keeping the previous one")
+		d.log.Error().Err(err).Stringer("row", row).Msg("cannot decode the configuration; keeping the previous one")
 		return false
 	}
 	old := d.state.Load()
@@ -125,8 +167,9 @@
 		return false
 	}
 	d.targets.SetServices(next.Services)
+	d.configSource.Store(&value)
 	d.state.Store(ingress.NewState(next, old))
-	d.log.Info().Int64("config", next.Version).Int64("row", c.Version).Int("routes", len(next.Routes)).
+	d.log.Info().Int64("config", next.Version).Stringer("row", row).Int("routes", len(next.Routes)).
 		Int("accounts", len(next.Accounts)).Msg("configuration in force")
 	d.logLimits(next, old)
 	return true
@@ -150,18 +193,26 @@
 	return func(u platform.Update) {
 		now := time.Now()
 		var removed []string
-		afterOutage := false
+		afterOutage := u.Restored
 		for _, c := range lastChanges(u.Changes) {
-			if c.Removed {
+			switch {
+			case c.Removed:
 				removed = append(removed, c.Key)
 				afterOutage = afterOutage || c.AfterOutage
-				continue
+			case u.Restored:
+				d.applyRestoredTarget(c, now)
+			default:
+				d.applyTarget(c, first, now)
 			}
-			d.applyTarget(c, first, now)
 		}
 		if len(removed) > 0 {
 			d.removeTargets(ctx, removed, afterOutage, now)
 		}
+		if first {
+			for _, l := range d.targets.ApplyStates(d.awaitRecall().targets, now) {
+				d.dropTarget(l)
+			}
+		}
 		if len(u.Changes) > 0 || first {
 			d.targets.Publish(u.Version)
 		}
@@ -196,21 +247,37 @@
 	for _, c := range u.Changes {
 		// A removal that was detected by reading the whole table has no version.
 		if !c.Removed || !u.Full {
-			d.listNewest.Store(max(d.listNewest.Load(), c.Version))
+			newest := c.Version
+			if old := d.listNewest.Load(); old != nil {
+				newest = storage.Latest(*old, newest)
+			}
+			d.listNewest.Store(&newest)
 		}
 	}
-	d.listKnown.Store(u.Version)
+	d.listKnown.Store(&u.Version)
 }
 
 func (d *Daemon) applyTarget(c platform.Change, first bool, now time.Time) {
 	e, err := platform.DecodeTarget(c.Key, c.Value)
 	if err != nil {
-		d.log.Warn().Err(err).Str("target", c.Key).Int64("row", c.Version).Msg("ignoring an invalid target entry")
+		d.log.Warn().Err(err).Str("target", c.Key).Stringer("row", c.Version).Msg("ignoring an invalid target entry")
 		return
 	}
 	l, added := d.targets.Upsert(e, first, now)
 	d.log.Info().Str("target", e.ID).Str("pool", e.Pool).Str("address", e.Address).Bool("draining", e.Draining).
-		Bool("new", added).Bool("cold", l.Cold(now)).Dur("cold_for_ms", e.ColdFor).Int64("row", c.Version).Msg("target added or updated")
+		Bool("new", added).Bool("cold", l.Cold(now)).Dur("cold_for_ms", e.ColdFor).Stringer("row", c.Version).Msg("target added or updated")
+}
+
+// applyRestoredTarget applies an entry that was read after the store had been restored from a copy.
+func (d *Daemon) applyRestoredTarget(c platform.Change, now time.Time) {
+	e, err := platform.DecodeTarget(c.Key, c.Value)
+	if err != nil {
+		d.log.Warn().Err(err).Str("target", c.Key).Stringer("row", c.Version).Msg("ignoring an invalid target entry")
+		return
+	}
+	l, applied := d.targets.UpsertRestored(e, now)
+	d.log.Info().Str("target", l.ID).Bool("draining", e.Draining).Int64("started_at", e.StartedAt).Int64("sequence", e.Sequence).
+		Bool("applied", applied).Stringer("row", c.Version).Msg("target entry of the restored store")
 }
 
 func (d *Daemon) removeTargets(ctx context.Context, ids []string, afterOutage bool, now time.Time) {
@@ -230,7 +297,7 @@
 		for _, l := range d.targets.Expire(time.Now()) {
 			d.dropTarget(l)
 		}
-		d.targets.Publish(0)
+		d.targets.Publish(storage.Version{})
 	})
 }
 
@@ -244,12 +311,18 @@
 func (d *Daemon) applyFleet(ctx context.Context) func(platform.Update) {
 	first := true
 	return func(u platform.Update) {
+		if u.Restored {
+			d.suspects.beginEra()
+		}
+		var rows []Registration
 		for _, c := range u.Changes {
-			if d.suspects.apply(c) {
+			if d.suspects.apply(c, u.Restored) {
 				continue
 			}
 			if c.Removed {
-				delete(d.vms, c.Key)
+				if !u.Restored {
+					d.roster.remove(c.Key)
+				}
 				continue
 			}
 			v, err := decodeRegistration(c.Row)
@@ -257,14 +330,23 @@
 				d.log.Warn().Err(err).Str("vm", c.Key).Msg("ignoring an invalid VM registration")
 				continue
 			}
-			d.vms[c.Key] = v
+			d.settledEra.Store(max(d.settledEra.Load(), v.SettledEra))
+			rows = append(rows, v)
+		}
+		if first {
+			d.beginRecall(ctx, rows, u.Version.Era)
+		}
+		if u.Restored {
+			d.restoreRegistrations(ctx, rows, u.Version)
+		} else {
+			d.setRegistrations(ctx, rows)
 		}
-		if !d.vms[d.fleet.self.ID].equal(d.fleet.self) && !d.leaving.Load() {
+		if !d.roster.vms[d.fleet.self.ID].equal(d.fleet.self) && !d.leaving.Load() {
 			d.register(ctx)
 		}
-		d.fleet.setRows(sorted(d.vms), d.clock.Now())
+		d.fleet.setRows(sorted(d.roster.vms), d.clock.Now())
 		if len(u.Changes) > 0 {
-			d.log.Info().Int("vms", len(loadRegistrations(&d.fleet.vms))).Int("sharing", d.fleet.sharingCount()).Int64("row", u.Version).Msg("registered VMs")
+			d.log.Info().Int("vms", len(loadRegistrations(&d.fleet.vms))).Int("sharing", d.fleet.sharingCount()).Stringer("row", u.Version).Msg("registered VMs")
 		}
 		if first {
 			first = false
@@ -343,12 +425,12 @@
 // register writes this VM's row, with a few retries. If all fail, the next update of the fleet's
 // table triggers another call.
 func (d *Daemon) register(ctx context.Context) {
-	row := d.fleet.self.row()
+	row := d.registration().row()
 	var err error
 	for attempt := 0; ctx.Err() == nil && attempt < registerAttempts; attempt++ {
 		_, err = d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{row}})
 		if err == nil {
-			d.vms[d.fleet.self.ID] = d.fleet.self
+			d.roster.set(d.fleet.self)
 			return
 		}
 		d.log.Warn().Err(err).Msg("failed to register this VM")
--- /dev/null
+++ b/pkg/edge/restore.go
@@ -0,0 +1,247 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/platform"
+)
+
+// The platform's store may be restored from a copy that is some seconds old. Operators and targets
+// then write their rows again, and so does the fleet. Until then, the latest known state stays in
+// force; each kind of row has its own order (docs/DESIGN.md, "A store that is restored from a copy").
+
+const (
+	// restoredRowHold is how long the known state of a row stays in force that the restored store
+	// contradicts: the platform's time for lost rows to be written again.
+	restoredRowHold = 2 * time.Second
+	// rewriteDelay and rewriteSpread determine when a VM writes a lost registration of another VM
+	// again. Most VMs write their own row before.
+	rewriteDelay  = time.Second
+	rewriteSpread = 2 * time.Second
+	// eraSettleTime is how long after a restore VMs that start ask their peers for later changes
+	// than those in the store.
+	eraSettleTime = 15 * time.Second
+	// maxRetired bounds the remembered incarnations of VMs.
+	maxRetired = 4096
+)
+
+// evacuations holds the evacuated failure domains, and the changes that the restored store made to
+// them and that are not in force yet. It is safe for concurrent use.
+type evacuations struct {
+	// known is set once the operators' table has been read.
+	known atomic.Bool
+	mu    sync.Mutex
+	on    map[string]bool
+	held  map[string]heldEvacuation
+}
+
+// heldEvacuation is a failure domain's state in the store that is put in force at until.
+type heldEvacuation struct {
+	on    bool
+	until time.Time
+}
+
+func newEvacuations() *evacuations {
+	return &evacuations{on: map[string]bool{}, held: map[string]heldEvacuation{}}
+}
+
+// set records a state that was written after the last restore.
+func (e *evacuations) set(domain string, on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.held, domain)
+	e.on[domain] = on
+}
+
+// hold records a state of the restored store. It reports whether the state differs from the known one,
+// which then stays in force for restoredRowHold.
+func (e *evacuations) hold(domain string, on bool, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.on[domain] == on {
+		delete(e.held, domain)
+		return false
+	}
+	e.held[domain] = heldEvacuation{on, now.Add(restoredRowHold)}
+	return true
+}
+
+// extend restarts the holds after another restore.
+func (e *evacuations) extend(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for domain, h := range e.held {
+		h.until = now.Add(restoredRowHold)
+		e.held[domain] = h
+	}
+}
+
+// expire returns the states whose hold has ended. They are in force from now on.
+func (e *evacuations) expire(now time.Time) map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	due := map[string]bool{}
+	for domain, h := range e.held {
+		if !now.Before(h.until) {
+			due[domain] = h.on
+			e.on[domain] = h.on
+			delete(e.held, domain)
+		}
+	}
+	return due
+}
+
+// list returns the evacuated failure domains.
+func (e *evacuations) list() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for domain, on := range e.on {
+		if on {
+			out = append(out, domain)
+		}
+	}
+	return out
+}
+
+// roster holds the registrations of all VMs as the fleet's table lists them. Only one goroutine may use
+// it.
+type roster struct {
+	self string // ID of this VM
+	vms  map[string]Registration
+	// retired holds the incarnations that have left or were replaced, because a restored store may
+	// list them again.
+	retired map[string]bool
+}
+
+func newRoster(self string) *roster {
+	return &roster{self: self, vms: map[string]Registration{}, retired: map[string]bool{}}
+}
+
+// remove applies the removal of a row.
+func (r *roster) remove(id string) { delete(r.vms, id) }
+
+// set applies a row and remembers the processes that ended by the change. A VM that knew less may have
+// written the row of a process that has left again; set then keeps it as left and reports that it must
+// be written again.
+func (r *roster) set(v Registration) (outdated bool) {
+	if !v.Left && r.retired[v.Incarnation] {
+		v.Left, outdated = true, true
+	}
+	if len(r.retired) >= maxRetired {
+		clear(r.retired)
+	}
+	if old := r.vms[v.ID]; old.Incarnation != "" && old.Incarnation != v.Incarnation {
+		r.retired[old.Incarnation] = true
+	}
+	if v.Left && v.Incarnation != "" {
+		r.retired[v.Incarnation] = true
+	}
+	r.vms[v.ID] = v
+	return outdated
+}
+
+// restore replaces the registrations by those of a restored store, except for what is known to be
+// later. It returns the registrations of other VMs that must be written again, each with the version
+// of the row that it replaces. This VM's own registration is not kept if it was lost.
+func (r *roster) restore(rows []Registration) (lost []Registration) {
+	known := r.vms
+	delete(known, r.self)
+	r.vms = map[string]Registration{}
+	for _, v := range rows {
+		if r.retired[v.Incarnation] && !v.Left {
+			k, ok := known[v.ID]
+			if !ok { // its row had been removed
+				k = v
+				k.Left = true
+			}
+			k.version = v.version
+			v = k
+			lost = append(lost, v)
+		}
+		r.vms[v.ID] = v
+	}
+	for id, v := range known {
+		if _, ok := r.vms[id]; !ok {
+			v.version = storage.Version{}
+			r.vms[id] = v
+			lost = append(lost, v)
+		}
+	}
+	return lost
+}
+
+// setRegistrations applies changed registrations.
+func (d *Daemon) setRegistrations(ctx context.Context, rows []Registration) {
+	var outdated []Registration
+	for _, v := range rows {
+		if d.roster.set(v) {
+			outdated = append(outdated, d.roster.vms[v.ID])
+		}
+	}
+	d.rewriteLater(ctx, outdated)
+}
+
+// restoreRegistrations applies the registrations of a restored store and has the lost ones written
+// again.
+func (d *Daemon) restoreRegistrations(ctx context.Context, rows []Registration, version storage.Version) {
+	lost := d.roster.restore(rows)
+	d.log.Warn().Stringer("row", version).Int("vms", len(d.roster.vms)).Int("lost", len(lost)).Msg("registrations after the restore of the store")
+	d.rewriteLater(ctx, lost)
+	time.AfterFunc(eraSettleTime, func() { d.settleEra(ctx, version.Era) })
+}
+
+// rewriteLater has lost registrations of other VMs written again in the background.
+func (d *Daemon) rewriteLater(ctx context.Context, lost []Registration) {
+	if len(lost) > 0 {
+		d.loop.Go(ctx, func(ctx context.Context) { d.rewriteRegistrations(ctx, lost) })
+	}
+}
+
+// rewriteRegistrations writes the lost registrations of other VMs that nobody has written again.
+func (d *Daemon) rewriteRegistrations(ctx context.Context, lost []Registration) {
+	started := time.Now()
+	select {
+	case <-time.After(rewriteDelay + rand.N(rewriteSpread)):
+	case <-ctx.Done():
+		return
+	}
+	written := 0
+	for _, v := range lost {
+		if v.ID == d.fleet.self.ID || !d.fleet.hasRow(v) {
+			continue
+		}
+		row := v.row()
+		expected := platform.Row{Table: fleetTable, Key: row.Key, Version: v.version}
+		if _, err := d.store.Transact(ctx, platform.Transaction{Expect: []platform.Row{expected}, Writes: []platform.Row{row}}); err != nil {
+			d.log.Info().Err(err).Str("vm", v.ID).Msg("did not write the lost registration of another VM again")
+			continue
+		}
+		written++
+	}
+	d.rowsRewritten.Inc(int64(written))
+	d.log.Info().Int("lost", len(lost)).Int("written", written).Dur("after_ms", time.Since(started)).Msg("lost registrations are written again")
+}
+
+// settleEra records in the coordinator's row that the fleet knows nothing that the store of the era
+// lacks.
+func (d *Daemon) settleEra(ctx context.Context, era int64) {
+	if ctx.Err() != nil || d.store.Era() != era || d.leaving.Load() || !d.fleet.isCoordinator() || d.settledEra.Load() >= era {
+		return
+	}
+	d.settledEra.Store(era)
+	_, err := d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{d.registration().row()}})
+	d.log.Info().Err(err).Int64("era", era).Msg("recorded the store's era as settled")
+}
+
+// registration returns this VM's registration as it is written now.
+func (d *Daemon) registration() Registration {
+	v := d.fleet.self
+	v.SettledEra = d.settledEra.Load()
+	return v
+}
--- /dev/null
+++ b/pkg/edge/restore_test.go
@@ -0,0 +1,191 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"crocusramp.dev/crocusramp/pkg/clock"
+	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/platform"
+)
+
+func registration(id, incarnation string, left bool) Registration {
+	return Registration{ID: id, PeerAddress: id + ":1", Incarnation: incarnation, Left: left, version: storage.Version{Era: 1, Number: 5}}
+}
+
+// TestRosterAfterRestore checks which registrations hold after a restore of the store, and which
+// are written again.
+func TestRosterAfterRestore(t *testing.T) {
+	left, live := true, false
+	for _, tt := range []struct {
+		name            string
+		history         []Registration // of the VM, as this VM saw it
+		swept           bool           // its row was removed
+		restored        []Registration
+		wantLeft        bool
+		wantRewrite     bool
+		wantIncarnation string
+	}{
+		{"unchanged", []Registration{registration("a", "1", live)}, false, []Registration{registration("a", "1", live)}, live, false, "1"},
+		{"joined since the copy", []Registration{registration("a", "1", live)}, false, nil, live, true, "1"},
+		{"left since the copy", []Registration{registration("a", "1", live), registration("a", "1", left)}, false, []Registration{registration("a", "1", live)}, left, true, "1"},
+		{"restarted and left since the copy", []Registration{registration("a", "1", live), registration("a", "2", left)}, false, []Registration{registration("a", "1", live)}, left, true, "2"},
+		{"restarted since the copy", []Registration{registration("a", "1", left), registration("a", "2", live)}, false, []Registration{registration("a", "1", left)}, left, false, "1"},
+		{"left, and started after the restore", []Registration{registration("a", "1", left)}, false, []Registration{registration("a", "2", live)}, live, false, "2"},
+		{"removed since the copy", []Registration{registration("a", "1", left)}, true, []Registration{registration("a", "1", live)}, left, true, "1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoster("self")
+			for _, v := range tt.history {
+				r.set(v)
+			}
+			if tt.swept {
+				r.remove("a")
+			}
+			lost := r.restore(tt.restored)
+			got := r.vms["a"]
+			if got.Left != tt.wantLeft || got.Incarnation != tt.wantIncarnation || (len(lost) == 1) != tt.wantRewrite {
+				t.Errorf("registrations %+v, lost %+v", r.vms, lost)
+			}
+			if tt.restored == nil && got.version != (storage.Version{}) {
+				t.Errorf("the lost row has version %v", got.version)
+			}
+		})
+	}
+}
+
+// TestHeldEvacuations checks that a restored store ends or begins an evacuation only after the time in
+// which operators write lost rows again, and not if they do.
+func TestHeldEvacuations(t *testing.T) {
+	now := time.Now()
+	e := newEvacuations()
+	e.set("lost", true)
+	e.set("written again", true)
+	e.set("ended", false)
+	for domain, on := range map[string]bool{"lost": false, "written again": false, "ended": true} {
+		if !e.hold(domain, on, now) {
+			t.Errorf("%s is not held", domain)
+		}
+	}
+	if e.hold("never evacuated", false, now) {
+		t.Error("an unchanged domain is held")
+	}
+	e.set("written again", true)
+	if due := e.expire(now.Add(restoredRowHold - 1)); len(due) != 0 {
+		t.Errorf("in force too early: %v", due)
+	}
+	if diff := cmp.Diff(map[string]bool{"lost": false, "ended": true}, e.expire(now.Add(restoredRowHold))); diff != "" {
+		t.Errorf("in force after the hold (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"ended", "written again"}, e.list(), cmpopts.SortSlices(func(a, b string) bool { return a < b })); diff != "" {
+		t.Errorf("evacuated (-want +got):\n%s", diff)
+	}
+}
+
+// restoreTo returns the store's rows as after a restore from the copy rows, and applies them to the VMs.
+func (f *fakeStore) restoreTo(rows map[string]platform.Row, vms ...*suspects) {
+	before := f.all()
+	f.mu.Lock()
+	f.version.Era++
+	f.rows = map[string]platform.Row{}
+	for key, r := range rows {
+		r.Version.Era = f.version.Era
+		f.rows[key] = r
+	}
+	f.mu.Unlock()
+	for _, vm := range vms {
+		vm.beginEra()
+		for _, c := range before {
+			if _, ok := rows[c.Key]; !ok {
+				vm.apply(platform.Change{Row: platform.Row{Table: fleetTable, Key: c.Key, Version: f.version, Removed: true}}, true)
+			}
+		}
+		for _, c := range f.all() {
+			vm.apply(c, true)
+		}
+	}
+}
+
+// TestRestoreKeepsSuspects checks that suspects whose rows were lost stay suspect and are written
+// again, and that those that were cleared since the copy are removed again.
+func TestRestoreKeepsSuspects(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	vm := newTestSuspects(store, c)
+	vm.reportTwoDeaths()
+	vm.syncOnce(t)
+	withSuspect := store.rows
+	store.restoreTo(nil, vm)
+	if a := vm.list.Assess(poison.BaseHash, []byte("poison")); !a.Quarantined {
+		t.Errorf("after the restore: %+v", a)
+	}
+	vm.syncOnce(t)
+	if len(store.rows) != 1 {
+		t.Errorf("%d rows, want the suspect's", len(store.rows))
+	}
+	vm.list.RecordAnswer(poison)
+	vm.Clear(poison)
+	vm.syncOnce(t)
+	store.restoreTo(withSuspect, vm)
+	vm.syncOnce(t)
+	if len(store.rows) != 0 {
+		t.Error("a cleared suspect is in the store again")
+	}
+}
+
+// TestRestoreGrantsNoMoreTrials lets two VMs compete for trials while the store forgets those that it
+// granted: a trial of the lost seconds stays granted, and both VMs get the maximum together.
+func TestRestoreGrantsNoMoreTrials(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	a, b := newTestSuspects(store, c), newTestSuspects(store, c)
+	a.reportTwoDeaths()
+	a.syncOnce(t)
+	saved := store.rows
+	store.rows = map[string]platform.Row{}
+	for key, r := range saved {
+		store.rows[key] = r
+	}
+	for _, change := range store.all() {
+		b.apply(change, false)
+	}
+	granted := 0
+	try := func(vm *suspects) {
+		if vm.Try(t.Context(), poison) {
+			granted++
+		}
+	}
+	c.Advance(quarantineTime)
+	try(a)
+	if granted != 1 {
+		t.Fatalf("%d trials granted before the restore, want 1", granted)
+	}
+	for range 3 {
+		store.restoreTo(saved, a, b)
+		try(b) // b has not heard of the trial
+		if granted != 1 {
+			t.Fatal("a trial was granted right after a restore")
+		}
+		for _, k := range a.list.Cases(0) { // as heartbeats report it
+			b.reports.Merge(k, "a")
+		}
+		a.syncOnce(t)
+		c.Advance(restoreTrialHold)
+	}
+	for range 5 {
+		c.Advance(quarantineTime * quarantineBackoff * quarantineBackoff)
+		for _, change := range store.all() {
+			a.apply(change, false)
+			b.apply(change, false)
+		}
+		try(b)
+		try(a)
+	}
+	if granted != maxTrials {
+		t.Errorf("%d trials granted, want %d", granted, maxTrials)
+	}
+	if cases := a.list.Cases(0); len(cases) != 1 || cases[0].Trials != maxTrials {
+		t.Errorf("cases %+v", cases)
+	}
+}
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -134,7 +134,7 @@
 func (d *Daemon) unregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	left := d.fleet.self
+	left := d.registration()
 	left.Left = true
 	if _, err := d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{left.row()}}); err != nil {
 		d.log.Warn().Err(err).Msg("failed to mark this VM as left; its share of the limits may stay unused until it returns")
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -20,6 +20,7 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/quarantine/codec"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -54,13 +55,16 @@
 	// such writes for a suspect.
 	trialTimeout     = time.Second
 	trialAskInterval = time.Second
+	// restoreTrialHold is how long after a restore of the store no trials are asked for. By then the
+	// trials of the lost seconds are known from heartbeats and rows that are written again.
+	restoreTrialHold = 6 * time.Second
 
 	suspectPrefix = "suspect-"
 )
 
 // suspectStore is the part of the platform's store that suspects use.
 type suspectStore interface {
-	Transact(ctx context.Context, t platform.Transaction) (int64, error)
+	Transact(ctx context.Context, t platform.Transaction) (storage.Version, error)
 }
 
 // suspects shares the requests that crash targets among all VMs: by immediate reports, by heartbeats
@@ -84,6 +88,9 @@
 	sawDeath     map[string]bool // keys of suspects with a death that this VM saw itself
 	// trialAskedAt is when this VM last asked for a trial of each suspect, by key.
 	trialAskedAt map[string]clock.Time
+	// trialsFrom is when trials may be asked for again after a restore of the store; 0 if it was not
+	// restored.
+	trialsFrom clock.Time
 	// lastHeartbeat is when the last applied heartbeat of each VM was sent, by VM ID. Only the
 	// balance goroutine uses it.
 	lastHeartbeat map[string]clock.Time
@@ -94,7 +101,7 @@
 // suspectRow is this VM's copy of a suspect's row in the store.
 type suspectRow struct {
 	quarantine.Case
-	version int64
+	version storage.Version
 	// readAt is when this VM read this version of the row.
 	readAt clock.Time
 	// cleared is set when a target has answered the request, so the row must be removed.
@@ -121,8 +128,17 @@
 	return platform.Row{Table: fleetTable, Key: suspectKey(c.Fingerprint), Value: value}
 }
 
-// apply applies a change of the fleet's table. It reports whether the row is a suspect's.
-func (s *suspects) apply(change platform.Change) bool {
+// beginEra is called after a restore of the store, before its rows are applied.
+func (s *suspects) beginEra() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trialsFrom = s.clock.Now().Add(restoreTrialHold)
+}
+
+// apply applies a change of the fleet's table. It reports whether the row is a suspect's. restored
+// is true for the rows of a store that was restored from a copy: a row that it lacks was lost rather
+// than removed, and a row that it has may have been removed before.
+func (s *suspects) apply(change platform.Change, restored bool) bool {
 	if !strings.HasPrefix(change.Key, suspectPrefix) {
 		return false
 	}
@@ -131,13 +147,17 @@
 	old := s.rows[change.Key]
 	if change.Removed {
 		delete(s.rows, change.Key)
-		if old != nil {
+		if old != nil && !restored {
 			s.list.RecordAnswer(old.Fingerprint)
-			s.log.Info().Str("fingerprint", old.String()).Int64("row", change.Version).Msg("request is no longer suspect")
+			s.log.Info().Str("fingerprint", old.String()).Stringer("row", change.Version).Msg("request is no longer suspect")
 		}
 		return true
 	}
 	s.applyRow(change.Row)
+	if row := s.rows[change.Key]; restored && row != nil {
+		_, suspect := s.list.Find(row.Fingerprint)
+		row.cleared = row.cleared || !suspect
+	}
 	return true
 }
 
@@ -153,7 +173,7 @@
 	}
 	next := &suspectRow{Case: c, version: row.Version, readAt: s.clock.Now()}
 	if old := s.rows[row.Key]; old != nil {
-		if old.version > row.Version {
+		if row.Version.Before(old.version) {
 			return
 		}
 		next.cleared = old.cleared
@@ -161,7 +181,7 @@
 	s.rows[row.Key] = next
 	s.list.Restore(next.Case)
 	current, _ := s.list.Find(next.Fingerprint)
-	s.log.Warn().Str("fingerprint", next.String()).Bool("kept_back", current.Restricted()).Int("trials", next.Trials).Int64("row", row.Version).
+	s.log.Warn().Str("fingerprint", next.String()).Bool("kept_back", current.Restricted()).Int("trials", next.Trials).Stringer("row", row.Version).
 		Strs("targets", targetsOf(next.Case)).Msg("suspect request is recorded in the store for all VMs")
 }
 
@@ -208,12 +228,12 @@
 	}
 	key, now := suspectKey(f), s.clock.Now()
 	s.mu.Lock()
-	version := int64(0)
+	var version storage.Version
 	if row := s.rows[key]; row != nil {
 		version, c.Trials = row.version, max(c.Trials, row.Trials)
 	}
 	askedAt, asked := s.trialAskedAt[key]
-	ask := c.Trials < maxTrials && (!asked || now.Sub(askedAt) >= trialAskInterval)
+	ask := c.Trials < maxTrials && now >= s.trialsFrom && (!asked || now.Sub(askedAt) >= trialAskInterval)
 	if ask {
 		s.trialAskedAt[key] = now
 	}
@@ -229,9 +249,9 @@
 	return err == nil
 }
 
-// writeRow writes a case's row if the row still has the given version (0 if there must be none). After
+// writeRow writes a case's row if the row still has the given version (zero if there must be none). After
 // a conflict it applies the current row.
-func (s *suspects) writeRow(ctx context.Context, c quarantine.Case, version int64) error {
+func (s *suspects) writeRow(ctx context.Context, c quarantine.Case, version storage.Version) error {
 	row := encodeSuspectRow(c)
 	expected := platform.Row{Table: fleetTable, Key: row.Key, Version: version}
 	newVersion, err := s.store.Transact(ctx, platform.Transaction{Expect: []platform.Row{expected}, Writes: []platform.Row{row}})
@@ -313,6 +333,10 @@
 	return len(c.Deaths) > len(r.Deaths) || (c.Confirmed && !r.Confirmed)
 }
 
+// lacksTrials reports whether the row lacks trials that this VM has recorded, as after a restore of
+// the store.
+func (r *suspectRow) lacksTrials(c *quarantine.Case) bool { return c.Trials > r.Trials }
+
 // missingRows returns the cases whose rows this VM must write now, each with the version of the row
 // that it replaces.
 func (s *suspects) missingRows() (out []suspectRow) {
@@ -324,7 +348,7 @@
 	for _, c := range cases {
 		key := suspectKey(c.Fingerprint)
 		row := s.rows[key]
-		if row != nil && !row.isOutdated(&c) {
+		if row != nil && !row.isOutdated(&c) && !(s.trialsFrom != 0 && row.lacksTrials(&c)) {
 			continue
 		}
 		since[key] = now
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -13,6 +13,7 @@
 	"crocusramp.dev/crocusramp/pkg/deathreport"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -20,24 +21,24 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	rows        map[string]platform.Row
-	version     int64
+	version     storage.Version
 	unavailable bool
 	writes      int
 }
 
-func (f *fakeStore) Transact(_ context.Context, t platform.Transaction) (int64, error) {
+func (f *fakeStore) Transact(_ context.Context, t platform.Transaction) (storage.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.writes++
 	if f.unavailable {
-		return 0, errors.New("store is unavailable")
+		return storage.Version{}, errors.New("store is unavailable")
 	}
 	for _, e := range t.Expect {
 		if current := f.rows[e.Key]; current.Version != e.Version {
-			return 0, &platform.ConflictError{Current: []platform.Row{current}}
+			return storage.Version{}, &platform.ConflictError{Current: []platform.Row{current}}
 		}
 	}
-	f.version++
+	f.version.Number++
 	for _, r := range t.Writes {
 		r.Version = f.version
 		f.rows[r.Key] = r
@@ -99,7 +100,7 @@
 	before.syncOnce(t)
 	after := newTestSuspects(store, c)
 	for _, row := range store.all() {
-		if !after.apply(row) {
+		if !after.apply(row, false) {
 			t.Errorf("row %s is not recognized as a suspect's row", row.Key)
 		}
 	}
@@ -118,7 +119,7 @@
 	before.syncOnce(t)
 	after := newTestSuspects(store, c)
 	for _, row := range store.all() {
-		after.apply(row)
+		after.apply(row, false)
 	}
 	j := after.list.Assess(poison.BaseHash, []byte("poison"))
 	if j.Restricted() || j.Deaths != 2 {
@@ -141,7 +142,7 @@
 	}
 	after := newTestSuspects(store, c)
 	for _, row := range store.all() {
-		after.apply(row)
+		after.apply(row, false)
 	}
 	if j := after.list.Assess(poison.BaseHash, []byte("poison")); j.Deaths != 3 || !j.Restricted() {
 		t.Errorf("after the restart: %+v", j)
@@ -168,7 +169,7 @@
 		for range 5 {
 			vm := newTestSuspects(store, c)
 			for _, row := range store.all() {
-				vm.apply(row)
+				vm.apply(row, false)
 			}
 			vms = append(vms, vm)
 		}
@@ -238,7 +239,7 @@
 	one.reportTwoDeaths()
 	one.syncOnce(t)
 	rows := store.all()
-	other.apply(rows[0])
+	other.apply(rows[0], false)
 	one.list.RecordAnswer(poison)
 	one.Clear(poison)
 	one.syncOnce(t)
@@ -246,7 +247,7 @@
 		t.Fatalf("%d rows are left, want none", len(left))
 	}
 	rows[0].Removed = true
-	other.apply(rows[0])
+	other.apply(rows[0], false)
 	if j := other.list.Assess(poison.BaseHash, []byte("poison")); j != (quarantine.Assessment{}) {
 		t.Errorf("the other VM still assesses the request as %+v", j)
 	}
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -22,6 +22,7 @@
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -80,7 +81,7 @@
 	limited              limitedTargets // of the last call of chooseTarget
 	load                 int            // of the last target when it was chosen
 	progress             progress
-	targetsVersion       int64
+	targetsVersion       storage.Version
 	lastError            string
 }
 
@@ -454,7 +455,7 @@
 		ids[i] = l.ID
 	}
 	last := c.tried[len(c.tried)-1]
-	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Int64("list", c.targetsVersion).Bool("may_have_run", c.mayHaveRun)
+	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Stringer("list", c.targetsVersion).Bool("may_have_run", c.mayHaveRun)
 }
 
 // log adds the retries to the request's log line, with the retry budget as the last decision saw
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -237,11 +239,15 @@
 	}
 	w.t.Cleanup(func() { l.Close() })
 	go func() {
+		// The garbage collector closes connections that nothing refers to.
+		var conns []net.Conn
 		for {
 			c, err := l.Accept()
 			if err != nil {
+				runtime.KeepAlive(conns)
 				return
 			}
+			conns = append(conns, c)
 			go handle(c)
 		}
 	}()
@@ -270,7 +276,7 @@
 	f := &fakeTarget{id: id, address: address}
 	w.fakes[id] = f
 	w.targets.Upsert(target.Entry{Target: target.Target{ID: id, Address: address, FailureDomain: domain, Slots: 9}, Pool: testPool, StartedAt: 1}, true, time.Now())
-	w.targets.Publish(1)
+	w.targets.Publish(storage.Version{Number: 1})
 	return f
 }
 
--- a/pkg/ingress/limit_test.go
+++ b/pkg/ingress/limit_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // respondWithLimit succeeds and sets a limit.
@@ -111,7 +113,7 @@
 	w.limits.left["i-1"] = 1
 	w.limits.before = func(id string) {
 		w.targets.Remove([]string{id}, false, 0, time.Now())
-		w.targets.Publish(2)
+		w.targets.Publish(storage.Version{Number: 2})
 	}
 	w.expect(503, "GET", "/safe/x")
 	if f.requests() != 1 {
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/retry"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 func TestRequestIsForwardedUnchanged(t *testing.T) {
@@ -56,7 +58,7 @@
 		{"no key", "/safe/x", nil, func(r *http.Request) { r.Header.Del(hKey) }, 401, false},
 		{"unknown key", "/safe/x", nil, func(r *http.Request) { r.Header.Set(hKey, "k9") }, 401, false},
 		{"over the rate", "/safe/x", func(w *fixture) { w.limiter[testAccount] = time.Time{} }, nil, 429, true},
-		{"no targets", "/safe/x", func(w *fixture) { w.targets.Evacuate("fd-e", true, time.Now()); w.targets.Publish(0) }, nil, 503, true},
+		{"no targets", "/safe/x", func(w *fixture) { w.targets.Evacuate("fd-e", true, time.Now()); w.targets.Publish(storage.Version{}) }, nil, 503, true},
 		{"header over the limit", "/safe/x", func(w *fixture) { w.state.CallerLimits.MaxHeaderBytes = 500 }, func(r *http.Request) {
 			r.Header.Set("Extra", strings.Repeat("x", 400))
 		}, 431, false},
@@ -190,6 +192,7 @@
 		reached := make(chan struct{}, 1)
 		w.addRaw("dark", "fd-e", func(c net.Conn) {
 			_, _ = c.Read(make([]byte, 4096))
+			runtime.GC() // must not close the connection, as long as the target is up
 			reached <- struct{}{}
 			<-t.Context().Done()
 		})
@@ -244,7 +247,7 @@
 		t.Errorf("%d requests ran in another region", n)
 	}
 	w.targets.Evacuate("fd-e", true, time.Now())
-	w.targets.Publish(0)
+	w.targets.Publish(storage.Version{})
 	w.expect(503, "GET", "/east/x")
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -7,6 +7,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // State is the state of a peer as seen by this VM.
@@ -53,7 +54,7 @@
 	ConfigVersion int64
 	// ListVersion is the version of the newest change of the list of targets that it
 	// knew at the last heartbeat.
-	ListVersion int64
+	ListVersion storage.Version
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
 	// SlotsHeld is its number of slots at the last heartbeat.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -226,7 +226,8 @@
 		ConfigVersion: p.ConfigVersion,
 		FreePermits:   int32(p.FreePermits),
 		SlotsHeld:     int32(p.SlotsHeld),
-		ListVersion:   p.ListVersion,
+		ListVersion:   p.ListVersion.Number,
+		ListEra:       p.ListVersion.Era,
 	}
 	for _, l := range p.Pools {
 		info.Pools = append(info.Pools, &peerpb.PoolLoad{
@@ -257,7 +258,7 @@
 		ConfigVersion: i.GetConfigVersion(),
 		FreePermits:   int(i.GetFreePermits()),
 		SlotsHeld:     int(i.GetSlotsHeld()),
-		ListVersion:   i.GetListVersion(),
+		ListVersion:   storage.Version{Era: i.GetListEra(), Number: i.GetListVersion()},
 	}
 	if i.GetLeaving() {
 		p.State = Leaving
--- a/pkg/target/backoff_test.go
+++ b/pkg/target/backoff_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 // TestLeavingStateOutlivesListUpdates guards against sending to a leaving target again because a
@@ -12,8 +14,8 @@
 	r := NewRegistry(map[string]string{"fd": "east"}, now)
 	e := Entry{Target: Target{ID: "i", Address: "127.0.0.1:1", FailureDomain: "fd", Slots: 9}, Pool: "s", StartedAt: 1}
 	l, _ := r.Upsert(e, true, now)
-	r.Publish(1)
-	if !l.SetLeaving() || l.SetLeaving() || r.Publish(1).Admits(l, now) {
+	r.Publish(storage.Version{Number: 1})
+	if !l.SetLeaving() || l.SetLeaving() || r.Publish(storage.Version{Number: 1}).Admits(l, now) {
 		t.Fatal("a leaving target is still admitted")
 	}
 	l, _ = r.Upsert(e, false, now)
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Draining bool
 	// StartedAt is the start time of the target in Unix milliseconds; 0 if unknown.
 	StartedAt int64
+	// Sequence counts what the target has published since its start.
+	Sequence int64
 	// ColdFor is how much longer the target is slow, as of the writing of the entry.
 	ColdFor time.Duration
 }
@@ -51,12 +54,14 @@
 	// Pools holds the usable targets by pool and region, in order of ID.
 	Pools map[string]map[string][]*Live
 	// Version is the version of the list that the snapshot was made from.
-	Version int64
+	Version storage.Version
 }
 
 // record is one entry of the list.
 type record struct {
-	live     *Live
+	live *Live
+	// sequence is the sequence number of the entry's last known state.
+	sequence int64
 	draining bool
 	// removedAt is when the entry disappeared from the list; zero while it is listed.
 	removedAt time.Time
@@ -67,6 +72,7 @@
 // tombstone is the remembered incarnation of a removed entry.
 type tombstone struct {
 	live      *Live
+	sequence  int64
 	removedAt time.Time
 }
 
@@ -81,7 +87,7 @@
 	services     map[string]*config.Service
 	// evacuated holds the failure domains that get no requests.
 	evacuated map[string]bool
-	version   int64
+	version   storage.Version
 	// readableSince is when the list became readable again after its last outage.
 	readableSince time.Time
 	snapshot      atomic.Pointer[Snapshot]
@@ -109,9 +115,14 @@
 func (r *Registry) Upsert(e Entry, firstRead bool, now time.Time) (live *Live, isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.upsert(e, firstRead, now)
+}
+
+func (r *Registry) upsert(e Entry, firstRead bool, now time.Time) (live *Live, isNew bool) {
 	rec := r.records[e.ID]
 	if rec == nil || !rec.live.matches(&e) {
 		rec, isNew = r.addRecord(e)
+		rec.sequence = e.Sequence
 		if !isNew {
 			rec.live.SetCold(e.ColdFor, now)
 			rec.draining = e.Draining
@@ -121,7 +132,7 @@
 			rec.live.SetCold(s.ColdStart, now)
 		}
 	}
-	rec.draining = e.Draining
+	rec.draining, rec.sequence = e.Draining, e.Sequence
 	rec.removedAt = time.Time{}
 	rec.live.SetCold(e.ColdFor, now)
 	return rec.live, isNew
@@ -147,10 +158,10 @@
 
 // deleteRecord deletes a record and remembers its incarnation for tombstoneTTL.
 func (r *Registry) deleteRecord(id string, now time.Time) *Live {
-	l := r.records[id].live
+	rec := r.records[id]
 	delete(r.records, id)
-	r.tombstones[id] = tombstone{l, now}
-	return l
+	r.tombstones[id] = tombstone{rec.live, rec.sequence, now}
+	return rec.live
 }
 
 // matches reports whether the entry describes this incarnation.
@@ -259,10 +270,10 @@
 }
 
 // Publish makes a new snapshot of the present state, as of a version of the list.
-func (r *Registry) Publish(version int64) *Snapshot {
+func (r *Registry) Publish(version storage.Version) *Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version = max(r.version, version)
+	r.version = storage.Latest(r.version, version)
 	s := &Snapshot{Pools: map[string]map[string][]*Live{}, Version: r.version}
 	heldInUse := r.heldInUse()
 	for _, rec := range r.records {
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/storage"
 )
 
 var (
@@ -30,13 +31,13 @@
 	for i := range n {
 		r.Upsert(entry(i, "fd-a"), true, t0)
 	}
-	r.Publish(1)
+	r.Publish(storage.Version{Number: 1})
 	return r
 }
 
 func usableIDs(r *Registry) []string {
 	var out []string
-	for _, byRegion := range r.Publish(0).Pools {
+	for _, byRegion := range r.Publish(storage.Version{}).Pools {
 		for _, list := range byRegion {
 			for _, l := range list {
 				out = append(out, l.ID)
@@ -88,7 +89,7 @@
 	r.Remove([]string{"t0", "t1", "t2", "t3"}, true, drainTime, t0)
 	expectIDs(t, r, "t0", "t1", "t2", "t3")
 	r.Upsert(entry(1, "fd-a"), false, t0.Add(time.Second))
-	if l := r.Publish(0).Pools["s"]["east"][1]; l.Cold(t0.Add(time.Second)) {
+	if l := r.Publish(storage.Version{}).Pools["s"]["east"][1]; l.Cold(t0.Add(time.Second)) {
 		t.Error("a target whose entry returned is the same incarnation and must not count as cold")
 	}
 	r.Expire(t0.Add(removalHold))
