pkg/ingress: the request log tells how the target was chosen

Position of the region and the target in the object's order, whether the target was cold, and whether the attempt repeats the last target.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -80,6 +80,7 @@
 	refusedWithFreeSlots bool
 	limited              limitedTargets // of the last call of chooseTarget
 	load                 int            // of the last target when it was chosen
+	choice               placementChoice
 	progress             progress
 	targetsVersion       storage.Version
 	lastError            string
@@ -455,7 +456,7 @@
 		ids[i] = l.ID
 	}
 	last := c.tried[len(c.tried)-1]
-	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Stringer("list", c.targetsVersion).Bool("may_have_run", c.mayHaveRun)
+	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Object("choice", c.choice).Stringer("list", c.targetsVersion).Bool("may_have_run", c.mayHaveRun)
 }
 
 // log adds the retries to the request's log line, with the retry budget as the last decision saw
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
@@ -13,6 +15,20 @@
 // because cold targets take only some of their requests.
 const maxCandidates = 4
 
+// placementChoice tells how the target of an attempt was chosen, for the log.
+type placementChoice struct {
+	// region and candidate are the positions of the region and the target in the object's order; 0
+	// is where the object is warm.
+	region, candidate int
+	// cold is set if the target had just started. again is set if it is the same as before.
+	cold, again bool
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (p placementChoice) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("region", p.region).Int("candidate", p.candidate).Bool("cold", p.cold).Bool("again", p.again)
+}
+
 // chooseTarget returns the target for the next attempt, or nil if there is none.
 func (c *call) chooseTarget(ctx context.Context) *target.Live {
 	now := time.Now()
@@ -20,6 +36,7 @@
 	c.targetsVersion = s.Version
 	c.limited = limitedTargets{}
 	if l := c.lastTargetForRetry(s, now); l != nil && c.admitToLimited(ctx, l) {
+		c.choice = placementChoice{again: true}
 		return l
 	}
 	pool := s.Pools[c.pool]
@@ -38,6 +55,7 @@
 			if i > 0 {
 				c.s.spill.countSpilled(now)
 			}
+			c.choice.region = i
 			return l
 		}
 	}
@@ -93,6 +111,7 @@
 		l := candidates[chosen]
 		if c.admitTo(ctx, l, now) {
 			c.load = occupancy[chosen].Load
+			c.choice = placementChoice{candidate: chosen, cold: l.Cold(now)}
 			return l
 		}
 		occupancy[chosen].Usable = false
