requests with large responses run in the failure domain of their VM as far as it has room; spill is bounded for each pool

(2) A small pool spills far more than 6 % of its requests to other regions, since the bound is taken on all requests of a VM, and each of them runs cold there and evicts another object.

--- a/pkg/edge/balance.go
+++ b/pkg/edge/balance.go
@@ -13,14 +13,16 @@
 // balancePeriod is how often the regions' shares are recomputed from capacity and demand.
 const balancePeriod = 250 * time.Millisecond
 
-// regionShares maps a pool to the fractions of the requests of this region's callers that run in
-// each region.
-type regionShares map[string][]placement.Share
+// poolShares maps a pool to where the requests of this VM's callers run.
+type poolShares map[string]placement.Shares
+
+// poolBalancers holds the balancers of one pool.
+type poolBalancers struct{ regions, domains placement.Balancer }
 
 // balance periodically updates the limits of targets, the suspects exchanged with other VMs,
-// the region shares and the fleet's share count, until ctx ends.
+// the shares of regions and failure domains and the fleet's share count, until ctx ends.
 func (d *Daemon) balance(ctx context.Context) {
-	balancers := map[string]*placement.Balancer{}
+	balancers := map[string]*poolBalancers{}
 	every(ctx, balancePeriod, func() {
 		now := time.Now()
 		d.syncTargetLimits(now)
@@ -44,57 +46,123 @@
 	}
 }
 
-// rebalance recomputes and publishes the region shares of every pool.
-func (d *Daemon) rebalance(balancers map[string]*placement.Balancer, now time.Time) {
+// rebalance recomputes and publishes the shares of every pool.
+func (d *Daemon) rebalance(balancers map[string]*poolBalancers, now time.Time) {
 	snapshot, view := d.targets.Snapshot(), d.members.View()
-	shares := regionShares{}
+	shares := poolShares{}
 	for pool, byRegion := range snapshot.Pools {
 		b := balancers[pool]
 		if b == nil {
-			b = &placement.Balancer{}
+			b = &poolBalancers{}
 			balancers[pool] = b
 		}
-		shares[pool] = b.Update(d.self.Region, d.placementRegions(pool, byRegion, view), now)
+		demand := d.poolDemand(pool, view)
+		regions := d.regionPlaces(byRegion, demand, now)
+		shares[pool] = placement.Shares{
+			Regions: b.regions.Update(d.self.Region, regions, now),
+			Domains: b.domains.Update(d.self.FailureDomain, d.domainPlaces(byRegion[d.self.Region], regions, demand, now), now),
+		}
 	}
 	d.shares.Store(&shares)
 }
 
-// placementRegions returns each region's capacity for a pool, as far as this VM may use it, and
-// the demand of the callers of all live VMs.
-func (d *Daemon) placementRegions(pool string, byRegion map[string][]*target.Live, view *member.View) []placement.Region {
-	demand, boundDemand := map[string]float64{}, map[string]float64{}
-	add := func(region string, loads []member.PoolLoad) {
-		for _, l := range loads {
-			switch {
-			case l.Pool != pool:
-			case l.BoundTo != "":
-				boundDemand[l.BoundTo] += l.Demand
-			default:
-				demand[region] += l.Demand
-			}
-		}
-	}
-	add(d.self.Region, d.ingress.Demand())
+// poolDemand is the demand of all VMs' callers for a pool, in slots.
+type poolDemand struct {
+	// free is the demand of each region's callers that may run in any region, and bound the demand that
+	// may run in one region only, by that region.
+	free, bound map[string]float64
+	// large is the demand that has large responses and may run in the callers' region, by the failure
+	// domain of the VMs.
+	large map[string]float64
+}
+
+func (d *Daemon) poolDemand(pool string, view *member.View) poolDemand {
+	out := poolDemand{free: map[string]float64{}, bound: map[string]float64{}, large: map[string]float64{}}
+	out.add(pool, d.self.Region, d.self.FailureDomain, d.ingress.Demand())
 	for i := range view.Peers {
 		if p := &view.Peers[i]; p.State == member.Live {
-			add(p.Region, p.Pools)
+			out.add(pool, p.Region, p.FailureDomain, p.Pools)
 		}
 	}
-	var regions []placement.Region
+	return out
+}
+
+func (p *poolDemand) add(pool, region, domain string, loads []member.PoolLoad) {
+	for _, l := range loads {
+		if l.Pool != pool {
+			continue
+		}
+		if l.BoundTo != "" {
+			p.bound[l.BoundTo] += l.Demand
+		} else {
+			p.free[region] += l.Demand
+		}
+		if l.LargeResponses && (l.BoundTo == "" || l.BoundTo == region) {
+			p.large[domain] += l.Demand
+		}
+	}
+}
+
+// regionPlaces returns each region's capacity for a pool, as far as this VM may use it, and its demand.
+func (d *Daemon) regionPlaces(byRegion map[string][]*target.Live, demand poolDemand, now time.Time) []placement.Place {
+	var regions []placement.Place
 	for _, name := range d.regions {
-		total, available := target.UsableSlots(byRegion[name], time.Now())
-		regions = append(regions, placement.Region{Name: name, Slots: available, UnlimitedSlots: total, Demand: demand[name], BoundDemand: boundDemand[name]})
+		total, available := target.UsableSlots(byRegion[name], now)
+		regions = append(regions, placement.Place{Name: name, Slots: available, UnlimitedSlots: total, Demand: demand.free[name], BoundDemand: demand.bound[name]})
 	}
 	return regions
 }
 
-// sharesOf returns the fractions of this region's callers' requests to a pool that run in each
-// region. It computes them if balance has not published any for the pool yet.
-func (d *Daemon) sharesOf(pool string) []placement.Share {
-	if p := d.shares.Load(); p != nil && (*p)[pool] != nil {
+// domainPlaces returns the capacity and demand of the failure domains of this VM's region. Their demand
+// is that of their callers' requests with large responses; all others are spread over the region's
+// targets.
+func (d *Daemon) domainPlaces(targets []*target.Live, regions []placement.Place, demand poolDemand, now time.Time) []placement.Place {
+	own := d.self.Region
+	var domains []placement.Place
+	total, large := 0.0, 0.0
+	for _, name := range d.domains {
+		inDomain := slices.DeleteFunc(slices.Clone(targets), func(l *target.Live) bool { return l.FailureDomain != name })
+		unlimited, available := target.UsableSlots(inDomain, now)
+		domains = append(domains, placement.Place{Name: name, Slots: available, UnlimitedSlots: unlimited, Demand: demand.large[name]})
+		total += available
+		large += demand.large[name]
+	}
+	spread := demand.bound[own] - large
+	for _, from := range regions {
+		for _, s := range placement.Split(from.Name, regions) {
+			if s.Place == own {
+				spread += from.Demand * s.Fraction
+			}
+		}
+	}
+	for i := range domains {
+		if total > 0 {
+			domains[i].BoundDemand = max(0, spread) * domains[i].Slots / total
+		}
+	}
+	return domains
+}
+
+// sharesOf returns where the requests of this VM's callers to a pool run. It computes the regions if
+// balance has not published any shares for the pool yet.
+func (d *Daemon) sharesOf(pool string) placement.Shares {
+	if p := d.shares.Load(); p != nil && (*p)[pool].Regions != nil {
 		return (*p)[pool]
 	}
-	return placement.Split(d.self.Region, d.placementRegions(pool, d.targets.Snapshot().Pools[pool], d.members.View()))
+	regions := d.regionPlaces(d.targets.Snapshot().Pools[pool], d.poolDemand(pool, d.members.View()), time.Now())
+	return placement.Shares{Regions: placement.Split(d.self.Region, regions)}
+}
+
+// domainsOf returns the failure domains of a region, sorted.
+func domainsOf(region string, regions map[string]string) []string {
+	var names []string
+	for domain, of := range regions {
+		if of == region {
+			names = append(names, domain)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // regionNames returns the distinct regions of the failure domains, sorted.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -109,9 +109,10 @@
 	// targetsRead and fleetRead are set when the list of targets and the list of VMs have
 	// been read once.
 	targetsRead, fleetRead atomic.Bool
-	shares                 atomic.Pointer[regionShares]
+	shares                 atomic.Pointer[poolShares]
 	self                   member.Peer
-	regions                []string
+	// regions are all regions, domains the failure domains of this VM's region.
+	regions, domains []string
 	// shutdownTracer sends the buffered spans to the collector.
 	shutdownTracer func(context.Context) error
 
@@ -145,7 +146,7 @@
 		listenerErrors: make(chan error, maxListeners), evacuations: newEvacuations(), recalled: make(chan struct{}),
 	}
 	d.settings.Store(s)
-	d.regions = regionNames(s.FailureDomains)
+	d.regions, d.domains = regionNames(s.FailureDomains), domainsOf(s.VM.Region, s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
 		Endpoint: s.Traces.Endpoint, SamplePercent: s.Traces.SamplePercent, VM: s.VM.ID,
 	})
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -41,19 +41,19 @@
 	}
 	pool := s.Pools[c.pool]
 	shares := c.s.cfg.Shares(c.pool)
-	regions := placement.ChooseRegions(c.objectHash(), shares, func(region string) bool {
+	regions := placement.OrderRegions(c.objectHash(), shares.Regions, func(region string) bool {
 		return c.allowsRegion(region) && slices.ContainsFunc(pool[region], func(l *target.Live) bool { return c.canUse(l, now) })
 	})
 	if c.route.LargeResponses {
-		regions = placement.HomeFirst(regions, c.s.cfg.Region, shares)
+		regions = placement.HomeFirst(regions, c.s.cfg.Region, shares.Regions)
 	}
 	for i, region := range regions {
-		if i > 0 && !c.s.spill.allows(now) {
+		if i > 0 && !c.s.spill.allows(c.pool, now) {
 			return nil
 		}
-		if l := c.chooseInRegion(ctx, c.usableTargets(pool[region], now), i > 0, now); l != nil {
+		if l := c.chooseInRegion(ctx, region, c.usableTargets(pool[region], now), shares.Domains, i > 0, now); l != nil {
 			if i > 0 {
-				c.s.spill.countSpilled(now)
+				c.s.spill.countSpilled(c.pool, now)
 			}
 			c.choice.region = i
 			return l
@@ -90,9 +90,25 @@
 	return out
 }
 
-// chooseInRegion chooses among the targets of a region. Requests that spill over from another
-// region only use targets whose load is below maxSpillLoad.
-func (c *call) chooseInRegion(ctx context.Context, list []*target.Live, spilled bool, now time.Time) *target.Live {
+// chooseInRegion chooses among the targets of a region. Requests with large responses that run in
+// this VM's region go to the failure domain that domains selects for their object, and to another one
+// where that has no room.
+func (c *call) chooseInRegion(ctx context.Context, region string, list []*target.Live, domains []placement.Share, spilled bool, now time.Time) *target.Live {
+	if !c.route.LargeResponses || region != c.s.cfg.Region || len(domains) == 0 {
+		return c.chooseAmong(ctx, list, spilled, now)
+	}
+	for _, domain := range placement.OrderDomains(c.objectHash(), domains) {
+		near := slices.DeleteFunc(slices.Clone(list), func(l *target.Live) bool { return l.FailureDomain != domain })
+		if l := c.chooseAmong(ctx, near, spilled, now); l != nil {
+			return l
+		}
+	}
+	return nil
+}
+
+// chooseAmong chooses among targets. Requests that spill over from another region only use targets
+// whose load is below maxSpillLoad.
+func (c *call) chooseAmong(ctx context.Context, list []*target.Live, spilled bool, now time.Time) *target.Live {
 	candidates := c.candidates(list, now)
 	occupancy := make([]placement.Occupancy, len(candidates))
 	for i, l := range candidates {
--- a/pkg/ingress/demand.go
+++ b/pkg/ingress/demand.go
@@ -25,12 +25,16 @@
 
 // demandKey identifies the requests to a pool that are bound to the region boundTo. An empty
 // boundTo stands for those that may run in several regions.
-type demandKey struct{ pool, boundTo string }
+// largeResponses tells those with large responses apart.
+type demandKey struct {
+	pool, boundTo  string
+	largeResponses bool
+}
 
 // demandKey returns the key under which the request is counted. A request that may run in several
 // regions counts as one that may run anywhere.
 func (c *call) demandKey() demandKey {
-	k := demandKey{pool: c.pool}
+	k := demandKey{pool: c.pool, largeResponses: c.route.LargeResponses}
 	var accounts []string
 	if c.account != nil {
 		accounts = c.account.Regions
@@ -95,7 +99,7 @@
 	out := make([]member.PoolLoad, 0, len(d.pools))
 	for key, p := range d.pools {
 		p.decay(now)
-		out = append(out, member.PoolLoad{Pool: key.pool, BoundTo: key.boundTo, Demand: p.arrivals / rateWindow.Seconds() * p.duration})
+		out = append(out, member.PoolLoad{Pool: key.pool, BoundTo: key.boundTo, LargeResponses: key.largeResponses, Demand: p.arrivals / rateWindow.Seconds() * p.duration})
 	}
 	return out
 }
@@ -110,40 +114,56 @@
 	maxSpillLoad = 0.6
 )
 
-// spillLimiter counts and limits the requests that leave their object's region.
+// spillLimiter counts and limits the requests that leave their object's region, for each pool by itself:
+// what a large pool does not use must not run cold in a small one.
 type spillLimiter struct {
-	mu                sync.Mutex
+	mu    sync.Mutex
+	pools map[string]*poolSpill
+}
+
+// poolSpill counts the requests to a pool and those that left their region. Both decay by 1/e in
+// spillWindow.
+type poolSpill struct {
 	at                time.Time
-	requests, spilled float64 // decay by 1/e in spillWindow
+	requests, spilled float64
 }
 
-func (s *spillLimiter) decay(now time.Time) {
-	if elapsed := now.Sub(s.at); elapsed > 0 {
+func newSpillLimiter() *spillLimiter { return &spillLimiter{pools: map[string]*poolSpill{}} }
+
+// pool returns the counts of a pool at now. The caller holds mu.
+func (s *spillLimiter) pool(name string, now time.Time) *poolSpill {
+	p := s.pools[name]
+	if p == nil {
+		p = &poolSpill{at: now}
+		s.pools[name] = p
+	}
+	if elapsed := now.Sub(p.at); elapsed > 0 {
 		f := math.Exp(-float64(elapsed) / float64(spillWindow))
-		s.requests *= f
-		s.spilled *= f
-		s.at = now
+		p.requests *= f
+		p.spilled *= f
+		p.at = now
 	}
+	return p
 }
 
-func (s *spillLimiter) countRequest(now time.Time) {
+// countRequest records a request to a pool.
+func (s *spillLimiter) countRequest(pool string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decay(now)
-	s.requests++
+	s.pool(pool, now).requests++
 }
 
-// allows reports whether another request may leave its region.
-func (s *spillLimiter) allows(now time.Time) bool {
+// allows reports whether another request to a pool may leave its region.
+func (s *spillLimiter) allows(pool string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decay(now)
-	return s.spilled+1 <= spillFraction*s.requests
+	p := s.pool(pool, now)
+	return p.spilled+1 <= spillFraction*p.requests
 }
 
-func (s *spillLimiter) countSpilled(now time.Time) {
+// countSpilled records a request to a pool that left its region.
+func (s *spillLimiter) countSpilled(pool string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decay(now)
-	s.spilled++
+	s.pool(pool, now).spilled++
 }
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -212,13 +212,13 @@
 	t.Cleanup(client.Close)
 	w.server = NewServer(Config{
 		Wire: fakeWire{}, Region: "east", State: func() *State { return w.state }, Targets: w.targets, Limiter: w.limiter,
-		Shares: func(pool string) []placement.Share {
-			var regions []placement.Region
+		Shares: func(pool string) placement.Shares {
+			var regions []placement.Place
 			for _, name := range []string{"east", "west"} {
 				_, slots := target.UsableSlots(w.targets.Snapshot().Pools[pool][name], time.Now())
-				regions = append(regions, placement.Region{Name: name, Slots: slots})
+				regions = append(regions, placement.Place{Name: name, Slots: slots})
 			}
-			return placement.Split("east", regions)
+			return placement.Shares{Regions: placement.Split("east", regions)}
 		},
 		TargetLimiter: w.limits, Fleet: w.fleet, Quarantine: w.quarantine, Suspects: w.suspects, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
 	})
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -106,8 +106,8 @@
 	// are known from the start.
 	Ready   <-chan struct{}
 	Targets *target.Registry
-	// Shares returns the regions in which the requests to a pool run.
-	Shares  func(pool string) []placement.Share
+	// Shares returns where the requests to a pool run.
+	Shares  func(pool string) placement.Shares
 	Limiter limit.Limiter
 	// TargetLimiter bounds the requests to targets that set a limit.
 	TargetLimiter TargetLimiter
@@ -171,7 +171,7 @@
 		c.Tracer = noop.NewTracerProvider().Tracer("ingress")
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("ingress."+name, c.Metrics) }
-	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(c.IdleSince), demand: newDemand(), spill: &spillLimiter{}, inflight: newInflight(), counters: counters{
+	return &Server{cfg: c, started: time.Now(), budget: retry.NewPoolBudget(c.IdleSince), demand: newDemand(), spill: newSpillLimiter(), inflight: newInflight(), counters: counters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		failed: counter("failed"), sheds: counter("sheds"), held: counter("held"),
 		retries: counter("repeats"), retriesFree: counter("repeats_free"), retriesDenied: counter("repeats_denied"),
@@ -287,6 +287,6 @@
 		}
 	}
 	c.s.demand.countRequest(c.demandKey(), c.arrived)
-	c.s.spill.countRequest(c.arrived)
+	c.s.spill.countRequest(c.pool, c.arrived)
 	return nil
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -81,6 +81,8 @@
 	Queued  int
 	// Demand is how many slots the requests of its callers need, in any region.
 	Demand float64
+	// LargeResponses is true for requests with large responses, which are counted apart.
+	LargeResponses bool
 	// BoundTo is the only region in which these requests may run; empty means any region.
 	BoundTo string
 }
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -231,7 +231,7 @@
 	}
 	for _, l := range p.Pools {
 		info.Pools = append(info.Pools, &peerpb.PoolLoad{
-			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued), Demand: l.Demand, BoundTo: l.BoundTo,
+			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued), Demand: l.Demand, BoundTo: l.BoundTo, LargeResponses: l.LargeResponses,
 		})
 	}
 	for _, l := range p.Limits {
@@ -265,7 +265,7 @@
 	}
 	for _, l := range i.GetPools() {
 		p.Pools = append(p.Pools, PoolLoad{
-			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Demand: l.GetDemand(), BoundTo: l.GetBoundTo(),
+			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Demand: l.GetDemand(), BoundTo: l.GetBoundTo(), LargeResponses: l.GetLargeResponses(),
 		})
 	}
 	for _, l := range i.GetLimits() {
--- a/pkg/placement/balance.go
+++ b/pkg/placement/balance.go
@@ -19,8 +19,8 @@
 	capacityJump = 0.15
 )
 
-// Region describes a region's capacity and demand for a pool, both in slots.
-type Region struct {
+// Place describes the capacity and demand of a region or a failure domain for a pool, both in slots.
+type Place struct {
 	Name string
 	// Slots is how many requests its usable targets can run at once.
 	Slots float64
@@ -28,27 +28,36 @@
 	// same as Slots.
 	UnlimitedSlots float64
 	// Demand is how many slots the requests of its callers need, without those that are
-	// bound to one region.
+	// bound to one place.
 	Demand float64
-	// BoundDemand is how many slots the requests need that may run in this region only,
+	// BoundDemand is how many slots the requests need that run in this place anyway,
 	// wherever their callers are.
 	BoundDemand float64
 }
 
-// Share is the fraction of a region's requests that runs in the region Region.
+// Share is the fraction of a place's requests that runs in the place Place.
 type Share struct {
-	Region   string
+	Place    string
 	Fraction float64
 }
 
+// Shares holds where the requests of a VM's callers to a pool run.
+type Shares struct {
+	// Regions divides all requests.
+	Regions []Share
+	// Domains divides the requests with large responses that run in the VM's own region among its
+	// failure domains. It may be empty.
+	Domains []Share
+}
+
 // Split returns where the requests of home's callers run. By capacity alone, a region with a
 // fraction c of the slots of R regions keeps min(1, c*R) of its own requests, and the rest goes to
 // the regions with more than 1/R of the slots. If that raises a region above the comfortable
 // utilization, or above the fleet's utilization if that is higher, the excess goes to regions with
 // room.
-func Split(home string, regions []Region) []Share {
+func Split(home string, regions []Place) []Share {
 	regions = withoutBound(regions)
-	slices.SortFunc(regions, func(a, b Region) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(regions, func(a, b Place) int { return cmp.Compare(a.Name, b.Name) })
 	flows := flowsByCapacity(regions)
 	if flows == nil {
 		return nil
@@ -60,7 +69,7 @@
 		}
 		shares := make([]Share, len(regions))
 		for j := range regions {
-			shares[j] = Share{Region: regions[j].Name, Fraction: flows[i][j]}
+			shares[j] = Share{Place: regions[j].Name, Fraction: flows[i][j]}
 		}
 		return shares
 	}
@@ -69,7 +78,7 @@
 
 // withoutBound returns the regions with the slots that remain after the requests that may run in
 // one region only. If none remain, it returns the regions unchanged.
-func withoutBound(regions []Region) []Region {
+func withoutBound(regions []Place) []Place {
 	out := slices.Clone(regions)
 	left := 0.0
 	for i, r := range out {
@@ -84,7 +93,7 @@
 
 // flowsByCapacity returns, for each region, the fractions of its requests that run in each region.
 // It returns nil if there is no capacity.
-func flowsByCapacity(regions []Region) [][]float64 {
+func flowsByCapacity(regions []Place) [][]float64 {
 	total, count := 0.0, 0.0
 	for _, r := range regions {
 		total += r.Slots
@@ -95,7 +104,7 @@
 	if total == 0 {
 		return nil
 	}
-	relative := func(r Region) float64 { return r.Slots * count / total }
+	relative := func(r Place) float64 { return r.Slots * count / total }
 	surplus := 0.0
 	for _, r := range regions {
 		surplus += max(0, relative(r)-1)
@@ -117,7 +126,7 @@
 }
 
 // moveExcess moves the load that exceeds a region's level to regions with room.
-func moveExcess(regions []Region, flows [][]float64) {
+func moveExcess(regions []Place, flows [][]float64) {
 	slots, work := 0.0, 0.0
 	load := make([]float64, len(regions))
 	for i, r := range regions {
@@ -159,7 +168,7 @@
 }
 
 // Update returns the shares in force at now, given the current state of the regions.
-func (b *Balancer) Update(home string, regions []Region, now time.Time) []Share {
+func (b *Balancer) Update(home string, regions []Place, now time.Time) []Share {
 	want := Split(home, regions)
 	if b.jumped(regions) || len(b.shares) != len(want) { // want is empty while no region has capacity
 		b.shares = want
@@ -172,10 +181,10 @@
 
 // capacity returns the capacity by which disruptions are detected. It ignores the targets' limits:
 // what targets take under a limit also varies with the duration of each request.
-func (r Region) capacity() float64 { return cmp.Or(r.UnlimitedSlots, r.Slots) }
+func (r Place) capacity() float64 { return cmp.Or(r.UnlimitedSlots, r.Slots) }
 
 // jumped reports whether the capacity has changed since the last jump as much as in a disruption.
-func (b *Balancer) jumped(regions []Region) bool {
+func (b *Balancer) jumped(regions []Place) bool {
 	changed := len(b.slots) != len(regions)
 	for _, r := range regions {
 		old := b.slots[r.Name]
@@ -203,7 +212,7 @@
 	}
 	out := make([]Share, len(want))
 	for i := range want {
-		out[i] = Share{Region: want[i].Region, Fraction: shares[i].Fraction + (want[i].Fraction-shares[i].Fraction)*step/moving}
+		out[i] = Share{Place: want[i].Place, Fraction: shares[i].Fraction + (want[i].Fraction-shares[i].Fraction)*step/moving}
 	}
 	return out
 }
--- a/pkg/placement/balance_test.go
+++ b/pkg/placement/balance_test.go
@@ -12,28 +12,28 @@
 func fractions(shares []Share) map[string]float64 {
 	m := map[string]float64{}
 	for _, p := range shares {
-		m[p.Region] = math.Round(p.Fraction*1000) / 1000
+		m[p.Place] = math.Round(p.Fraction*1000) / 1000
 	}
 	return m
 }
 
 func TestSplit(t *testing.T) {
-	calm := []Region{{Name: "a", Slots: 90}, {Name: "b", Slots: 18}, {Name: "c", Slots: 72}}
+	calm := []Place{{Name: "a", Slots: 90}, {Name: "b", Slots: 18}, {Name: "c", Slots: 72}}
 	for _, tt := range []struct {
 		name, home string
-		regions    []Region
+		regions    []Place
 		want       map[string]float64
 	}{
 		{"large region keeps its own requests", "a", calm, map[string]float64{"a": 1, "b": 0, "c": 0}},
 		{"small region keeps its share of the capacity", "b", calm, map[string]float64{"a": 0.5, "b": 0.3, "c": 0.2}},
-		{"no capacity at home", "b", []Region{{Name: "a", Slots: 10}, {Name: "b"}, {Name: "c", Slots: 10}}, map[string]float64{"a": 0.5, "b": 0, "c": 0.5}},
-		{"no capacity at all", "a", []Region{{Name: "a"}, {Name: "b"}}, map[string]float64{}},
+		{"no capacity at home", "b", []Place{{Name: "a", Slots: 10}, {Name: "b"}, {Name: "c", Slots: 10}}, map[string]float64{"a": 0.5, "b": 0, "c": 0.5}},
+		{"no capacity at all", "a", []Place{{Name: "a"}, {Name: "b"}}, map[string]float64{}},
 		// Demand peaks in a region that has lost half of its targets to an evacuation. By capacity
 		// it keeps 0.75, which is 45 slots of work; 27 are comfortable.
-		{"peak in a partly evacuated region", "c", []Region{
+		{"peak in a partly evacuated region", "c", []Place{
 			{Name: "a", Slots: 90, Demand: 30}, {Name: "b", Slots: 18, Demand: 10}, {Name: "c", Slots: 36, Demand: 60},
 		}, map[string]float64{"a": 0.438, "b": 0.112, "c": 0.45}},
-		{"a burst on a full fleet is shared", "a", []Region{
+		{"a burst on a full fleet is shared", "a", []Place{
 			{Name: "a", Slots: 10, Demand: 30}, {Name: "b", Slots: 10, Demand: 10},
 		}, map[string]float64{"a": 0.667, "b": 0.333}},
 	} {
@@ -45,11 +45,11 @@
 	}
 }
 
-func drawRegions(t *rapid.T) []Region {
+func drawRegions(t *rapid.T) []Place {
 	names := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "regions")]
-	var out []Region
+	var out []Place
 	for _, n := range names {
-		out = append(out, Region{Name: n, Slots: float64(rapid.IntRange(0, 100).Draw(t, "slots")), Demand: rapid.Float64Range(0, 200).Draw(t, "work")})
+		out = append(out, Place{Name: n, Slots: float64(rapid.IntRange(0, 100).Draw(t, "slots")), Demand: rapid.Float64Range(0, 200).Draw(t, "work")})
 	}
 	return out
 }
@@ -74,7 +74,7 @@
 					t.Fatalf("negative share %v", p)
 				}
 				sum += p.Fraction
-				load[p.Region] += p.Fraction * home.Demand
+				load[p.Place] += p.Fraction * home.Demand
 			}
 			if math.Abs(sum-1) > 1e-9 {
 				t.Fatalf("shares of %s sum to %v, want 1", home.Name, sum)
@@ -118,8 +118,8 @@
 func TestBalancerFollowsLossAtOnce(t *testing.T) {
 	b := &Balancer{}
 	now := time.Unix(0, 0)
-	b.Update("a", []Region{{Name: "a", Slots: 90}, {Name: "b", Slots: 90}}, now)
-	got := b.Update("a", []Region{{Name: "a", Slots: 0}, {Name: "b", Slots: 90}}, now.Add(time.Second))
+	b.Update("a", []Place{{Name: "a", Slots: 90}, {Name: "b", Slots: 90}}, now)
+	got := b.Update("a", []Place{{Name: "a", Slots: 0}, {Name: "b", Slots: 90}}, now.Add(time.Second))
 	if diff := cmp.Diff(map[string]float64{"a": 0, "b": 1}, fractions(got)); diff != "" {
 		t.Error(diff)
 	}
@@ -131,7 +131,7 @@
 	b, now := &Balancer{}, time.Now()
 	update := func(slots float64) []Share {
 		now = now.Add(time.Second)
-		return b.Update("east", []Region{{Name: "east", Slots: slots, UnlimitedSlots: 9}, {Name: "west", Slots: slots, UnlimitedSlots: 9}}, now)
+		return b.Update("east", []Place{{Name: "east", Slots: slots, UnlimitedSlots: 9}, {Name: "west", Slots: slots, UnlimitedSlots: 9}}, now)
 	}
 	for _, slots := range []float64{9, 0, 9} {
 		if got, want := len(update(slots)), min(2, int(slots)); got != want {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -39,17 +39,30 @@
 // unit maps a hash to (0, 1).
 func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
 
-// regionSalt makes the choice of the region independent of the choice of the target.
-const regionSalt = 0x9e3779b97f4a7c15
+// Salts that make the choices of the region, the failure domain and the target independent of each
+// other.
+const (
+	regionSalt = 0x9e3779b97f4a7c15
+	domainSalt = 0xd1b54a32d192ed03
+)
 
-// ChooseRegions returns the regions for an object in order of preference: first the one that its
+// OrderRegions returns the regions for an object in order of preference: first the one that its
 // hash selects by the shares, then the others by descending share. Regions that are not usable are
 // left out.
-func ChooseRegions(object uint64, shares []Share, usable func(region string) bool) []string {
+func OrderRegions(object uint64, shares []Share, usable func(region string) bool) []string {
+	return order(object^regionSalt, shares, usable)
+}
+
+// OrderDomains is OrderRegions for the failure domains of a region.
+func OrderDomains(object uint64, shares []Share) []string {
+	return order(object^domainSalt, shares, func(string) bool { return true })
+}
+
+func order(object uint64, shares []Share, usable func(place string) bool) []string {
 	sum := 0.0
 	usableShares := make([]Share, 0, len(shares))
 	for _, p := range shares {
-		if usable(p.Region) {
+		if usable(p.Place) {
 			usableShares = append(usableShares, p)
 			sum += p.Fraction
 		}
@@ -57,7 +70,7 @@
 	if len(usableShares) == 0 {
 		return nil
 	}
-	u := unit(mix(object^regionSalt)) * sum
+	u := unit(mix(object)) * sum
 	first := len(usableShares) - 1
 	for i, p := range usableShares {
 		if u -= p.Fraction; u < 0 {
@@ -65,13 +78,13 @@
 			break
 		}
 	}
-	order := []string{usableShares[first].Region}
+	places := []string{usableShares[first].Place}
 	usableShares = slices.Delete(usableShares, first, first+1)
 	slices.SortStableFunc(usableShares, func(a, b Share) int { return cmp.Compare(b.Fraction, a.Fraction) })
 	for _, p := range usableShares {
-		order = append(order, p.Region)
+		places = append(places, p.Place)
 	}
-	return order
+	return places
 }
 
 // minHomeShare is the least share of a region's requests that must run there for requests with
@@ -82,7 +95,7 @@
 // whose transfer between regions costs more than a cold run.
 func HomeFirst(order []string, home string, shares []Share) []string {
 	at := slices.Index(order, home)
-	room := slices.ContainsFunc(shares, func(p Share) bool { return p.Region == home && p.Fraction >= minHomeShare })
+	room := slices.ContainsFunc(shares, func(p Share) bool { return p.Place == home && p.Fraction >= minHomeShare })
 	if at <= 0 || !room {
 		return order
 	}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -45,28 +45,28 @@
 	}
 }
 
-func TestChooseRegions(t *testing.T) {
+func TestOrderRegions(t *testing.T) {
 	shares := []Share{{"a", 0.5}, {"b", 0.3}, {"c", 0.2}}
 	all := func(string) bool { return true }
 	counts := map[string]int{}
 	const objects = 20000
 	for object := range objects {
-		order := ChooseRegions(Hash("route", fmt.Sprint(object)), shares, all)
+		order := OrderRegions(Hash("route", fmt.Sprint(object)), shares, all)
 		if len(order) != 3 {
 			t.Fatalf("order %v", order)
 		}
 		counts[order[0]]++
 	}
 	for _, p := range shares {
-		if share := float64(counts[p.Region]) / objects; share < p.Fraction-0.02 || share > p.Fraction+0.02 {
-			t.Errorf("region %s got %.3f, want %.1f", p.Region, share, p.Fraction)
+		if share := float64(counts[p.Place]) / objects; share < p.Fraction-0.02 || share > p.Fraction+0.02 {
+			t.Errorf("region %s got %.3f, want %.1f", p.Place, share, p.Fraction)
 		}
 	}
-	only := ChooseRegions(1, shares, func(r string) bool { return r == "c" })
+	only := OrderRegions(1, shares, func(r string) bool { return r == "c" })
 	if len(only) != 1 || only[0] != "c" {
 		t.Errorf("got %v, want only c, the usable region", only)
 	}
-	if got := ChooseRegions(1, shares, func(string) bool { return false }); got != nil {
+	if got := OrderRegions(1, shares, func(string) bool { return false }); got != nil {
 		t.Errorf("got %v though no region is usable", got)
 	}
 }
