--- a/pkg/placement/balance_test.go
+++ b/pkg/placement/balance_test.go
@@ -139,3 +139,40 @@
 		}
 	}
 }
+
+// TestDomainsOfOneRegion divides the requests of a region's callers among its failure domains when more
+// callers use the VMs of one domain than its targets can serve. Compared with a choice by hash among all
+// targets, fewer requests cross domains; compared with the caller's domain first, none is overloaded.
+func TestDomainsOfOneRegion(t *testing.T) {
+	for _, tt := range []struct {
+		pattern         string
+		domains         []Place
+		crossing, level float64 // the most that are allowed
+	}{
+		{"callers in proportion to targets", []Place{{Name: "a", Slots: 24, Demand: 12}, {Name: "b", Slots: 24, Demand: 12}}, 0, 0.75},
+		{"three quarters of the callers use one domain", []Place{{Name: "a", Slots: 24, Demand: 30}, {Name: "b", Slots: 24, Demand: 10}}, 0.25, 40.0 / 48},
+		{"a domain without targets", []Place{{Name: "a", Slots: 24, Demand: 8}, {Name: "b", Demand: 8}}, 0.5, 0.75},
+		{"small responses fill one half of all targets", []Place{{Name: "a", Slots: 24, Demand: 9, BoundDemand: 12}, {Name: "b", Slots: 24, Demand: 3, BoundDemand: 12}}, 0, 0.75},
+	} {
+		t.Run(tt.pattern, func(t *testing.T) {
+			load, crossing, total := map[string]float64{}, 0.0, 0.0
+			for _, from := range tt.domains {
+				total += from.Demand
+				for _, s := range Split(from.Name, tt.domains) {
+					load[s.Place] += from.Demand * s.Fraction
+					if s.Place != from.Name {
+						crossing += from.Demand * s.Fraction
+					}
+				}
+			}
+			if crossing > tt.crossing*total+1e-9 {
+				t.Errorf("%.2f of %.2f slots of work cross domains, want at most %.2f", crossing, total, tt.crossing*total)
+			}
+			for _, d := range tt.domains {
+				if free := d.Slots - d.BoundDemand; load[d.Name] > tt.level*free+1e-9 {
+					t.Errorf("domain %s gets %.2f slots of work for %.2f free slots", d.Name, load[d.Name], free)
+				}
+			}
+		})
+	}
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -169,15 +169,19 @@
 	// predicted wait.
 	minQueueLoad = 1.3
 	maxQueueLoad = 2.2
+	// minQueue and maxQueue are the least such bounds, in requests that wait. The predicted wait says
+	// little about the next free slot of a target with few slots.
+	minQueue = 3.0
+	maxQueue = 6.0
 )
 
 // mayQueue reports whether a request may queue at a candidate if it may wait for longest.
 func (o Occupancy) mayQueue(longest time.Duration) bool {
-	load := float64(o.Load)
-	if load >= maxQueueLoad*float64(o.Slots) {
+	load, slots := float64(o.Load), float64(o.Slots)
+	if load >= max(maxQueueLoad*slots, slots+maxQueue) {
 		return false
 	}
-	return load < minQueueLoad*float64(o.Slots) || o.wait() <= longest
+	return load < max(minQueueLoad*slots, slots+minQueue) || o.wait() <= longest
 }
 
 // Choose returns the index of the first usable candidate whose queue is short enough for a request
