--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -91,19 +91,22 @@
 }
 
 // chooseInRegion chooses among the targets of a region. Requests with large responses that run in
-// this VM's region go to the failure domain that domains selects for their object, and to another one
-// where that has no room.
+// this VM's region go to the failure domain that domains selects for their object.
 func (c *call) chooseInRegion(ctx context.Context, region string, list []*target.Live, domains []placement.Share, spilled bool, now time.Time) *target.Live {
-	if !c.route.LargeResponses || region != c.s.cfg.Region || len(domains) == 0 {
-		return c.chooseAmong(ctx, list, spilled, now)
+	if c.route.LargeResponses && region == c.s.cfg.Region {
+		list = inDomain(list, placement.ChooseDomain(c.objectHash(), domains, func(domain string) bool {
+			return slices.ContainsFunc(list, func(l *target.Live) bool { return l.FailureDomain == domain })
+		}))
 	}
-	for _, domain := range placement.OrderDomains(c.objectHash(), domains) {
-		near := slices.DeleteFunc(slices.Clone(list), func(l *target.Live) bool { return l.FailureDomain != domain })
-		if l := c.chooseAmong(ctx, near, spilled, now); l != nil {
-			return l
-		}
+	return c.chooseAmong(ctx, list, spilled, now)
+}
+
+// inDomain returns the targets in a failure domain, or all of them if domain is empty.
+func inDomain(list []*target.Live, domain string) []*target.Live {
+	if domain == "" {
+		return list
 	}
-	return nil
+	return slices.DeleteFunc(slices.Clone(list), func(l *target.Live) bool { return l.FailureDomain != domain })
 }
 
 // chooseAmong chooses among targets. Requests that spill over from another region only use targets
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -53,9 +53,13 @@
 	return order(object^regionSalt, shares, usable)
 }
 
-// OrderDomains is OrderRegions for the failure domains of a region.
-func OrderDomains(object uint64, shares []Share) []string {
-	return order(object^domainSalt, shares, func(string) bool { return true })
+// ChooseDomain returns the failure domain that an object's hash selects by the shares of a region's
+// domains, or "" if none of them is usable.
+func ChooseDomain(object uint64, shares []Share, usable func(domain string) bool) string {
+	if domains := order(object^domainSalt, shares, usable); len(domains) > 0 {
+		return domains[0]
+	}
+	return ""
 }
 
 func order(object uint64, shares []Share, usable func(place string) bool) []string {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -133,3 +134,27 @@
 		})
 	}
 }
+
+// TestChooseDomain checks that the failure domain of an object is independent of its region, and that
+// only usable domains are chosen.
+func TestChooseDomain(t *testing.T) {
+	regions, domains := []Share{{"r", 0.3}, {"s", 0.7}}, []Share{{"a", 0.5}, {"b", 0.5}}
+	all := func(string) bool { return true }
+	counts, inRegion := map[string]int{}, 0
+	for i := range 20000 {
+		object := Hash("route", strconv.Itoa(i))
+		if OrderRegions(object, regions, all)[0] == "r" {
+			inRegion++
+			counts[ChooseDomain(object, domains, all)]++
+		}
+	}
+	if share := float64(counts["a"]) / float64(inRegion); share < 0.47 || share > 0.53 {
+		t.Errorf("domain a gets %.3f of the objects of region r, want 0.5", share)
+	}
+	if got := ChooseDomain(1, domains, func(d string) bool { return d == "b" }); got != "b" {
+		t.Errorf("got %q, want the usable domain", got)
+	}
+	if got := ChooseDomain(1, domains, func(string) bool { return false }); got != "" {
+		t.Errorf("got %q though no domain is usable", got)
+	}
+}
--- a/test/ablation/mechanisms.go
+++ b/test/ablation/mechanisms.go
@@ -13,7 +13,7 @@
 	{"spill between regions", "pkg/ingress/choose.go", "if i > 0 && !c.s.spill.allows(c.pool, now) {", "if i > 0 {"},
 	{"spill bounded by pool", "pkg/ingress/choose.go", "c.s.spill.allows(c.pool, now)", `c.s.spill.allows("", now)`},
 	{"large responses: home region first", "pkg/ingress/choose.go", "if c.route.LargeResponses {", "if false {"},
-	{"large responses: own failure domain", "pkg/ingress/choose.go", "if !c.route.LargeResponses || region", "if true || region"},
+	{"large responses: own failure domain", "pkg/ingress/choose.go", "if c.route.LargeResponses && region", "if false && region"},
 	{"queue bounded by predicted wait", "pkg/placement/placement.go", "|| o.wait() <= longest", "|| true"},
 	{"queue bounded at all", "pkg/placement/placement.go", "c.Usable && c.mayQueue(longest)", "c.Usable && (c.mayQueue(longest) || true)"},
 	{"least queue on few slots", "pkg/placement/placement.go", "minQueue = 3.0\n\tmaxQueue = 6.0", "minQueue = 0.0\n\tmaxQueue = 0.0"},
