--- a/pkg/edge/restore_model_test.go
+++ b/pkg/edge/restore_model_test.go
@@ -25,7 +25,6 @@
 
 type modelStore struct {
 	rows    map[string]modelRow
-	log     []string // keys in order of their changes
 	version storage.Version
 	// changedAt is the version of the last change of each key in this era.
 	changedAt map[string]int64
