--- a/test/ablation/mechanisms.go
+++ b/test/ablation/mechanisms.go
@@ -11,7 +11,7 @@
 var mechanisms = []mechanism{
 	{name: "nothing left out"},
 	{"spill between regions", "pkg/ingress/choose.go", "if i > 0 && !c.s.spill.allows(c.pool, now) {", "if i > 0 {"},
-	{"spill bounded by pool", "pkg/ingress/choose.go", "c.s.spill.allows(c.pool, now)", `c.s.spill.allows("", now)`},
+	{"spill bounded by pool", "pkg/ingress/demand.go", "\tp := s.pools[name]\n\tif p == nil {\n\t\tp = &poolSpill", "\tname = \"\"\n\tp := s.pools[name]\n\tif p == nil {\n\t\tp = &poolSpill"},
 	{"large responses: home region first", "pkg/ingress/choose.go", "if c.route.LargeResponses {", "if false {"},
 	{"large responses: own failure domain", "pkg/ingress/choose.go", "if c.route.LargeResponses && region", "if false && region"},
 	{"queue bounded by predicted wait", "pkg/placement/placement.go", "|| o.wait() <= longest", "|| true"},
