--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,7 +66,7 @@
 		if configLag.shouldRefresh(d.Snapshot().Version < newestConfig, time.Now()) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; sending a new request to the store")
 			operators.Refresh()
-			state, _ := d.askPeers(ctx, slices.Clone(loadRegistrations(&d.fleet.vms)))
+			state, _ := d.askPeers(ctx, loadRegistrations(&d.fleet.vms))
 			if d.applyRecalledConfigs(state.configs) {
 				d.targets.Publish(storage.Version{})
 			}
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +84,7 @@
 func (d *Daemon) askPeers(ctx context.Context, vms []Registration) (state recalledState, answers int) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
+	vms = slices.Clone(vms) // the caller goes on using its slice
 	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	var mu sync.Mutex
 	var calls errgroup.Group
