--- a/test/ablation/main.go
+++ b/test/ablation/main.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 
 	"golang.org/x/sync/errgroup"
@@ -63,7 +64,7 @@
 	}
 	fmt.Println("| without | mean worth of", strings.Join(names(p.sites), " | "), "| rules broken |")
 	for _, m := range mechanisms {
-		if len(p.only) > 0 && !contains(p.only, m.name) {
+		if len(p.only) > 0 && !slices.Contains(p.only, m.name) {
 			continue
 		}
 		if err := p.measure(m); err != nil {
@@ -73,15 +74,6 @@
 	return nil
 }
 
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 // names returns the names of site files.
 func names(sites []string) (out []string) {
 	for _, s := range sites {
