pkg/conntrack: log how callers' connections end

A request whose context ended was logged as 504 caller_left, whether the caller had closed its connection, the network had reset it or this VM had closed it itself. Its line now says which, with the age of the connection, the requests that it carried and how long it was idle before. Connections that are closed as idle are counted, and those with bytes of a request unread or read apart. Errors of the HTTP servers, among them panics of handlers, go to the log.

--- /dev/null
+++ b/pkg/conntrack/tracker.go
@@ -0,0 +1,142 @@
+package conntrack
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"crocusramp.dev/crocusramp/pkg/peek"
+)
+
+// Tracker tracks the connections of one http.Server.
+type Tracker struct {
+	// expired counts the connections that were closed because they were idle for too long;
+	// expiredUnread and expiredRead count those of them with bytes of a request that had not been read
+	// and that had been read.
+	expired, expiredUnread, expiredRead metrics.Counter
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewTracker returns a Tracker that registers its counters in r.
+func NewTracker(r metrics.Registry) *Tracker {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("callers."+name, r) }
+	return &Tracker{
+		conns: map[*Conn]struct{}{}, expired: counter("connections_expired"),
+		expiredUnread: counter("connections_expired_unread"), expiredRead: counter("connections_expired_read"),
+	}
+}
+
+// Listener returns a listener whose connections are tracked. l must be a TCP listener.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
+
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		_ = c.Close()
+		return nil, fmt.Errorf("accepted a %T, want a TCP connection", c)
+	}
+	return &Conn{TCPConn: tcp, accepted: time.Now()}, nil
+}
+
+// ConnState is the http.Server.ConnState hook.
+func (t *Tracker) ConnState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateNew:
+		t.mu.Lock()
+		t.conns[c] = struct{}{}
+		t.mu.Unlock()
+	case http.StateActive:
+		c.begin(time.Now())
+	case http.StateIdle:
+		c.rest(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+	}
+}
+
+// begin records the start of a request.
+func (c *Conn) begin(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleFor = 0
+	if !c.idleSince.IsZero() {
+		c.idleFor = now.Sub(c.idleSince)
+	}
+	c.state = stateActive
+	c.requests++
+}
+
+// rest records the end of a request.
+func (c *Conn) rest(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.idleSince = stateIdle, now
+}
+
+// ActiveCount returns the number of connections with a request whose response is not completely sent.
+func (t *Tracker) ActiveCount() int { return t.count(stateActive) }
+
+// count returns the number of connections in a state.
+func (t *Tracker) count(s state) int {
+	n := 0
+	for _, c := range t.list() {
+		c.mu.Lock()
+		if c.state == s {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+func (t *Tracker) list() []*Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*Conn, 0, len(t.conns))
+	for c := range t.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// CloseExpired closes the connections that have been idle for longer than limit at now.
+func (t *Tracker) CloseExpired(limit time.Duration, now time.Time) {
+	for _, c := range t.list() {
+		c.mu.Lock()
+		reading := c.state == stateReading
+		expired := (c.state == stateIdle || reading) && now.Sub(c.idleSince) > limit
+		if expired {
+			c.setEnd(EndIdle)
+		}
+		c.mu.Unlock()
+		if !expired {
+			continue
+		}
+		t.expired.Inc(1)
+		switch {
+		case reading:
+			t.expiredRead.Inc(1)
+		case peek.Look(c) == peek.Readable:
+			t.expiredUnread.Inc(1)
+		}
+		_ = c.Close() // fails if the caller has already closed it
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -4,9 +4,11 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -21,6 +23,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/ingress"
@@ -121,7 +124,7 @@
 	servers        []*http.Server
 	callers        *http.Server
 	listenerErrors chan error
-	conns          *callerConns
+	conns          *conntrack.Tracker
 	// listKnown is the store version up to which the list of targets has been read;
 	// listNewest is the version of the newest change to the list itself. nil is unknown.
 	listKnown, listNewest atomic.Pointer[storage.Version]
@@ -142,9 +145,10 @@
 func New(ctx context.Context, path string, s *settings.Edge, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		path: path, log: log, metrics: metrics.NewRegistry(), latency: telemetry.NewHistogram(), clock: clock.System{},
-		loop: control.NewLoop(), roster: newRoster(s.VM.ID), conns: newCallerConns(), loaded: make(chan struct{}),
+		loop: control.NewLoop(), roster: newRoster(s.VM.ID), loaded: make(chan struct{}),
 		listenerErrors: make(chan error, maxListeners), evacuations: newEvacuations(), recalled: make(chan struct{}),
 	}
+	d.conns = conntrack.NewTracker(d.metrics)
 	d.settings.Store(s)
 	d.regions, d.domains = regionNames(s.FailureDomains), domainsOf(s.VM.Region, s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
@@ -324,10 +328,10 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: d.serverLog(l.address)}
 		if l.address == s.Listen.Callers {
-			server.ConnState, server.ConnContext = d.conns.track, ingress.ConnContext
-			d.callers = server
+			server.ConnState, server.ConnContext = d.conns.ConnState, conntrack.ConnContext
+			listener, d.callers = d.conns.Listener(listener), server
 		} else {
 			d.servers = append(d.servers, server)
 		}
@@ -339,3 +343,18 @@
 	}
 	return nil
 }
+
+// serverLog returns a logger for the errors of an http.Server, among them panics of handlers, which close
+// the connection without an answer.
+func (d *Daemon) serverLog(address string) *log.Logger {
+	return log.New(serverErrors{d.log.With().Str("listener", address).Logger()}, "", 0)
+}
+
+// serverErrors writes each error as one log line.
+type serverErrors struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (s serverErrors) Write(text []byte) (int, error) {
+	s.log.Error().Str("error", string(bytes.TrimSpace(text))).Msg("HTTP server error")
+	return len(text), nil
+}
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -101,7 +101,7 @@
 func (d *Daemon) awaitDelivery(ctx context.Context) {
 	ticker := time.NewTicker(deliveryPoll)
 	defer ticker.Stop()
-	for d.conns.activeCount() > 0 {
+	for d.conns.ActiveCount() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/peek"
@@ -149,20 +149,11 @@
 	return c.timeout()
 }
 
-// connKey is the context key of the caller's connection.
-type connKey struct{}
-
-// ConnContext adds the caller's connection to the context of its requests. It must be set as the
-// ConnContext hook of the callers' http.Server.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // callerGone reports whether the caller has closed its connection, even if net/http has not noticed
 // that yet.
 func (c *call) callerGone() bool {
-	conn, ok := c.r.Context().Value(connKey{}).(net.Conn)
-	return ok && c.bodyComplete.Load() && peek.Look(conn) == peek.Closed
+	conn := conntrack.FromContext(c.r.Context())
+	return conn != nil && c.bodyComplete.Load() && peek.Look(conn) == peek.Closed
 }
 
 // idempotent reports whether the request may run more than once.
@@ -348,6 +339,7 @@
 	}
 	c.w.WriteHeader(a.status)
 	if _, err := c.w.Write(a.body); err != nil {
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Err(err).Object("connection", c.connection()).Msg("the answer could not be written")
 		return
 	}
 	if a.stream != nil {
@@ -391,7 +383,7 @@
 			c.s.cfg.Log.Warn().Err(err).Str("request", c.info.ID).Msg("cannot reset the connection; the truncated answer may look complete to the caller")
 			panic(http.ErrAbortHandler)
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 			_ = tcp.SetLinger(0) // fails only if the connection is already closed
 		}
 		_ = conn.Close()
@@ -444,9 +436,20 @@
 	if c.lastError != "" {
 		e.Str("note", c.lastError)
 	}
+	if a.drop {
+		e.Dur("timeout_ms", c.timeout()).Object("connection", c.connection())
+	}
 	e.Msg("request")
 }
 
+// connection returns the caller's connection for the log, or nil if it is not tracked.
+func (c *call) connection() zerolog.LogObjectMarshaler {
+	if conn, ok := conntrack.FromContext(c.r.Context()).(*conntrack.Conn); ok {
+		return conn
+	}
+	return nil
+}
+
 func (c *call) logTargets(e *zerolog.Event) {
 	if len(c.tried) == 0 {
 		return
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -19,6 +19,7 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/placement"
@@ -224,7 +225,7 @@
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewUnstartedServer(w.server)
-	w.front.Config.ConnContext = ConnContext
+	w.front.Config.ConnContext = conntrack.ConnContext
 	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/peek"
 )
@@ -303,7 +304,7 @@
 			}
 		}
 		// The context is not cancelled, as nothing has read the close of the connection.
-		r, err := http.NewRequestWithContext(ConnContext(t.Context(), near), http.MethodGet, "http://host.example/safe/x", nil)
+		r, err := http.NewRequestWithContext(conntrack.ConnContext(t.Context(), near), http.MethodGet, "http://host.example/safe/x", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
