pkg/conntrack: do not close a connection whose next request has been read

Callers saw a connection closed without an answer although the VM had read their request whole. Connections that are idle for too long were closed by the goroutine that checks them, while net/http counts a connection as idle until it has parsed the next request's header: whatever was read by then was lost, and on a VM short of processor time that takes long.

An expired connection now gets a read deadline in the past instead. The goroutine that reads it either has a request, which clears the deadline, or looks once more for unread bytes and then closes it: a connection never ends between the read of a request and its answer. One with unread bytes is left alone.

That this is what the users' record shows is not proved: its connection would have had to be idle for longer than the limit.

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -7,11 +7,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/peek"
 )
 
 // End is how a connection ended, as this VM saw it.
@@ -52,6 +55,7 @@
 	state     state
 	idleSince time.Time
 	idleFor   time.Duration // before the current request
+	expired   bool          // the read deadline was set because of the idle timeout
 	requests  int
 	end       End
 }
@@ -59,16 +63,52 @@
 // Read implements net.Conn. It records when a request begins to arrive on an idle connection and why
 // reading ended.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	for {
+		n, err := c.TCPConn.Read(b)
+		if !c.mayContinue(n, err) {
+			return n, err
+		}
+	}
+}
+
+// mayContinue records the result of a read. It reports whether the read must be repeated because a
+// request arrived on the connection while it was about to be closed as idle.
+func (c *Conn) mayContinue(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.state == stateIdle {
-		c.state = stateReading
+	if c.expired && (n > 0 || peek.Look(c.TCPConn) == peek.Readable) {
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection, which ends the read
+		if n == 0 {
+			return true
+		}
 	}
-	if err != nil {
+	switch {
+	case n > 0 && c.state == stateIdle:
+		c.state = stateReading
+	case c.expired && errors.Is(err, os.ErrDeadlineExceeded):
+		c.setEnd(EndIdle)
+	case err != nil:
 		c.setEnd(endOf(err))
 	}
-	return n, err
+	return false
+}
+
+// expire makes the read that waits for the next request fail, if the connection has been idle for longer
+// than limit at now. net/http then closes the connection. It is not closed
+// here, because the next request may have been read already. expire reports whether the connection
+// expires now.
+func (c *Conn) expire(limit time.Duration, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateIdle || now.Sub(c.idleSince) <= limit || peek.Look(c.TCPConn) == peek.Readable {
+		return false
+	}
+	first := !c.expired
+	c.expired = true
+	// Repeated for a connection that is still open, because net/http may have replaced the deadline.
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	return first
 }
 
 // Close implements net.Conn.
--- a/pkg/conntrack/tracker.go
+++ b/pkg/conntrack/tracker.go
@@ -8,16 +8,12 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"crocusramp.dev/crocusramp/pkg/peek"
 )
 
 // Tracker tracks the connections of one http.Server.
 type Tracker struct {
-	// expired counts the connections that were closed because they were idle for too long;
-	// expiredUnread and expiredRead count those of them with bytes of a request that had not been read
-	// and that had been read.
-	expired, expiredUnread, expiredRead metrics.Counter
+	// expired counts the connections that were closed because they were idle for too long.
+	expired metrics.Counter
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -25,11 +21,7 @@
 
 // NewTracker returns a Tracker that registers its counters in r.
 func NewTracker(r metrics.Registry) *Tracker {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("callers."+name, r) }
-	return &Tracker{
-		conns: map[*Conn]struct{}{}, expired: counter("connections_expired"),
-		expiredUnread: counter("connections_expired_unread"), expiredRead: counter("connections_expired_read"),
-	}
+	return &Tracker{conns: map[*Conn]struct{}{}, expired: metrics.GetOrRegisterCounter("callers.connections_expired", r)}
 }
 
 // Listener returns a listener whose connections are tracked. l must be a TCP listener.
@@ -117,26 +109,11 @@
 	return out
 }
 
-// CloseExpired closes the connections that have been idle for longer than limit at now.
+// CloseExpired closes the connections that have been idle for longer than limit at now, except those on which a request has begun to arrive.
 func (t *Tracker) CloseExpired(limit time.Duration, now time.Time) {
 	for _, c := range t.list() {
-		c.mu.Lock()
-		reading := c.state == stateReading
-		expired := (c.state == stateIdle || reading) && now.Sub(c.idleSince) > limit
-		if expired {
-			c.setEnd(EndIdle)
-		}
-		c.mu.Unlock()
-		if !expired {
-			continue
-		}
-		t.expired.Inc(1)
-		switch {
-		case reading:
-			t.expiredRead.Inc(1)
-		case peek.Look(c) == peek.Readable:
-			t.expiredUnread.Inc(1)
+		if c.expire(limit, now) {
+			t.expired.Inc(1)
 		}
-		_ = c.Close() // fails if the caller has already closed it
 	}
 }
--- a/pkg/conntrack/tracker_test.go
+++ b/pkg/conntrack/tracker_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,3 +74,75 @@
 		t.Errorf("the running request did not complete: %v", err)
 	}
 }
+
+// TestRequestReadDuringIdleCloseIsAnswered guards against a request that the VM has read and that ends
+// without an answer because its connection is closed as idle at that moment.
+func TestRequestReadDuringIdleCloseIsAnswered(t *testing.T) {
+	const rounds, perRound = 40, 48
+	var mu sync.Mutex
+	handled := map[string]bool{}
+	tracker, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		handled[r.URL.Path] = true
+		mu.Unlock()
+		fmt.Fprint(w, "ok")
+	}))
+	exchange := func(c net.Conn, in *bufio.Reader, path string) error {
+		if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	lost, unread, answered := 0, 0, 0
+	for round := range rounds {
+		conns := make([]net.Conn, perRound)
+		readers := make([]*bufio.Reader, perRound)
+		for i := range conns {
+			conns[i] = dial(t, address)
+			readers[i] = bufio.NewReader(conns[i])
+			if err := exchange(conns[i], readers[i], fmt.Sprint("/first/", round, "/", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for tracker.count(stateIdle) < perRound {
+			time.Sleep(time.Millisecond)
+		}
+		failed := make([]bool, perRound)
+		var group sync.WaitGroup
+		start := time.Now().Add(2 * time.Millisecond)
+		for i, c := range conns {
+			group.Go(func() {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * 30 * time.Microsecond)))
+				failed[i] = exchange(c, readers[i], fmt.Sprint("/second/", round, "/", i)) != nil
+			})
+		}
+		time.Sleep(time.Until(start.Add(perRound / 2 * 30 * time.Microsecond)))
+		tracker.CloseExpired(time.Second, time.Now().Add(time.Minute))
+		group.Wait()
+		mu.Lock()
+		for i, f := range failed {
+			switch read := handled[fmt.Sprint("/second/", round, "/", i)]; {
+			case !f:
+				answered++
+			case read:
+				lost++
+			default:
+				unread++
+			}
+			conns[i].Close()
+		}
+		mu.Unlock()
+	}
+	t.Logf("%d answered, %d closed unread, %d read and closed without an answer", answered, unread, lost)
+	if lost > 0 {
+		t.Errorf("%d requests were read and got no answer", lost)
+	}
+	if answered == 0 || answered == rounds*perRound {
+		t.Error("no connection was closed beside a request; the test shows nothing")
+	}
+}
