callers are told how long they may reuse a connection

A configuration that lowers the idle limit closed, within a second, every connection that had been idle for longer than the new limit. Callers know the limit under which they got their last answer; a request that they sent meanwhile met the close, and had to be sent again. Which limit that was was never said.

Answers now carry Keep-Alive with 0.8 of the limit, in whole seconds, and a connection stays open for the limit that was announced with its last answer or for the one in force, whichever is longer.

TestConnectionStaysOpenAsAnnounced without the second half: "closed before the announced time: EOF".

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -55,11 +55,20 @@
 	state     state
 	idleSince time.Time
 	idleFor   time.Duration // before the current request
+	keepFor   time.Duration // the idle timeout that the caller was told
 	expired   bool          // the read deadline was set because of the idle timeout
 	requests  int
 	end       End
 }
 
+// KeepFor records that the caller was told that it may reuse the connection for d after the response.
+// The connection is not closed as idle before then, even if the configured limit decreases.
+func (c *Conn) KeepFor(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepFor = d
+}
+
 // Read implements net.Conn. It records when a request begins to arrive on an idle connection and why
 // reading ended.
 func (c *Conn) Read(b []byte) (int, error) {
@@ -95,13 +104,13 @@
 }
 
 // expire makes the read that waits for the next request fail, if the connection has been idle for longer
-// than limit at now. net/http then closes the connection. It is not closed
+// than limit at now and than the caller was told. net/http then closes the connection. It is not closed
 // here, because the next request may have been read already. expire reports whether the connection
 // expires now.
 func (c *Conn) expire(limit time.Duration, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateIdle || now.Sub(c.idleSince) <= limit || peek.Look(c.TCPConn) == peek.Readable {
+	if c.state != stateIdle || now.Sub(c.idleSince) <= max(limit, c.keepFor) || peek.Look(c.TCPConn) == peek.Readable {
 		return false
 	}
 	first := !c.expired
@@ -141,8 +150,11 @@
 	}
 }
 
-// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+// MarshalZerologObject implements zerolog.LogObjectMarshaler. c may be nil.
 func (c *Conn) MarshalZerologObject(e *zerolog.Event) {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.Str("end", string(c.end)).Dur("age_ms", time.Since(c.accepted)).Int("requests", c.requests).Dur("idle_ms", c.idleFor)
--- a/pkg/conntrack/tracker_test.go
+++ b/pkg/conntrack/tracker_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -146,3 +148,37 @@
 		t.Error("no connection was closed beside a request; the test shows nothing")
 	}
 }
+
+// TestConnectionStaysOpenAsAnnounced guards against a limit that decreases and closes connections on
+// which callers, who know the earlier limit, are about to send a request.
+func TestConnectionStaysOpenAsAnnounced(t *testing.T) {
+	tracker, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		FromContext(r.Context()).(*Conn).KeepFor(10 * time.Second)
+		fmt.Fprint(w, "ok")
+	}))
+	c := dial(t, address)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	for tracker.count(stateIdle) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	tracker.CloseExpired(time.Second, time.Now().Add(9*time.Second))
+	if err := c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := in.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("closed before the announced time: %v", err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	tracker.CloseExpired(time.Second, time.Now().Add(11*time.Second))
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("open after the announced time: %v", err)
+	}
+}
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -330,6 +331,7 @@
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 		a.body = []byte(a.detail + "\n")
 	}
+	c.announceIdleTimeout(h)
 	c.log(a)
 	if a.drop {
 		panic(http.ErrAbortHandler)
@@ -347,6 +349,26 @@
 	}
 }
 
+// reuseFraction is the part of the idle timeout in which callers may reuse a connection. The rest is
+// for the time that responses and requests are in transit.
+const reuseFraction = 0.8
+
+// announceIdleTimeout tells the caller for how long it may reuse its connection, and the connection to
+// stay open for longer than that.
+func (c *call) announceIdleTimeout(h http.Header) {
+	conn := c.connection()
+	if c.state == nil || conn == nil || h.Get("Connection") == "close" {
+		return
+	}
+	limit := c.state.CallerLimits.IdleTimeout
+	seconds := int(reuseFraction * limit.Seconds())
+	if seconds < 1 {
+		return
+	}
+	conn.KeepFor(limit)
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
+}
+
 // endlessResponseBytes is how many bytes of a response of unknown length may arrive before the
 // caller's timeout. A response that has reached this size by then is treated as endless.
 const endlessResponseBytes = 16 << 20
@@ -442,12 +464,10 @@
 	e.Msg("request")
 }
 
-// connection returns the caller's connection for the log, or nil if it is not tracked.
-func (c *call) connection() zerolog.LogObjectMarshaler {
-	if conn, ok := conntrack.FromContext(c.r.Context()).(*conntrack.Conn); ok {
-		return conn
-	}
-	return nil
+// connection returns the caller's connection, or nil if it is not tracked.
+func (c *call) connection() *conntrack.Conn {
+	conn, _ := conntrack.FromContext(c.r.Context()).(*conntrack.Conn)
+	return conn
 }
 
 func (c *call) logTargets(e *zerolog.Event) {
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -225,7 +226,9 @@
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewUnstartedServer(w.server)
-	w.front.Config.ConnContext = conntrack.ConnContext
+	tracker := conntrack.NewTracker(metrics.NewRegistry())
+	w.front.Config.ConnState, w.front.Config.ConnContext = tracker.ConnState, conntrack.ConnContext
+	w.front.Listener = tracker.Listener(w.front.Listener)
 	w.front.Start()
 	t.Cleanup(w.front.Close)
 	return w
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -445,3 +445,38 @@
 		t.Errorf("pool b got %d of %d requests", counts["b"], requests)
 	}
 }
+
+// TestIdleTimeoutIsAnnounced guards against callers that reuse a connection when it is about to be
+// closed as idle.
+func TestIdleTimeoutIsAnnounced(t *testing.T) {
+	for _, tt := range []struct {
+		limit time.Duration
+		path  string
+		want  string
+	}{
+		{15 * time.Second, "/safe/x", "timeout=12"},
+		{2 * time.Second, "/safe/x", "timeout=1"},
+		{time.Second, "/safe/x", ""},
+		{0, "/safe/x", ""},
+		{15 * time.Second, "/unknown/x", "timeout=12"},
+	} {
+		w := newFixture(t)
+		w.state.CallerLimits.IdleTimeout = tt.limit
+		w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Keep-Alive", "timeout=77") // applies to the connection to the target
+			respondOK(rw, r)
+		})
+		resp, _, err := w.send("GET", tt.path, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := resp.Header.Get("Keep-Alive"); got != tt.want {
+			t.Errorf("limit %v, %s: Keep-Alive %q, want %q", tt.limit, tt.path, got, tt.want)
+		}
+	}
+	w := newFixture(t)
+	w.state.CallerLimits.IdleTimeout = 15 * time.Second
+	if resp, _, err := w.send("GET", "/safe/x", ""); err != nil || !resp.Close || resp.Header.Get("Keep-Alive") != "" {
+		t.Errorf("%v %v; want a refusal that closes the connection and announces no time", resp, err)
+	}
+}
