pkg/tunnel: connections to targets through another VM

A VM that is cut off from the targets can reach them through a peer that is not. It asks the peer for a tunnel with HTTP CONNECT on the peers' listener and keeps every decision; the peer looks the target up in its own list by ID and start time, connects and copies bytes.

An abrupt end stays abrupt: connections between VMs have SO_LINGER 0 until the target has ended its stream cleanly, so that a reset of the target, a stop and a kill of the peer are resets at the VM, and a response without a length does not look complete. Closing the VM's end is a reset too, which the peer tells from CloseWrite and passes on at once.

Dead peers are found by TCP_INFO instead of TCP_USER_TIMEOUT.

--- /dev/null
+++ b/pkg/tunnel/conn.go
@@ -0,0 +1,54 @@
+package tunnel
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+)
+
+var errEarlyBytes = errors.New("unread bytes in user space")
+
+// conn is the VM's end of a tunnel.
+type conn struct {
+	net.Conn // to the peer
+	tcp      *net.TCPConn
+	dialer   *Dialer
+	peer     string
+
+	mu    sync.Mutex
+	early []byte // arrived with the response to CONNECT and not read yet
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.early) > 0 {
+		defer c.mu.Unlock()
+		n := copy(p, c.early)
+		c.early = c.early[n:]
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// Close implements net.Conn. It resets the connection: the peer takes a clean end for CloseWrite.
+func (c *conn) Close() error {
+	c.dialer.remove(c)
+	return c.tcp.Close()
+}
+
+// CloseWrite closes the sending half of the connection.
+func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// SyscallConn implements syscall.Conn for users that look for unread data. It fails while there are
+// bytes that the kernel does not know of.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.early) > 0 {
+		return nil, errEarlyBytes
+	}
+	return c.tcp.SyscallConn()
+}
--- /dev/null
+++ b/pkg/tunnel/socket.go
@@ -0,0 +1,41 @@
+package tunnel
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+)
+
+const (
+	// Unanswered keep-alive probes follow each other at this interval, the first after the same time
+	// without traffic. The kernel ends the connection after the last one; a watch does so earlier.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 4
+)
+
+// tcpConn returns the TCP connection below c.
+func tcpConn(c net.Conn) (*net.TCPConn, bool) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	t, ok := c.(*net.TCPConn)
+	return t, ok
+}
+
+// setUp sets the socket options of a connection between VMs. They also make the kernel reset the
+// connection if this process dies: a clean end would make a truncated response without a length look
+// complete.
+func setUp(t *net.TCPConn) error {
+	return errors.Join(t.SetLinger(0), t.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+	}))
+}
+
+// closeWrite closes the sending half of a connection.
+func closeWrite(c net.Conn) error {
+	if h, ok := c.(interface{ CloseWrite() error }); ok {
+		return h.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
