--- a/pkg/tunnel/dialer.go
+++ b/pkg/tunnel/dialer.go
@@ -134,7 +134,7 @@
 		d.open[c.peer] = map[*conn]struct{}{}
 	}
 	d.open[c.peer][c] = struct{}{}
-	d.watch.add(c.tcp)
+	d.watch.add(c.tcp, c)
 }
 
 func (d *Dialer) remove(c *conn) {
--- a/pkg/tunnel/end_test.go
+++ b/pkg/tunnel/end_test.go
@@ -68,26 +68,32 @@
 		{name: "target resets", end: func(_ *fixture, c *net.TCPConn) { c.SetLinger(0); c.Close() }},
 		{name: "peer stops", end: func(f *fixture, _ *net.TCPConn) { f.Close() }},
 	}
+	fixtures := map[string]func(t testing.TB, address string) *fixture{
+		"TCP": func(t testing.TB, address string) *fixture { return newFixture(t, address, nil) },
+		"TLS": newTLSFixture,
+	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			var f *fixture
-			read := make(chan struct{})
-			f = newFixture(t, listen(t, func(c net.Conn) {
-				io.WriteString(c, part)
-				<-read
-				test.end(f, c.(*net.TCPConn))
-			}), nil)
-			c := f.dial(t)
-			defer c.Close()
-			got := make([]byte, len(part))
-			if _, err := io.ReadFull(c, got); err != nil {
-				t.Fatal(err)
-			}
-			close(read)
-			if _, err := c.Read(got); err == nil || (err == io.EOF) != test.eof || errors.Is(err, os.ErrDeadlineExceeded) {
-				t.Errorf("got %v", err)
-			}
-		})
+		for protocol, start := range fixtures {
+			t.Run(test.name+" "+protocol, func(t *testing.T) {
+				var f *fixture
+				read := make(chan struct{})
+				f = start(t, listen(t, func(c net.Conn) {
+					io.WriteString(c, part)
+					<-read
+					test.end(f, c.(*net.TCPConn))
+				}))
+				c := f.dial(t)
+				defer c.Close()
+				got := make([]byte, len(part))
+				if _, err := io.ReadFull(c, got); err != nil {
+					t.Fatal(err)
+				}
+				close(read)
+				if _, err := c.Read(got); err == nil || (err == io.EOF) != test.eof || errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
 	}
 }
 
--- a/pkg/tunnel/link.go
+++ b/pkg/tunnel/link.go
@@ -61,13 +61,12 @@
 	}()
 	l.copyToCaller()
 	<-done
-	l.close()
+	l.Close()
 }
 
-// close closes both connections. The caller's is reset unless the target's stream ended cleanly.
-func (l *link) close() {
-	l.callerTCP.Close()
-	l.target.Close()
+// Close closes both connections. The caller's is reset unless the target's stream ended cleanly.
+func (l *link) Close() error {
+	return errors.Join(l.callerTCP.Close(), l.target.Close())
 }
 
 // copyToTarget carries the caller's bytes. A caller that leaves must reach the target.
@@ -87,7 +86,7 @@
 		return
 	}
 	if err != nil {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -95,12 +94,12 @@
 // caller's connection is reset then.
 func (l *link) copyToCaller() {
 	if err := l.copy(l.caller, l.target, l.counters.bytesToCaller); err != nil {
-		l.close()
+		l.Close()
 		return
 	}
 	// The kernel delivers the rest after Close from here on.
 	if err := errors.Join(closeWrite(l.caller), l.callerTCP.SetLinger(-1)); err != nil {
-		l.close()
+		l.Close()
 		return
 	}
 	l.setHalfOpen(l.caller)
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -55,7 +55,7 @@
 
 // NewServer returns a Server.
 func NewServer(c ServerConfig) *Server {
-	s := &Server{config: c, carried: map[*link]struct{}{}}
+	s := &Server{config: c, carried: map[*link]struct{}{}, watch: watch{closeReset: true}}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("tunnel."+name, c.Metrics) }
 	s.counters = counters{
 		opened: counter("opened"), declined: counter("declined"), failed: counter("failed"),
@@ -95,7 +95,7 @@
 	}
 	s.mu.Unlock()
 	for _, l := range links {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -127,13 +127,13 @@
 		return
 	}
 	if !s.add(l) {
-		l.close()
+		l.Close()
 		s.release(nil)
 		return
 	}
 	s.counters.opened.Inc(1)
 	s.config.Log.Debug().Str("target", t.ID).Str("vm", r.RemoteAddr).Msg("tunnel opened")
-	s.watch.add(l.callerTCP)
+	s.watch.add(l.callerTCP, l)
 	go func() {
 		defer s.release(l)
 		defer s.watch.remove(l.callerTCP)
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -82,25 +84,40 @@
 // newFixture returns a fixture that lists testTarget at the address. change, if not nil, changes its
 // configuration.
 func newFixture(t testing.TB, targetAddress string, change func(c *ServerConfig)) *fixture {
+	t.Helper()
+	return startFixture(t, targetAddress, change, (*httptest.Server).Start)
+}
+
+// newTLSFixture returns a fixture whose VMs use TLS.
+func newTLSFixture(t testing.TB, targetAddress string) *fixture {
+	t.Helper()
+	return startFixture(t, targetAddress, nil, (*httptest.Server).StartTLS)
+}
+
+func startFixture(t testing.TB, targetAddress string, change func(c *ServerConfig), start func(*httptest.Server)) *fixture {
 	t.Helper()
 	f := &fixture{metrics: metrics.NewRegistry(), log: &lockedBuffer{}}
-	config := ServerConfig{
-		Address: func(t Target) (string, bool) { return targetAddress, t == testTarget },
-		Available: func() bool {
-			return true
-		},
-		Dial:     (&net.Dialer{Timeout: testTimeout / 2}).DialContext,
-		MaxConns: 100, Metrics: f.metrics, Log: zerolog.New(f.log),
+	serverConfig := ServerConfig{
+		Address:   func(t Target) (string, bool) { return targetAddress, t == testTarget },
+		Available: func() bool { return true },
+		Dial:      (&net.Dialer{Timeout: testTimeout / 2}).DialContext,
+		MaxConns:  100, Metrics: f.metrics, Log: zerolog.New(f.log),
 	}
 	if change != nil {
-		change(&config)
+		change(&serverConfig)
 	}
-	f.Server = NewServer(config)
+	f.Server = NewServer(serverConfig)
 	mux := http.NewServeMux()
 	mux.Handle("/service/", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "service") }))
-	server := httptest.NewServer(f.Handler(mux))
+	server := httptest.NewUnstartedServer(f.Handler(mux))
+	start(server)
 	f.address = server.Listener.Addr().String()
-	peers := peer.NewDialer(nil)
+	var config *tls.Config
+	if certificate := server.Certificate(); certificate != nil {
+		config = &tls.Config{RootCAs: x509.NewCertPool()}
+		config.RootCAs.AddCert(certificate)
+	}
+	peers := peer.NewDialer(config)
 	f.dialer = NewDialer(peers, testTimeout, f.metrics)
 	t.Cleanup(func() {
 		f.dialer.CloseVia(f.address)
@@ -187,7 +204,11 @@
 
 func TestRequestsShareOneTunnel(t *testing.T) {
 	address := httpTarget(t)
-	f := newFixture(t, address, nil)
+	t.Run("TCP", func(t *testing.T) { testRequests(t, newFixture(t, address, nil), address) })
+	t.Run("TLS", func(t *testing.T) { testRequests(t, newTLSFixture(t, address), address) })
+}
+
+func testRequests(t *testing.T, f *fixture, address string) {
 	client := forward.NewClient(forward.Config{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return f.dialer.Dial(ctx, f.address, testTarget)
 	}})
--- a/pkg/tunnel/watch.go
+++ b/pkg/tunnel/watch.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -15,6 +16,8 @@
 	silenceLimit = 2250 * time.Millisecond
 	// minUnanswered is the number of probes or retransmissions that must have been unanswered by then.
 	minUnanswered = 2
+	// tcpStateClose is the kernel's TCP_CLOSE, the state of a connection that was reset.
+	tcpStateClose = 7
 )
 
 // watch closes connections whose other side has lost power or its links. TCP_USER_TIMEOUT would do that
@@ -23,18 +26,22 @@
 //
 // The zero value is ready for use. A goroutine runs while there are connections.
 type watch struct {
+	// closeReset also closes connections that were reset. Nobody may be reading from them.
+	closeReset bool
+
 	mu      sync.Mutex
-	conns   map[*net.TCPConn]struct{}
+	conns   map[*net.TCPConn]io.Closer
 	running bool
 }
 
-func (w *watch) add(c *net.TCPConn) {
+// add watches c. If its other side is gone, the watch closes closer.
+func (w *watch) add(c *net.TCPConn, closer io.Closer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.conns == nil {
-		w.conns = map[*net.TCPConn]struct{}{}
+		w.conns = map[*net.TCPConn]io.Closer{}
 	}
-	w.conns[c] = struct{}{}
+	w.conns[c] = closer
 	if !w.running {
 		w.running = true
 		go w.run()
@@ -60,16 +67,25 @@
 
 // check closes the dead connections. It returns false if no connection is left to check.
 func (w *watch) check() bool {
+	dead, running := w.takeDead()
+	for _, c := range dead {
+		c.Close()
+	}
+	return running
+}
+
+// takeDead removes the dead connections. running is false if no other connection is left.
+func (w *watch) takeDead() (dead []io.Closer, running bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for c := range w.conns {
-		if info, err := tcpInfo(c); err != nil || silent(info) {
-			c.Close()
+	for c, closer := range w.conns {
+		if info, err := tcpInfo(c); err != nil || silent(info) || w.closeReset && info.State == tcpStateClose {
+			dead = append(dead, closer)
 			delete(w.conns, c)
 		}
 	}
 	w.running = len(w.conns) > 0
-	return w.running
+	return dead, w.running
 }
 
 // silent reports whether the other side of a connection is gone: it acknowledges neither data nor probes.
