--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -462,3 +462,52 @@
 	waitFor(t, "a free place", eventually, func() bool { return f.Open() == 1 })
 	f.dial(t).Close()
 }
+
+// TestNothingIsLeftOfManyTunnels guards against reservations, links and watched connections that remain when
+// tunnels end in different ways at once.
+func TestNothingIsLeftOfManyTunnels(t *testing.T) {
+	const workers, rounds, places = 16, 50, 12
+	address := listen(t, func(c net.Conn) { io.Copy(c, c) })
+	f := newFixture(t, address, func(c *ServerConfig) { c.MaxConns = places })
+	ends := []func(c *conn){
+		func(c *conn) { c.Close() },
+		func(c *conn) { c.CloseWrite(); io.Copy(io.Discard, c); c.Close() },
+		func(c *conn) { c.Write(make([]byte, 100<<10)); c.Close() },
+		func(c *conn) { go c.Close(); f.dialer.CloseVia(f.address) },
+	}
+	var running sync.WaitGroup
+	for worker := range workers {
+		running.Go(func() {
+			for round := range rounds {
+				c, err := f.dialer.Dial(t.Context(), f.address, testTarget)
+				var failure *Error
+				if errors.As(err, &failure) && failure.Reason != PeerDeclined {
+					t.Error(err)
+				}
+				if err == nil {
+					io.WriteString(c, "x")
+					c.SetReadDeadline(time.Now().Add(eventually))
+					ends[(worker+round)%len(ends)](c.(*conn))
+				}
+			}
+		})
+	}
+	running.Wait()
+	waitFor(t, "release", eventually, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.reserved == 0 && len(f.carried) == 0
+	})
+	for _, w := range []*watch{&f.dialer.watch, &f.Server.watch} {
+		w.mu.Lock()
+		if len(w.conns) != 0 {
+			t.Errorf("%d connections are still watched", len(w.conns))
+		}
+		w.mu.Unlock()
+	}
+	f.dialer.mu.Lock()
+	defer f.dialer.mu.Unlock()
+	if len(f.dialer.open) != 0 {
+		t.Errorf("connections through %d peers are left", len(f.dialer.open))
+	}
+}
