--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -82,25 +84,40 @@
 // newFixture returns a fixture that lists testTarget at the address. change, if not nil, changes its
 // configuration.
 func newFixture(t testing.TB, targetAddress string, change func(c *ServerConfig)) *fixture {
+	t.Helper()
+	return startFixture(t, targetAddress, change, (*httptest.Server).Start)
+}
+
+// newTLSFixture returns a fixture whose VMs use TLS.
+func newTLSFixture(t testing.TB, targetAddress string) *fixture {
+	t.Helper()
+	return startFixture(t, targetAddress, nil, (*httptest.Server).StartTLS)
+}
+
+func startFixture(t testing.TB, targetAddress string, change func(c *ServerConfig), start func(*httptest.Server)) *fixture {
 	t.Helper()
 	f := &fixture{metrics: metrics.NewRegistry(), log: &lockedBuffer{}}
-	config := ServerConfig{
-		Address: func(t Target) (string, bool) { return targetAddress, t == testTarget },
-		Available: func() bool {
-			return true
-		},
-		Dial:     (&net.Dialer{Timeout: testTimeout / 2}).DialContext,
-		MaxConns: 100, Metrics: f.metrics, Log: zerolog.New(f.log),
+	serverConfig := ServerConfig{
+		Address:   func(t Target) (string, bool) { return targetAddress, t == testTarget },
+		Available: func() bool { return true },
+		Dial:      (&net.Dialer{Timeout: testTimeout / 2}).DialContext,
+		MaxConns:  100, Metrics: f.metrics, Log: zerolog.New(f.log),
 	}
 	if change != nil {
-		change(&config)
+		change(&serverConfig)
 	}
-	f.Server = NewServer(config)
+	f.Server = NewServer(serverConfig)
 	mux := http.NewServeMux()
 	mux.Handle("/service/", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "service") }))
-	server := httptest.NewServer(f.Handler(mux))
+	server := httptest.NewUnstartedServer(f.Handler(mux))
+	start(server)
 	f.address = server.Listener.Addr().String()
-	peers := peer.NewDialer(nil)
+	var config *tls.Config
+	if certificate := server.Certificate(); certificate != nil {
+		config = &tls.Config{RootCAs: x509.NewCertPool()}
+		config.RootCAs.AddCert(certificate)
+	}
+	peers := peer.NewDialer(config)
 	f.dialer = NewDialer(peers, testTimeout, f.metrics)
 	t.Cleanup(func() {
 		f.dialer.CloseVia(f.address)
@@ -187,7 +204,11 @@
 
 func TestRequestsShareOneTunnel(t *testing.T) {
 	address := httpTarget(t)
-	f := newFixture(t, address, nil)
+	t.Run("TCP", func(t *testing.T) { testRequests(t, newFixture(t, address, nil), address) })
+	t.Run("TLS", func(t *testing.T) { testRequests(t, newTLSFixture(t, address), address) })
+}
+
+func testRequests(t *testing.T, f *fixture, address string) {
 	client := forward.NewClient(forward.Config{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return f.dialer.Dial(ctx, f.address, testTarget)
 	}})
@@ -441,3 +462,52 @@
 	waitFor(t, "a free place", eventually, func() bool { return f.Open() == 1 })
 	f.dial(t).Close()
 }
+
+// TestNothingIsLeftOfManyTunnels guards against reservations, links and watched connections that remain when
+// tunnels end in different ways at once.
+func TestNothingIsLeftOfManyTunnels(t *testing.T) {
+	const workers, rounds, places = 16, 50, 12
+	address := listen(t, func(c net.Conn) { io.Copy(c, c) })
+	f := newFixture(t, address, func(c *ServerConfig) { c.MaxConns = places })
+	ends := []func(c *conn){
+		func(c *conn) { c.Close() },
+		func(c *conn) { c.CloseWrite(); io.Copy(io.Discard, c); c.Close() },
+		func(c *conn) { c.Write(make([]byte, 100<<10)); c.Close() },
+		func(c *conn) { go c.Close(); f.dialer.CloseVia(f.address) },
+	}
+	var running sync.WaitGroup
+	for worker := range workers {
+		running.Go(func() {
+			for round := range rounds {
+				c, err := f.dialer.Dial(t.Context(), f.address, testTarget)
+				var failure *Error
+				if errors.As(err, &failure) && failure.Reason != PeerDeclined {
+					t.Error(err)
+				}
+				if err == nil {
+					io.WriteString(c, "x")
+					c.SetReadDeadline(time.Now().Add(eventually))
+					ends[(worker+round)%len(ends)](c.(*conn))
+				}
+			}
+		})
+	}
+	running.Wait()
+	waitFor(t, "release", eventually, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.reserved == 0 && len(f.carried) == 0
+	})
+	for _, w := range []*watch{&f.dialer.watch, &f.Server.watch} {
+		w.mu.Lock()
+		if len(w.conns) != 0 {
+			t.Errorf("%d connections are still watched", len(w.conns))
+		}
+		w.mu.Unlock()
+	}
+	f.dialer.mu.Lock()
+	defer f.dialer.mu.Unlock()
+	if len(f.dialer.open) != 0 {
+		t.Errorf("connections through %d peers are left", len(f.dialer.open))
+	}
+}
