pkg/reach: a VM that reaches no target connects through other VMs

Callers of a VM that is partitioned from all targets got 503 within 3 ms: it found every target unreachable, and nothing else carried its requests.

A request's target is now reached over a path: directly, or through a tunnel of another VM (pkg/tunnel, HTTP CONNECT on the peers' listener) that carries bytes to one listed target. All decisions stay with the VM that has the request.

A VM is cut off if it connects to a target of no failure domain while peers connect to some of them. It checks that when a connection fails, and when no target responds for eight times the usual interval while requests wait. One target, failure domain or service that does not respond is no evidence, and neither is a failure that the peers see too. A VM that cannot connect to anything neither reports targets dead nor blames them to a peer that asks. It uses its own links again after two checks in a row that reach most of three targets; the number doubles while cuts follow each other.

Requests that may be sent again are taken off connections that have gone silent; a request that must run at most once waits as before. A VM that stops serves the connections that it carries to their end, within its grace period.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,10 +32,12 @@
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/peer"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/reach"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
+	"crocusramp.dev/crocusramp/pkg/tunnel"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -56,6 +59,11 @@
 	locateTTL = 2 * time.Second
 	// targetDialTimeout allows three round trips between the most distant regions.
 	targetDialTimeout = 350 * time.Millisecond
+	// tunnelDialTimeout allows two round trips to the most distant peer, and its connection to the target.
+	tunnelDialTimeout = 600 * time.Millisecond
+	// maxTunnels bounds the connections that are carried for other VMs at once. Each takes two
+	// descriptors and two buffers.
+	maxTunnels = 600
 	// targetAckTimeout is how long sent bytes may stay unacknowledged before the target
 	// counts as unreachable (TCP_USER_TIMEOUT).
 	targetAckTimeout = 900 * time.Millisecond
@@ -103,8 +111,12 @@
 	// reportedLimits are the target limits that this VM reports in heartbeats.
 	reportedLimits atomic.Pointer[[]member.TargetLimit]
 	client         *forward.Client
-	ingress        *ingress.Server
-	state          atomic.Pointer[ingress.State]
+	// reach sends requests to targets, through other VMs while this VM cannot connect to them.
+	reach *reach.Client
+	// tunnels carries connections to targets for other VMs.
+	tunnels *tunnel.Server
+	ingress *ingress.Server
+	state   atomic.Pointer[ingress.State]
 	// loaded is closed when the first configuration, list of targets and list of VMs have
 	// been read.
 	loaded     chan struct{}
@@ -205,9 +217,19 @@
 		EchoHeader: platform.Headers{}.EchoHeader(), SkipMismatched: true, AllowCloseDelimited: true,
 		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext,
 	})
+	d.reach = reach.NewClient(reach.Config{
+		VM: d.self.ID, Region: d.self.Region, Client: d.client, Targets: d.targets.Snapshot, Peers: func() []member.Peer { return d.members.View().Peers },
+		Tunnels: tunnel.NewDialer(d.dialer, tunnelDialTimeout, d.metrics), OnCutOff: d.clearSuspicions, Metrics: d.metrics, Log: d.log,
+	})
+	d.tunnels = tunnel.NewServer(tunnel.ServerConfig{
+		Address: d.tunnelAddress, Available: d.carriesTunnels, Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return d.reach.DialForPeer(ctx, address)
+		},
+		MaxConns: maxTunnels, Metrics: d.metrics, Log: d.log,
+	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
-		TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.client, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
+		TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.reach, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
@@ -234,6 +256,7 @@
 	if v := d.listNewest.Load(); v != nil {
 		p.ListVersion = *v
 	}
+	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
 	if l := d.reportedLimits.Load(); l != nil {
 		p.Limits = *l
@@ -243,6 +266,29 @@
 	}
 }
 
+// carriesTunnels reports whether this VM carries connections to targets for other VMs.
+func (d *Daemon) carriesTunnels() bool { return d.ready() && !d.reach.CutOff() }
+
+// tunnelAddress returns the address of a target for another VM. It is false for targets that this VM
+// would not send new requests to.
+func (d *Daemon) tunnelAddress(t tunnel.Target) (string, bool) {
+	l := d.targets.Find(t.ID, t.StartedAt)
+	if l == nil || l.Leaving() || !slices.Contains(d.targets.Snapshot().Pools[l.Pool][l.Region], l) {
+		return "", false
+	}
+	return l.Address, true
+}
+
+// clearSuspicions makes targets that were found unreachable usable again, because this VM has lost its own
+// links. Those that are unreachable for peers too become suspect again.
+func (d *Daemon) clearSuspicions() {
+	for _, l := range d.targets.All() {
+		if l.Suspect() && !l.Exited() {
+			l.ClearSuspicion(0, time.Now())
+		}
+	}
+}
+
 // limiters returns the services that divide limits among the VMs.
 func (d *Daemon) limiters() []*limit.Service {
 	return []*limit.Service{d.limiter, d.targetLimits.service}
@@ -281,6 +327,8 @@
 	d.loop.Go(background, d.sweepFleet)
 	d.loop.Go(background, d.suspects.syncRows)
 	d.loop.Go(background, d.closeIdle)
+	d.loop.Go(background, d.reach.Watch)
+	d.loop.Go(background, func(ctx context.Context) { every(ctx, balancePeriod, d.reach.CloseSilent) })
 	d.loop.Go(background, func(ctx context.Context) { every(ctx, targetSweepPeriod, d.client.Sweep) })
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
@@ -314,7 +362,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.Listen.Peers, peerMux},
+		{s.Listen.Peers, d.tunnels.Handler(peerMux)},
 		{s.Listen.Locate, platform.ResolveHandler(locateVMs, ttl, d.log)},
 		{s.Listen.Ready, platform.ReadyHandler(d.ready)},
 		{s.Listen.Callers, d.ingress},
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -301,7 +301,7 @@
 }
 
 func (d *Daemon) dropTarget(l *target.Live) {
-	d.client.CloseIdle(l.Address)
+	d.reach.CloseIdle(l)
 	d.log.Info().Str("target", l.ID).Str("address", l.Address).Int("running", l.Running()).Msg("target removed")
 }
 
--- a/pkg/edge/probe.go
+++ b/pkg/edge/probe.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"time"
 
-	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/reach"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/platform"
 )
@@ -54,7 +54,7 @@
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: l.Address, Path: state.Services[l.Pool].HealthPath},
 		Host: l.Address, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	resp, failure := d.client.Do(ctx, req, forward.Options{Address: l.Address})
+	resp, _, failure := d.reach.Do(ctx, req, l, reach.Options{})
 	if failure != nil {
 		d.log.Debug().Err(failure).Str("target", l.ID).Msg("probe failed")
 		return
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -68,13 +68,14 @@
 	if err := d.callers.Close(); err != nil {
 		d.log.Warn().Err(err).Msg("failed to close the callers' connections")
 	}
+	d.tunnels.Close()
 	d.client.Close()
 	d.store.Close()
 	d.sendSpans(delivery)
 }
 
 // awaitQuiet waits until no request runs and none has arrived for quietPeriod, or until no
-// request has run for maxQuietPeriods such periods. It is needed because closing the
+// request has run, of this VM's callers or through a tunnel, for maxQuietPeriods such periods. It is needed because closing the
 // listener resets the connections that it has not accepted yet.
 func (d *Daemon) awaitQuiet(ctx context.Context) {
 	const pollsPerPeriod = 10
@@ -88,7 +89,7 @@
 			return
 		}
 		quietPolls, idlePolls = quietPolls+1, idlePolls+1
-		if d.ingress.Running() > 0 {
+		if d.ingress.Running() > 0 || d.tunnels.Open() > 0 {
 			quietPolls, idlePolls = 0, 0
 		}
 		if now := d.ingress.Requests(); now != lastRequests {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -52,6 +52,8 @@
 	ConnectionClosed bool
 	// ContextEnded reports that the context ended before the exchange did.
 	ContextEnded bool
+	// NotConnected reports that no connection could be opened.
+	NotConnected bool
 	// DialTimedOut reports that a new connection was neither accepted nor refused in
 	// time. A single lost packet can cause this.
 	DialTimedOut bool
@@ -137,21 +139,31 @@
 // nothing. The new connection is kept for reuse. An address that neither accepts nor
 // refuses in time does not count as refusing.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
-	cn, err := c.dial(ctx, address)
+	netConn, err := c.Dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	c.put(address, cn)
+	c.put(address, newConn(netConn, c.config.BufferBytes))
 	return false
 }
 
 // CloseIdle closes the idle connections to an address whose target has been removed.
 func (c *Client) CloseIdle(address string) {
+	c.CloseIdleIn(func(pool string) bool { return pool == address })
+}
+
+// CloseIdleIn closes the idle connections of the selected pools.
+func (c *Client) CloseIdleIn(selected func(pool string) bool) {
+	var closing []*conn
 	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
+	for pool, list := range c.idle {
+		if selected(pool) {
+			closing = append(closing, list...)
+			delete(c.idle, pool)
+		}
+	}
 	c.mu.Unlock()
-	for _, cn := range list {
+	for _, cn := range closing {
 		cn.Close()
 	}
 }
@@ -170,23 +182,22 @@
 }
 
 // get returns an idle connection for the request with the given ID, or dials a new one.
-func (c *Client) get(ctx context.Context, address, id string, maxIdle time.Duration) (cn *conn, reused bool, err error) {
-	if cn := c.reuse(address, id, maxIdle); cn != nil {
+func (c *Client) get(ctx context.Context, o Options, id string) (cn *conn, reused bool, err error) {
+	if cn := c.reuse(o.Pool, id, c.idleLimit(o.AtMostOnce)); cn != nil {
 		return cn, true, nil
 	}
-	cn, err = c.dial(ctx, address)
-	return cn, false, err
+	netConn, err := o.Dial(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	return newConn(netConn, c.config.BufferBytes), false, nil
 }
 
-// dial opens a new connection within DialTimeout.
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+// Dial opens a new connection to an address within DialTimeout.
+func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
-	netConn, err := c.config.Dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(netConn, c.config.BufferBytes), nil
+	return c.config.Dial(ctx, "tcp", address)
 }
 
 // reuse returns the idle connection that was used last, so that surplus connections
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -29,6 +29,11 @@
 type Options struct {
 	// Address is the target's host:port.
 	Address string
+	// Pool names the idle connections that may be used, and to which the connection returns.
+	// Default Address.
+	Pool string
+	// Dial, if set, replaces the client's dialer.
+	Dial func(ctx context.Context) (net.Conn, error)
 	// RequireEcho requires the request ID on the response.
 	RequireEcho bool
 	// AtMostOnce marks a request that must not be retried.
@@ -50,11 +55,11 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	client  *Client
-	address string
-	conn    *conn
-	abort   func()
-	body    *bodyReader
+	client *Client
+	pool   string
+	conn   *conn
+	abort  func()
+	body   *bodyReader
 	// detachContext detaches the connection from the context. It returns false if the
 	// context has already ended, which makes the connection unusable.
 	detachContext func() bool
@@ -71,11 +76,17 @@
 		return nil, &Error{ContextEnded: true, Err: err}
 	}
 	id := req.Header.Get(c.config.EchoHeader)
-	cn, reused, err := c.get(ctx, o.Address, id, c.idleLimit(o.AtMostOnce))
+	if o.Pool == "" {
+		o.Pool = o.Address
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context) (net.Conn, error) { return c.Dial(ctx, o.Address) }
+	}
+	cn, reused, err := c.get(ctx, o, id)
 	if err != nil {
 		var netErr net.Error
 		dialTimedOut := errors.As(err, &netErr) && netErr.Timeout()
-		return nil, &Error{ContextEnded: ctx.Err() != nil, DialTimedOut: dialTimedOut, Err: fmt.Errorf("connect to target: %w", err)}
+		return nil, &Error{ContextEnded: ctx.Err() != nil, NotConnected: true, DialTimedOut: dialTimedOut, Err: fmt.Errorf("connect to target: %w", err)}
 	}
 	if o.GotConn != nil {
 		o.GotConn(reused)
@@ -94,7 +105,7 @@
 func (c *Client) start(ctx context.Context, cn *conn, req *http.Request, o Options) *exchange {
 	cn.written.Store(0)
 	cn.readBudget.Store(c.config.MaxHeaderBytes)
-	x := &exchange{client: c, address: o.Address, conn: cn, abort: o.AbortBody, sendResult: make(chan error, 1)}
+	x := &exchange{client: c, pool: o.Pool, conn: cn, abort: o.AbortBody, sendResult: make(chan error, 1)}
 	x.detachContext = context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
 	if bodyless(req) {
 		x.sendResult <- x.send(req)
@@ -254,7 +265,7 @@
 		x.waitSent()
 	}
 	if attached && sent && r.eof && !r.Response.Close && !x.mismatched && x.conn.reader.Buffered() == 0 {
-		x.client.put(x.address, x.conn)
+		x.client.put(x.pool, x.conn)
 		return
 	}
 	x.conn.Close()
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -25,6 +25,7 @@
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/reach"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -222,7 +223,7 @@
 			}
 			return placement.Shares{Regions: placement.Split("east", regions)}
 		},
-		TargetLimiter: w.limits, Fleet: w.fleet, Quarantine: w.quarantine, Suspects: w.suspects, Client: client, Clock: clock.System{}, Log: zerolog.Nop(),
+		TargetLimiter: w.limits, Fleet: w.fleet, Quarantine: w.quarantine, Suspects: w.suspects, Client: reach.NewClient(reach.Config{Client: client}), Clock: clock.System{}, Log: zerolog.Nop(),
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewUnstartedServer(w.server)
@@ -234,6 +235,11 @@
 	return w
 }
 
+// direct returns a client that sends all requests directly.
+func direct(c forward.Config) *reach.Client {
+	return reach.NewClient(reach.Config{Client: forward.NewClient(c)})
+}
+
 // addRaw adds a target whose connections are served by handle.
 func (w *fixture) addRaw(id, domain string, handle func(net.Conn)) *fakeTarget {
 	w.t.Helper()
--- a/pkg/ingress/poison.go
+++ b/pkg/ingress/poison.go
@@ -149,7 +149,7 @@
 	exited, _, _ := s.exitChecks.Do(l.Incarnation(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), exitCheckTimeout)
 		defer cancel()
-		exited := s.cfg.Client.RefusesConnections(ctx, l.Address)
+		exited := s.cfg.Client.Exited(ctx, l)
 		if exited && l.SetExited() {
 			s.counters.targetExits.Inc(1)
 		}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -11,11 +11,13 @@
 	"syscall"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
+	"crocusramp.dev/crocusramp/pkg/reach"
 	"crocusramp.dev/crocusramp/pkg/target"
 )
 
@@ -189,10 +191,14 @@
 	if span.SpanContext().IsSampled() {
 		traceContext.Inject(ctx, propagation.HeaderCarrier(out.Header))
 	}
-	waiting, stop := c.responseContext(ctx, l)
-	resp, failure := c.s.cfg.Client.Do(waiting, out, forward.Options{
-		Address: l.Address, AtMostOnce: !c.idempotent(), AbortBody: c.abortBodyRead, GotConn: c.progress.recordSend,
+	waiting, direct, stop := c.responseContexts(ctx, l)
+	resp, via, failure := c.s.cfg.Client.Do(waiting, out, l, reach.Options{
+		Direct:       direct,
+		Exchange:     forward.Options{AtMostOnce: !c.idempotent(), AbortBody: c.abortBodyRead, GotConn: c.progress.recordSend},
+		AllowsRegion: c.allowsRegion,
 	})
+	c.via = via
+	span.SetAttributes(attribute.String("target.id", l.ID), attribute.String("via", via))
 	if failure != nil {
 		stop()
 		l.EndRequest()
@@ -215,24 +221,27 @@
 
 var errTargetLost = errors.New("the target became unreachable while the request was in flight")
 
-// responseContext returns the context for waiting for a target's response. If the request may be
-// sent to another target, the context ends when this one becomes unreachable: a target that lost
-// power never responds, and its connections stay open.
-func (c *call) responseContext(ctx context.Context, l *target.Live) (waiting context.Context, stop func()) {
+// responseContexts returns the contexts for waiting for a target's response, in general and on a direct
+// connection. If the request may be sent again, the first ends when this target becomes unreachable,
+// and the second also when this VM loses its links to the targets: a side that lost power never
+// responds, and its connections stay open.
+func (c *call) responseContexts(ctx context.Context, l *target.Live) (waiting, direct context.Context, stop func()) {
 	if !c.idempotent() || !c.canResend() || len(c.tried) >= max(1, c.route.MaxAttempts) {
-		return ctx, func() {}
+		return ctx, ctx, func() {}
 	}
 	waiting, cancel := context.WithCancel(ctx)
-	end := context.AfterFunc(l.UnreachableContext(), cancel)
-	return waiting, func() { end(); cancel() }
+	direct, cancelDirect := context.WithCancel(waiting)
+	endWaiting := context.AfterFunc(l.UnreachableContext(), cancel)
+	endDirect := context.AfterFunc(c.s.cfg.Client.LinksLostContext(), cancelDirect)
+	return waiting, direct, func() { endWaiting(); endDirect(); cancelDirect(); cancel() }
 }
 
 // handleFailure handles an attempt that got no response. It records whether the target died, is
 // unreachable or only failed this request.
 func (c *call) handleFailure(l *target.Live, f *forward.Error) *attempt {
 	t := &attempt{notRun: !f.Wrote, mayHaveArrived: f.Wrote, err: fmt.Errorf("target %s: %w", l.ID, f)}
-	if f.ContextEnded {
-		return t
+	if f.ContextEnded || errors.Is(f, reach.ErrNoPath) || (c.via == "" && c.s.cfg.Client.CutOff()) {
+		return t // says nothing about the target
 	}
 	if f.ConnectionClosed && c.s.hasExited(l) {
 		c.reportDeath(l)
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -19,12 +19,12 @@
 
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
-	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/limit"
 	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/quarantine"
+	"crocusramp.dev/crocusramp/pkg/reach"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/route"
 	"crocusramp.dev/crocusramp/pkg/target"
@@ -118,7 +118,7 @@
 	// IdleSince is the time since which no earlier process of this VM has sent requests; 0 if there
 	// was none.
 	IdleSince clock.Time
-	Client    *forward.Client
+	Client    *reach.Client
 	Clock     clock.Clock
 	Log       zerolog.Logger
 	Metrics   metrics.Registry
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -76,7 +76,7 @@
 		respondOK(rw, r)
 	})
 	var hang atomic.Bool
-	w.server.cfg.Client = forward.NewClient(forward.Config{
+	w.server.cfg.Client = direct(forward.Config{
 		EchoHeader: hID, DialTimeout: dialTimeout,
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if hang.Load() && address == f.address {
--- a/pkg/ingress/upload_test.go
+++ b/pkg/ingress/upload_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/reach"
 )
 
 // windowConn blocks its writer after some bytes, like a link with a small window whose other end
@@ -42,7 +43,7 @@
 
 // smallWindows makes connections to targets block the writer after 8 KiB.
 func (w *fixture) smallWindows() {
-	w.server.cfg.Client = forward.NewClient(forward.Config{EchoHeader: hID, SkipMismatched: true, AllowCloseDelimited: true,
+	client := forward.NewClient(forward.Config{EchoHeader: hID, SkipMismatched: true, AllowCloseDelimited: true,
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 			if err != nil {
@@ -50,7 +51,8 @@
 			}
 			return &windowConn{Conn: c, left: 8 << 10, closed: make(chan struct{})}, nil
 		}})
-	w.t.Cleanup(w.server.cfg.Client.Close)
+	w.t.Cleanup(client.Close)
+	w.server.cfg.Client = reach.NewClient(reach.Config{Client: client})
 }
 
 // respondEarly handles a connection by responding after the header, without reading the body. If
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -55,6 +55,10 @@
 	// ListVersion is the version of the newest change of the list of targets that it
 	// knew at the last heartbeat.
 	ListVersion storage.Version
+	// CutOff is set if it reached no target itself at the last heartbeat.
+	CutOff bool
+	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
+	CarriesTunnels bool
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
 	// SlotsHeld is its number of slots at the last heartbeat.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -228,6 +228,8 @@
 		SlotsHeld:     int32(p.SlotsHeld),
 		ListVersion:   p.ListVersion.Number,
 		ListEra:       p.ListVersion.Era,
+
+		CutOff: p.CutOff, CarriesTunnels: p.CarriesTunnels,
 	}
 	for _, l := range p.Pools {
 		info.Pools = append(info.Pools, &peerpb.PoolLoad{
@@ -259,6 +261,8 @@
 		FreePermits:   int(i.GetFreePermits()),
 		SlotsHeld:     int(i.GetSlotsHeld()),
 		ListVersion:   storage.Version{Era: i.GetListEra(), Number: i.GetListVersion()},
+
+		CutOff: i.GetCutOff(), CarriesTunnels: i.GetCarriesTunnels(),
 	}
 	if i.GetLeaving() {
 		p.State = Leaving
--- /dev/null
+++ b/pkg/reach/peers.go
@@ -0,0 +1,134 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/target"
+	"crocusramp.dev/crocusramp/pkg/tunnel"
+)
+
+// peersFor returns the peers through which a request to a target may pass, the preferred one first. Those
+// near the target come first, so that the path is not longer than the direct one. Among peers that are
+// equally near, each VM and target has its own order, which spreads the connections of a VM over the
+// peers.
+func (r *Client) peersFor(l *target.Live, allowsRegion func(region string) bool) []member.Peer {
+	type candidate struct {
+		peer     member.Peer
+		distance int
+		score    uint64
+	}
+	var candidates []candidate
+	now := time.Now()
+	seed := xxhash.Sum64String(r.cfg.VM) ^ l.Hash
+	r.mu.Lock()
+	for _, p := range r.cfg.Peers() {
+		if !p.CarriesTunnels || p.State != member.Live || p.MissedHeartbeats > 0 || now.Before(r.avoided[p.ID]) || (allowsRegion != nil && !allowsRegion(p.Region)) {
+			continue
+		}
+		candidates = append(candidates, candidate{p, r.distance(&p, l), (xxhash.Sum64String(p.ID) ^ seed) * 0x9e3779b97f4a7c15})
+	}
+	r.mu.Unlock()
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.distance != b.distance {
+			return a.distance - b.distance
+		}
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.peer.ID, b.peer.ID)
+	})
+	var out []member.Peer
+	for _, c := range candidates[:min(len(candidates), maxPeersTried)] {
+		out = append(out, c.peer)
+	}
+	return out
+}
+
+// distance orders the places of peers: the target's failure domain, its region, this VM's region, all
+// others.
+func (r *Client) distance(p *member.Peer, l *target.Live) int {
+	switch {
+	case p.FailureDomain == l.FailureDomain:
+		return 0
+	case p.Region == l.Region:
+		return 1
+	case p.Region == r.cfg.Region:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// opinion is what peers say about a target.
+type opinion int
+
+const (
+	unknown opinion = iota
+	reached
+	refused
+)
+
+// askPeers asks up to n peers whether they can connect to a target. A single one that can outweighs the
+// others.
+func (r *Client) askPeers(ctx context.Context, l *target.Live, n int) opinion {
+	peers := r.peersFor(l, nil)
+	peers = peers[:min(len(peers), n)]
+	answers := make(chan opinion, len(peers))
+	for _, p := range peers {
+		go func() {
+			c, err := r.cfg.Tunnels.Dial(ctx, p.PeerAddress, tunnelTarget(l))
+			if err == nil {
+				_ = c.Close() // only its success matters
+				answers <- reached
+				return
+			}
+			var e *tunnel.Error
+			if errors.As(err, &e) && e.Reason == tunnel.TargetRefused {
+				answers <- refused
+				return
+			}
+			answers <- unknown
+		}()
+	}
+	result := unknown
+	for range peers {
+		switch o := <-answers; o {
+		case reached:
+			return reached
+		case refused:
+			result = refused
+		}
+	}
+	return result
+}
+
+// CloseSilent closes the tunnels through peers that stopped answering heartbeats, and the idle ones
+// through peers that carry no more connections.
+func (r *Client) CloseSilent() {
+	if r.cfg.Peers == nil {
+		return
+	}
+	idle := map[string]bool{}
+	for _, p := range r.cfg.Peers() {
+		if p.State == member.Silent || p.State == member.Gone {
+			r.cfg.Tunnels.CloseVia(p.PeerAddress)
+		}
+		if p.State != member.Live || !p.CarriesTunnels {
+			idle[p.ID] = true
+		}
+	}
+	r.cfg.Client.CloseIdleIn(func(pool string) bool {
+		_, peer, ok := strings.Cut(pool, poolSeparator)
+		return ok && idle[peer]
+	})
+}
--- a/pkg/tunnel/tunnel.go
+++ b/pkg/tunnel/tunnel.go
@@ -109,12 +109,19 @@
 	return e.Err
 }
 
+// ErrDeclined is returned by ServerConfig.Dial if the failure may be due to the links of the VM itself.
+var ErrDeclined = errors.New("this VM cannot tell whether the target is at fault")
+
 // resultOf returns the result of a failed dial of a target.
 func resultOf(dialError error) result {
-	if errors.Is(dialError, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(dialError, ErrDeclined):
+		return resultDeclined
+	case errors.Is(dialError, syscall.ECONNREFUSED):
 		return resultRefused
+	default:
+		return resultUnreachable
 	}
-	return resultUnreachable
 }
 
 // responseError returns the error that a response reports, or nil if the tunnel is open.
