look-ups leave out VMs that are cut off from the targets

They named them as long as they answered heartbeats, so that half of the callers of a failure domain went on to VMs that needed others to serve them.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -346,28 +346,50 @@
 const maxLocated = 64
 
 // locate returns the addresses of the VMs that a caller in the region should use: the live VMs
-// of that region, else all live VMs, else this VM.
+// of that region, else all live VMs, else this VM. VMs that are cut off from the targets are left out
+// as long as at least half of the VMs remain.
 func locate(v *member.View, region string) []string {
-	var near, far []string
+	var near, far located
 	consider := func(p *member.Peer) {
 		if p.State != member.Live || p.MissedHeartbeats > 0 || p.CallerAddress == "" {
 			return
 		}
 		if p.Region == region {
-			near = append(near, p.CallerAddress)
+			near.add(p)
 			return
 		}
-		far = append(far, p.CallerAddress)
+		far.add(p)
 	}
 	consider(&v.Self)
 	for i := range v.Peers {
 		consider(&v.Peers[i])
 	}
-	if len(near) == 0 {
-		near = far
+	out := near.addresses()
+	if len(near.connected) == 0 && (len(out) == 0 || len(far.connected) >= len(near.cutOff)+len(far.cutOff)) {
+		out = far.addresses()
 	}
-	if len(near) == 0 {
-		near = []string{v.Self.CallerAddress}
+	if len(out) == 0 {
+		out = []string{v.Self.CallerAddress}
 	}
-	return near[:min(len(near), maxLocated)]
+	return out[:min(len(out), maxLocated)]
+}
+
+// located are the VMs of which a look-up may return some.
+type located struct{ connected, cutOff []string }
+
+func (l *located) add(p *member.Peer) {
+	if p.CutOff {
+		l.cutOff = append(l.cutOff, p.CallerAddress)
+		return
+	}
+	l.connected = append(l.connected, p.CallerAddress)
+}
+
+// addresses returns the VMs that are not cut off, or all if those are less than half: they would get
+// more than twice their usual callers, while the others serve theirs through peers.
+func (l *located) addresses() []string {
+	if len(l.connected) >= len(l.cutOff) {
+		return l.connected
+	}
+	return append(slices.Clone(l.connected), l.cutOff...)
 }
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -300,6 +300,11 @@
 	}
 	self := peer(0, "east", member.Live, 0)
 	leaving := peer(0, "east", member.Leaving, 0)
+	cutOff := func(n int, region string) member.Peer {
+		p := peer(n, region, member.Live, 0)
+		p.CutOff = true
+		return p
+	}
 	for _, tt := range []struct {
 		name   string
 		view   member.View
@@ -312,6 +317,12 @@
 		{"one missed a heartbeat", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Live, 1)}}, "east", []string{"vm-0"}},
 		{"one is leaving, one is gone", member.View{Self: self, Peers: []member.Peer{peer(1, "east", member.Leaving, 0), peer(2, "east", member.Gone, 2)}}, "east", []string{"vm-0"}},
 		{"this one is leaving", member.View{Self: leaving, Peers: []member.Peer{peer(1, "east", member.Live, 0)}}, "east", []string{"vm-1"}},
+		{"one is cut off from the targets", member.View{Self: self, Peers: []member.Peer{cutOff(1, "east"), peer(2, "east", member.Live, 0)}}, "east", []string{"vm-0", "vm-2"}},
+		{"this one is cut off", member.View{Self: cutOff(0, "east"), Peers: []member.Peer{peer(1, "east", member.Live, 0)}}, "east", []string{"vm-1"}},
+		{"most are cut off", member.View{Self: self, Peers: []member.Peer{cutOff(1, "east"), cutOff(2, "east")}}, "east", []string{"vm-0", "vm-1", "vm-2"}},
+		{"all of the region and most VMs are cut off", member.View{Self: self, Peers: []member.Peer{cutOff(1, "west"), cutOff(2, "west")}}, "west", []string{"vm-1", "vm-2"}},
+		{"all of the region are cut off", member.View{Self: self, Peers: []member.Peer{cutOff(1, "west"), peer(2, "east", member.Live, 0)}}, "west", []string{"vm-0", "vm-2"}},
+		{"all VMs are cut off", member.View{Self: cutOff(0, "east"), Peers: []member.Peer{cutOff(1, "west")}}, "west", []string{"vm-1"}},
 		{"all others are silent", member.View{Self: leaving, Peers: []member.Peer{peer(1, "east", member.Silent, 3)}}, "east", []string{"vm-0"}},
 	} {
 		if diff := cmp.Diff(tt.want, locate(&tt.view, tt.region)); diff != "" {
