--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -218,7 +218,7 @@
 		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext,
 	})
 	d.reach = reach.NewClient(reach.Config{
-		VM: d.self.ID, Region: d.self.Region, Client: d.client, Targets: d.targets.Snapshot, Peers: func() []member.Peer { return d.members.View().Peers },
+		VM: d.self.ID, Region: d.self.Region, Client: d.client, DialTimeout: targetDialTimeout, Targets: d.targets.Snapshot, Peers: func() []member.Peer { return d.members.View().Peers },
 		Tunnels: tunnel.NewDialer(d.dialer, tunnelDialTimeout, d.metrics), OnCutOff: d.clearSuspicions, Metrics: d.metrics, Log: d.log,
 	})
 	d.tunnels = tunnel.NewServer(tunnel.ServerConfig{
--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -150,6 +150,10 @@
 	if f.reached > 0 {
 		return f
 	}
+	// A path through a peer is longer. If it takes no less time than the connections that timed out, this
+	// VM's own link is slow.
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.DialTimeout)
+	defer cancel()
 	opinions := make(chan opinion, len(missed))
 	for _, l := range missed {
 		go func() { opinions <- r.askPeers(ctx, l, 1) }()
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -52,7 +52,9 @@
 	// VM and Region are the ID and the region of this VM.
 	VM, Region string
 	Client     *forward.Client
-	Targets    func() *target.Snapshot
+	// DialTimeout is the Client's.
+	DialTimeout time.Duration
+	Targets     func() *target.Snapshot
 	// Peers returns the other VMs. If it is nil, all connections are direct.
 	Peers   func() []member.Peer
 	Tunnels Tunnels
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -79,15 +79,15 @@
 	unreachable map[string]bool
 	peers       []member.Peer
 	peerLinks   map[string]links // by peer address
-	used        map[string]int   // tunnels by peer address
-	release     chan struct{}    // ends requests for /slow
+	peerDelay   time.Duration
+	release     chan struct{} // ends requests for /slow
 	cutOffs     atomic.Int32
 }
 
 func newWorld(t *testing.T, domains ...string) *world {
 	w := &world{
 		t: t, servers: map[string]*httptest.Server{}, byHost: map[string]string{}, unreachable: map[string]bool{}, peerLinks: map[string]links{},
-		used: map[string]int{}, release: make(chan struct{}),
+		release: make(chan struct{}),
 		targets: target.NewRegistry(map[string]string{"e1": "east", "e2": "east", "w1": "west"}, time.Now()),
 	}
 	for i, domain := range domains {
@@ -111,7 +111,7 @@
 	}})
 	t.Cleanup(fc.Close)
 	w.client = NewClient(Config{
-		VM: "vm", Region: "east", Client: fc, Targets: w.targets.Snapshot, Tunnels: w, Log: zerolog.Nop(),
+		VM: "vm", Region: "east", Client: fc, DialTimeout: testDialTimeout, Targets: w.targets.Snapshot, Tunnels: w, Log: zerolog.Nop(),
 		Peers: func() []member.Peer { w.mu.Lock(); defer w.mu.Unlock(); return slices.Clone(w.peers) }, OnCutOff: func() { w.cutOffs.Add(1) },
 	})
 	return w
@@ -144,12 +144,14 @@
 func (w *world) Dial(ctx context.Context, peerAddress string, t tunnel.Target) (net.Conn, error) {
 	w.mu.Lock()
 	state := w.peerLinks[peerAddress]
-	w.used[peerAddress]++
 	address := w.servers[t.ID].Listener.Addr().String()
 	w.mu.Unlock()
 	if state != up {
 		return nil, &tunnel.Error{Reason: tunnel.PeerDeclined, Err: errors.New("cut off")}
 	}
+	if !sleep(ctx, w.peerDelay) {
+		return nil, &tunnel.Error{Reason: tunnel.ContextEnded, Err: ctx.Err()}
+	}
 	c, err := connect(ctx, up, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -288,6 +290,10 @@
 				w.peerLinks[p.PeerAddress] = hang
 			}
 		}, false},
+		{"this VM's own link is slow", func(w *world) {
+			w.direct.Store(int32(hang))
+			w.peerDelay = 2 * testDialTimeout
+		}, false},
 		{"one peer is not cut off", func(w *world) {
 			w.direct.Store(int32(hang))
 			w.peerLinks["east-1:1"], w.peerLinks["east-2:1"] = hang, hang
