pkg/forward: TCP_USER_TIMEOUT does not end exchanges on healthy connections

Two kinds of requests were cut off although the target and the link were well:

- one that waits more than 2 s for its response, when one keep-alive probe or its acknowledgement is lost.
With 900 ms, the second probe's time is already the end;
- one with a body that the target does not read for about a second.

The dialer's 900 ms stay, so that a target without power is noticed as fast as before. The client raises it to 2.5 s once the response has been pending for 1.7 s: unacknowledged data has ended the connection by then, and two probes in succession must be lost. A request with a body of 32 KB or more, half of Linux's default receive buffer window, goes without; its deadline bounds it. The usual value is back before the connection is reused.

What is slower: a target that vanishes while a response is pending is noticed after 3.1 s instead of 2.0 s, and one that vanishes before a long body at the request's deadline instead of after 1.3 s.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -57,7 +57,7 @@
 	// targetDialTimeout allows three round trips between the most distant regions.
 	targetDialTimeout = 350 * time.Millisecond
 	// targetAckTimeout is how long sent bytes may stay unacknowledged before the target
-	// counts as unreachable (TCP_USER_TIMEOUT).
+	// counts as unreachable (TCP_USER_TIMEOUT). It does not hold for long bodies.
 	targetAckTimeout = 900 * time.Millisecond
 	// targetBufferBytes is the buffer size of a connection to a target. It is small because
 	// there may be hundreds of mostly idle connections.
@@ -203,7 +203,7 @@
 	d.client = forward.NewClient(forward.Config{
 		DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout, AtMostOnceIdleTimeout: atMostOnceMaxIdle, BufferBytes: targetBufferBytes,
 		EchoHeader: platform.Headers{}.EchoHeader(), SkipMismatched: true, AllowCloseDelimited: true,
-		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext,
+		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext, AckTimeout: targetAckTimeout,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -89,6 +89,9 @@
 	// AllowCloseDelimited accepts responses without a length that end when their
 	// connection is closed.
 	AllowCloseDelimited bool
+	// AckTimeout is the TCP_USER_TIMEOUT of Dial's connections, which the client changes
+	// during exchanges with long bodies or long waits. Default 0: it is left as it is.
+	AckTimeout time.Duration
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -61,7 +61,8 @@
 	// sendResult receives the result of sending the request exactly once.
 	sendResult chan error
 	// mismatched is true if the connection delivered a response to another request.
-	mismatched bool
+	mismatched  bool
+	ackTimeouts ackTimeouts
 }
 
 // Do sends req and waits for the header of the response. The request's body is
@@ -97,9 +98,11 @@
 	x := &exchange{client: c, address: o.Address, conn: cn, abort: o.AbortBody, sendResult: make(chan error, 1)}
 	x.detachContext = context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
 	if bodyless(req) {
+		x.relaxAckTimeout(0)
 		x.sendResult <- x.send(req)
 		return x
 	}
+	x.relaxAckTimeout(req.ContentLength)
 	x.body = &bodyReader{ReadCloser: req.Body}
 	req.Body = x.body
 	go func() { x.sendResult <- x.send(req) }()
@@ -199,6 +202,7 @@
 // fail closes the connection and describes the failure.
 func (x *exchange) fail(ctx context.Context, gotResponse bool, err error) *Error {
 	x.detachContext()
+	x.restoreAckTimeout()
 	x.conn.Close()
 	// Check the context first: waitSent may end the context of an HTTP server's request.
 	ctxErr := ctx.Err()
@@ -245,6 +249,7 @@
 func (r *Response) Close() {
 	x := r.exchange
 	attached := x.detachContext()
+	restored := x.restoreAckTimeout()
 	sent := false
 	select {
 	case err := <-x.sendResult:
@@ -253,7 +258,7 @@
 		x.conn.Close()
 		x.waitSent()
 	}
-	if attached && sent && r.eof && !r.Response.Close && !x.mismatched && x.conn.reader.Buffered() == 0 {
+	if attached && restored && sent && r.eof && !r.Response.Close && !x.mismatched && x.conn.reader.Buffered() == 0 {
 		x.client.put(x.address, x.conn)
 		return
 	}
