pkg/peer: connections that went silent cost one time-out, not one each

When the open connections to a peer go silent while new ones work, http.Transport closes the connection of a call that timed out and takes the next idle one for the next call: each silent connection costs one time-out. Heartbeats and loans to a healthy peer fail meanwhile.

A call that had at least 250 ms and got no response now closes the idle connections to its peer on which nothing arrived since the call began. Connections in use stay.

Tests of pkg/feed asserted the transport's type: the benchmark now sets its own transport, and partitionTransport needs CloseIdleConnections alone.

--- a/pkg/feed/bench_test.go
+++ b/pkg/feed/bench_test.go
@@ -222,10 +222,10 @@
 		must(f.applyUpdateAndWait(ctx, update{snapshot: c, version: 1, readAt: f.cfg.Clock.Now(), agreedAt: never}))
 		f.cfg.Self = member.Peer{ID: fmt.Sprint(i), Incarnation: fmt.Sprint(i)}
 		f.relay.Store(&observation{row: row, revision: 1, observed: true})
-		f.cfg.PeerDialer.HTTPClient().Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		f.cfg.PeerDialer.HTTPClient().Transport = &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 			return countingConn{conn, &fleet.bytes}, err
-		}
+		}}
 		f.cfg.Loop.Go(ctx, f.follow)
 		fleet.followers = append(fleet.followers, f)
 	}
--- a/pkg/feed/fake_fleet_test.go
+++ b/pkg/feed/fake_fleet_test.go
@@ -206,7 +206,9 @@
 }
 
 // CloseIdleConnections lets http.Client close the idle connections of the wrapped transport.
-func (t partitionTransport) CloseIdleConnections() { t.next.(*http.Transport).CloseIdleConnections() }
+func (t partitionTransport) CloseIdleConnections() {
+	t.next.(interface{ CloseIdleConnections() }).CloseIdleConnections()
+}
 
 // every returns a condition that holds when ok holds for every VM.
 func (f *fleet) every(ok func(*vm) bool) func() bool {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -64,20 +64,18 @@
 // NewDialer returns a Dialer. A nil config means plain TCP.
 func NewDialer(config *tls.Config) *Dialer {
 	d := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return d.DialContext(ctx, network, addr)
-		},
+	t := &transport{Transport: &http.Transport{
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+	}}
+	t.track(d.DialContext)
 	scheme := "http"
 	if config != nil {
 		scheme = "https"
 	}
-	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme, config: config}
+	return &Dialer{client: &http.Client{Transport: t}, scheme: scheme, config: config}
 }
 
 // HTTPClient returns the HTTP client for all peers. It has no timeout: callers set a deadline
--- /dev/null
+++ b/pkg/peer/transport.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// minSilence is how long a call must have waited in vain for the other connections to its
+// peer to be suspected. Shorter calls time out on healthy links as well.
+const minSilence = 250 * time.Millisecond
+
+// transport is an http.Transport that closes idle connections that may have gone silent.
+// http.Transport closes the connection of a call that timed out and uses another idle
+// one for the next call. If all of them went silent at once, as behind a middlebox that
+// lost its state, each would cost a time-out.
+type transport struct {
+	*http.Transport
+	mu    sync.Mutex
+	conns map[string]map[*trackedConn]struct{}
+}
+
+// trackedConn is an open connection to a peer.
+type trackedConn struct {
+	net.Conn
+	transport *transport
+	address   string
+	// calls is the number of calls that use the connection, 0 or 1; the end of one call may be
+	// counted after the start of the next.
+	calls atomic.Int32
+	// heard is when something was last received, as a duration since epoch.
+	heard atomic.Int64
+}
+
+var epoch = time.Now()
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(epoch)))
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.transport.mu.Lock()
+	if conns := c.transport.conns[c.address]; conns != nil {
+		delete(conns, c)
+		if len(conns) == 0 {
+			delete(c.transport.conns, c.address)
+		}
+	}
+	c.transport.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// track replaces the transport's dialer by one that registers its connections.
+func (t *transport) track(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	t.conns = map[string]map[*trackedConn]struct{}{}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		netConn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &trackedConn{Conn: netConn, transport: t, address: address}
+		c.heard.Store(int64(time.Since(epoch)))
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.conns[address] == nil {
+			t.conns[address] = map[*trackedConn]struct{}{}
+		}
+		t.conns[address][c] = struct{}{}
+		return c, nil
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	start := time.Since(epoch)
+	var used atomic.Pointer[trackedConn]
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			netConn := info.Conn
+			if c, ok := netConn.(*tls.Conn); ok {
+				netConn = c.NetConn()
+			}
+			if c, ok := netConn.(*trackedConn); ok {
+				c.calls.Add(1)
+				used.Store(c)
+			}
+		},
+		PutIdleConn: func(error) {
+			if c := used.Load(); c != nil {
+				c.calls.Add(-1)
+			}
+		},
+	})
+	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(epoch)-start >= minSilence {
+		t.closeSilent(r.URL.Host, start)
+	}
+	return response, err
+}
+
+// closeSilent closes the idle connections to a peer on which nothing was received since the
+// given time.
+func (t *transport) closeSilent(address string, since time.Duration) {
+	var silent []*trackedConn
+	t.mu.Lock()
+	for c := range t.conns[address] {
+		if c.calls.Load() == 0 && time.Duration(c.heard.Load()) < since {
+			silent = append(silent, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range silent {
+		_ = c.Close()
+	}
+}
