--- a/pkg/peer/transport.go
+++ b/pkg/idleconn/transport.go
@@ -1,4 +1,6 @@
-package peer
+// Package idleconn provides an http.Transport that gives up idle connections that may have
+// gone silent.
+package idleconn
 
 import (
 	"context"
@@ -13,23 +15,23 @@
 )
 
 // minSilence is how long a call must have waited in vain for the other connections to its
-// peer to be suspected. Shorter calls time out on healthy links as well.
+// server to be suspected. Shorter calls time out on healthy links as well.
 const minSilence = 250 * time.Millisecond
 
-// transport is an http.Transport that closes idle connections that may have gone silent.
+// Transport is an http.Transport that closes idle connections that may have gone silent.
 // http.Transport closes the connection of a call that timed out and uses another idle
 // one for the next call. If all of them went silent at once, as behind a middlebox that
 // lost its state, each would cost a time-out.
-type transport struct {
+type Transport struct {
 	*http.Transport
 	mu    sync.Mutex
 	conns map[string]map[*trackedConn]struct{}
 }
 
-// trackedConn is an open connection to a peer.
+// trackedConn is an open connection.
 type trackedConn struct {
 	net.Conn
-	transport *transport
+	transport *Transport
 	address   string
 	// calls is the number of calls that use the connection, 0 or 1; the end of one call may be
 	// counted after the start of the next.
@@ -62,28 +64,35 @@
 	return c.Conn.Close()
 }
 
-// track replaces the transport's dialer by one that registers its connections.
-func (t *transport) track(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	t.conns = map[string]map[*trackedConn]struct{}{}
+// NewTransport returns a Transport that uses t, whose DialContext must be set.
+func NewTransport(t *http.Transport) *Transport {
+	out := &Transport{Transport: t, conns: map[string]map[*trackedConn]struct{}{}}
+	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		netConn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		c := &trackedConn{Conn: netConn, transport: t, address: address}
-		c.heard.Store(int64(time.Since(epoch)))
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.conns[address] == nil {
-			t.conns[address] = map[*trackedConn]struct{}{}
-		}
-		t.conns[address][c] = struct{}{}
-		return c, nil
+		return out.add(netConn, address), nil
+	}
+	return out
+}
+
+// add registers an open connection.
+func (t *Transport) add(netConn net.Conn, address string) *trackedConn {
+	c := &trackedConn{Conn: netConn, transport: t, address: address}
+	c.heard.Store(int64(time.Since(epoch)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[address] == nil {
+		t.conns[address] = map[*trackedConn]struct{}{}
 	}
+	t.conns[address][c] = struct{}{}
+	return c
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	start := time.Since(epoch)
 	var used atomic.Pointer[trackedConn]
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
@@ -110,9 +119,9 @@
 	return response, err
 }
 
-// closeSilent closes the idle connections to a peer on which nothing was received since the
+// closeSilent closes the idle connections to an address on which nothing was received since the
 // given time.
-func (t *transport) closeSilent(address string, since time.Duration) {
+func (t *Transport) closeSilent(address string, since time.Duration) {
 	var silent []*trackedConn
 	t.mu.Lock()
 	for c := range t.conns[address] {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/idleconn"
 )
 
 const (
@@ -64,13 +66,13 @@
 // NewDialer returns a Dialer. A nil config means plain TCP.
 func NewDialer(config *tls.Config) *Dialer {
 	d := net.Dialer{Timeout: dialTimeout}
-	t := &transport{Transport: &http.Transport{
+	t := idleconn.NewTransport(&http.Transport{
+		DialContext:         d.DialContext,
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}
-	t.track(d.DialContext)
+	})
 	scheme := "http"
 	if config != nil {
 		scheme = "https"
