pkg/ingress: a caller that stops reading does not occupy its target

A streamed response (over 1 MB) is copied until a write to the caller fails. When the caller vanished without a reset, or stopped reading, the write blocked beyond the caller's time-out, until the kernel gave up its connection; the cancelled context ended only reads from the target. The target's connection and slot stayed occupied meanwhile.

The end of the request's context now also ends the write. The connection is then broken off, as for a response that breaks off.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -361,7 +361,12 @@
 		timeout = c.info.Timeout
 	}
 	c.timer.Reset(time.Until(c.arrived.Add(timeout)))
+	// A caller that does not read must not occupy the target for longer.
+	stop := context.AfterFunc(ctx, func() { _ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0)) })
 	n, err := io.Copy(c.w, stream)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
 	if err == nil {
 		stream.target.RecordCompleteStream()
 		return
