--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -65,7 +65,7 @@
 	// descriptors and two buffers.
 	maxTunnels = 600
 	// targetAckTimeout is how long sent bytes may stay unacknowledged before the target
-	// counts as unreachable (TCP_USER_TIMEOUT).
+	// counts as unreachable (TCP_USER_TIMEOUT). It does not hold for long bodies.
 	targetAckTimeout = 900 * time.Millisecond
 	// targetBufferBytes is the buffer size of a connection to a target. It is small because
 	// there may be hundreds of mostly idle connections.
@@ -215,7 +215,7 @@
 	d.client = forward.NewClient(forward.Config{
 		DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout, AtMostOnceIdleTimeout: atMostOnceMaxIdle, BufferBytes: targetBufferBytes,
 		EchoHeader: platform.Headers{}.EchoHeader(), SkipMismatched: true, AllowCloseDelimited: true,
-		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext,
+		Dial: forward.NewDialer(targetDialTimeout, targetAckTimeout).DialContext, AckTimeout: targetAckTimeout,
 	})
 	d.reach = reach.NewClient(reach.Config{
 		VM: d.self.ID, Region: d.self.Region, Client: d.client, DialTimeout: targetDialTimeout, Targets: d.targets.Snapshot, Peers: func() []member.Peer { return d.members.View().Peers },
