pkg/tunnel: a reset that a concurrent write noticed is no clean end

The kernel reports a reset once. The empty write of the bytes behind the request, or any write of the caller, took the error, and the read of the other direction saw EOF, so that the link ended the response cleanly. The VM's end had the same fault while it writes a body.

Where a read returns EOF and this side has not closed its sending half, the state of the socket now tells: CLOSE_WAIT after a clean end, CLOSE after a reset. The empty write is gone.

--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -16,6 +18,9 @@
 	dialer   *Dialer
 	peer     string
 
+	// endSent is set before the sending half is closed.
+	endSent atomic.Bool
+
 	mu    sync.Mutex
 	early []byte // arrived with the response to CONNECT and not read yet
 }
@@ -30,7 +35,12 @@
 		return n, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	// With TLS, io.EOF stands for an authenticated end.
+	if err == io.EOF && c.Conn == net.Conn(c.tcp) && !c.endSent.Load() && wasReset(c.tcp) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
 }
 
 // Close implements net.Conn. It resets the connection: the peer takes a clean end for CloseWrite.
@@ -40,7 +50,10 @@
 }
 
 // CloseWrite closes the sending half of the connection.
-func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
+func (c *conn) CloseWrite() error {
+	c.endSent.Store(true)
+	return closeWrite(c.Conn)
+}
 
 // SyscallConn implements syscall.Conn for users that look for unread data. It fails while there are
 // bytes that the kernel does not know of.
--- a/pkg/tunnel/end_test.go
+++ b/pkg/tunnel/end_test.go
@@ -97,6 +97,42 @@
 	}
 }
 
+// TestResetDuringWritesIsNotEOF guards against a reset that reads see as a clean end because a concurrent
+// write got the error.
+func TestResetDuringWritesIsNotEOF(t *testing.T) {
+	const rounds = 100
+	tests := []struct {
+		name string
+		end  func(f *fixture, target *net.TCPConn)
+	}{
+		{"target resets", func(_ *fixture, c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+		{"peer stops", func(f *fixture, _ *net.TCPConn) { f.Close() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for range rounds {
+				var f *fixture
+				f = newFixture(t, listen(t, func(c net.Conn) {
+					c.Read(make([]byte, 1))
+					test.end(f, c.(*net.TCPConn))
+				}), nil)
+				c := f.dial(t)
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					for _, err := c.Write([]byte("x")); err == nil; _, err = c.Write([]byte("x")) {
+					}
+				}()
+				if _, err := c.Read(make([]byte, 1)); err == nil || err == io.EOF || errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("got %v, want a reset", err)
+				}
+				<-written
+				c.Close()
+			}
+		})
+	}
+}
+
 // childTargetEnv makes the test binary run a peer that carries connections to the address in it.
 const childTargetEnv = "TUNNEL_TEST_TARGET"
 
--- a/pkg/tunnel/link.go
+++ b/pkg/tunnel/link.go
@@ -24,6 +24,8 @@
 	callerTCP *net.TCPConn
 	target    net.Conn
 	counters  *counters
+	// endSent is set before the sending half of the target's connection is closed.
+	endSent atomic.Bool
 	// halfOpen is set when one side has finished sending.
 	halfOpen atomic.Bool
 }
@@ -71,13 +73,16 @@
 
 // copyToTarget carries the caller's bytes. A caller that leaves must reach the target.
 func (l *link) copyToTarget(early []byte) {
-	if _, err := l.target.Write(early); err != nil {
-		return
+	if len(early) > 0 {
+		if _, err := l.target.Write(early); err != nil {
+			return
+		}
+		l.counters.bytesToTarget.Inc(int64(len(early)))
 	}
-	l.counters.bytesToTarget.Inc(int64(len(early)))
 	err := l.copy(l.target, l.caller, l.counters.bytesToTarget)
 	switch {
 	case err == nil:
+		l.endSent.Store(true)
 		err = closeWrite(l.target)
 		l.setHalfOpen(l.target)
 	case errors.Is(err, errWrite):
@@ -93,7 +98,8 @@
 // copyToCaller carries the target's bytes. A stream that ended abnormally must not look complete, so the
 // caller's connection is reset then.
 func (l *link) copyToCaller() {
-	if err := l.copy(l.caller, l.target, l.counters.bytesToCaller); err != nil {
+	err := l.copy(l.caller, l.target, l.counters.bytesToCaller)
+	if err != nil || !l.endSent.Load() && wasReset(l.target) {
 		l.Close()
 		return
 	}
--- a/pkg/tunnel/watch.go
+++ b/pkg/tunnel/watch.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -94,8 +95,20 @@
 		max(i.Probes, i.Retransmits) >= minUnanswered
 }
 
+// wasReset reports whether a connection on which a read returned io.EOF was reset. The kernel reports a
+// reset once: if a concurrent write got the error, reads see a clean end. It holds only while this side has
+// not closed its sending half.
+func wasReset(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	info, err := tcpInfo(s)
+	return err != nil || info.State == tcpStateClose
+}
+
 // tcpInfo returns the kernel's state of a connection.
-func tcpInfo(c *net.TCPConn) (info *unix.TCPInfo, _ error) {
+func tcpInfo(c syscall.Conn) (info *unix.TCPInfo, _ error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, err
