pkg/tunnel: tests for the ends of streams that mutants survived

Four mutants passed all tests: SO_LINGER not restored after a clean end, no bound on a half-open link, unread bytes hidden from pkg/peek, and a failed write to the target that ends the link. Each fails a test now. The test of bytes right behind the request has a deadline; it hung without the drained buffer instead of failing.

--- a/pkg/tunnel/end_test.go
+++ b/pkg/tunnel/end_test.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,6 +99,53 @@
 	}
 }
 
+// TestCompleteStreamOutlivesLink guards against links that stay for a caller that never closes, and against
+// losing the rest of a complete stream when such a link ends.
+func TestCompleteStreamOutlivesLink(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for halfOpenTimeout")
+	}
+	const size = 1 << 20 // fits in the socket buffers of both VMs, but not in those of one
+	sent := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+	f := newFixture(t, listen(t, func(c net.Conn) { c.Write(sent) }), nil)
+	c := f.dial(t)
+	defer c.Close()
+	waitFor(t, "link", eventually, func() bool { return f.Open() == 1 })
+	waitFor(t, "end of the link", 2*halfOpenTimeout, func() bool { return f.Open() == 0 })
+	c.SetDeadline(time.Now().Add(eventually))
+	if got, err := io.ReadAll(c); !bytes.Equal(got, sent) || err != nil {
+		t.Errorf("%d bytes of %d, %v", len(got), size, err)
+	}
+}
+
+// TestAnswerOutlivesFailedWrite guards against losing the response of a target that stopped reading.
+func TestAnswerOutlivesFailedWrite(t *testing.T) {
+	const answer = "answer before the whole request was read"
+	f := newFixture(t, listen(t, func(c net.Conn) {
+		time.Sleep(flowTime) // after the failed write
+		io.WriteString(c, answer)
+	}), func(c *ServerConfig) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			target, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return writeFails{target.(*net.TCPConn)}, nil
+		}
+	})
+	c := f.dial(t)
+	defer c.Close()
+	io.WriteString(c, "request")
+	if got, err := io.ReadAll(c); string(got) != answer || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+type writeFails struct{ *net.TCPConn }
+
+func (writeFails) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
 // TestResetDuringWritesIsNotEOF guards against a reset that reads see as a clean end because a concurrent
 // write got the error.
 func TestResetDuringWritesIsNotEOF(t *testing.T) {
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -24,6 +24,7 @@
 	"go.uber.org/goleak"
 
 	"crocusramp.dev/crocusramp/pkg/forward"
+	"crocusramp.dev/crocusramp/pkg/peek"
 	"crocusramp.dev/crocusramp/pkg/peer"
 )
 
@@ -269,6 +270,7 @@
 		address := listen(t, func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+headerResult+": opened\r\n\r\n"+greeting)
+				discard(c)
 			}
 		})
 		d := NewDialer(peer.NewDialer(nil), testTimeout, metrics.NewRegistry())
@@ -277,9 +279,16 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		if got, err := io.ReadAll(c); string(got) != greeting || err != nil {
+		if peek.Look(c) == peek.Empty {
+			t.Error("an idle connection with unread bytes could be reused")
+		}
+		got := make([]byte, len(greeting))
+		if _, err := io.ReadFull(c, got); string(got) != greeting || err != nil {
 			t.Errorf("got %q, %v", got, err)
 		}
+		if state := peek.Look(c); state != peek.Empty {
+			t.Errorf("state %v after all was read", state)
+		}
 	})
 	t.Run("right behind the request", func(t *testing.T) {
 		f := newFixture(t, listen(t, func(c net.Conn) { io.Copy(c, c) }), nil)
@@ -288,6 +297,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
+		c.SetDeadline(time.Now().Add(eventually))
 		fmt.Fprintf(c, "CONNECT %s HTTP/1.1\r\n%s: %d\r\n\r\n%s", authority(testTarget.ID), headerStartedAt, testTarget.StartedAt, greeting)
 		reader := bufio.NewReader(c)
 		resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
