pkg/reach: a VM that is cut off believes peers that a target has exited

Requests that crash targets were sent on: a VM that was cut off did not take a target's death for one, although the peer that carried the connection was refused, because it reached no other target itself. Peers answer "refused" only if they reach other targets, so their word is enough.

--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -229,8 +229,8 @@
 	return results
 }
 
-// Exited reports whether a target's process has exited: it refuses connections, also from peers. That
-// connections are refused proves nothing while this VM is cut off.
+// Exited reports whether a target's process has exited: it refuses the connections of peers or, if none
+// can tell, of this VM while other targets accept them.
 func (r *Client) Exited(ctx context.Context, l *target.Live) bool {
 	usesPeers := r.usesPeers(l)
 	if !usesPeers && !r.cfg.Client.RefusesConnections(ctx, l.Address) {
@@ -247,7 +247,7 @@
 		}
 		return false
 	case refused:
-		return usesPeers || r.reachesAny(ctx, l.Address)
+		return true // peers answer so only if they reach other targets
 	default:
 		return !usesPeers && r.reachesAny(ctx, l.Address)
 	}
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -326,6 +326,7 @@
 		{"it has exited and there is no peer", []func(w *world){exit, noPeers}, true},
 		{"the VM is cut off", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)) }}, false},
 		{"the VM is cut off and there is no peer", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)) }, noPeers}, false},
+		{"it has exited and the VM is cut off", []func(w *world){exit, func(w *world) { w.direct.Store(int32(refuse)) }}, true},
 		{"the VM is known to be cut off", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)); w.client.cutOff.Store(true) }}, false},
 		{"it has exited and the VM is known to be cut off", []func(w *world){exit, func(w *world) { w.direct.Store(int32(refuse)); w.client.cutOff.Store(true) }}, true},
 	}
