--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -66,6 +66,15 @@
 	return c.Conn.Write(b)
 }
 
+// Read fails like a connection whose bytes stay unacknowledged.
+func (c silentConn) Read(b []byte) (int, error) {
+	if links(c.w.direct.Load()) == hang && c.w.ackTimeout > 0 {
+		time.Sleep(c.w.ackTimeout)
+		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	}
+	return c.Conn.Read(b)
+}
+
 // world is a VM with its targets and peers. It implements Tunnels.
 type world struct {
 	t       *testing.T
@@ -80,6 +89,7 @@
 	peers       []member.Peer
 	peerLinks   map[string]links // by peer address
 	peerDelay   time.Duration
+	ackTimeout  time.Duration // of silent connections
 	release     chan struct{} // ends requests for /slow
 	cutOffs     atomic.Int32
 }
