pkg/reach: evidence of a cut and of exits, after review

Each with a test that was red: - a request that times out on an open connection starts a check (TestSilentKeptConnectionsStartACheck); - a check asks the nearest peer and a random other one about each target: the nearest may have lost their links at the same moment (TestCutIsFoundBesidePeersThatAreCutOffToo); - one silent peer does not use up the time in which a target's exit is confirmed (TestExitIsFoundBesideASilentPeer); - connections that respond are not interrupted because new ones time out (TestRespondingConnectionsAreNotInterrupted); - a time without requests does not count as the usual interval between two responses (TestPauseInTrafficDoesNotDelaySilence).

--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -35,8 +35,6 @@
 	flapTime        = 30 * time.Second
 	// enoughReached is how many targets peers must have reached for a check to wait for no more answers.
 	enoughReached = 2
-	// exitOpinions is how many peers are asked whether a target has exited.
-	exitOpinions = 2
 )
 
 // dialResult is the result of a direct connection attempt.
@@ -52,7 +50,7 @@
 	domains, reached int
 	// peersReached is how many of the targets that this VM did not reach were reached by peers.
 	peersReached int
-	// silent is set if most of the failed attempts timed out.
+	// silent is set if most of the failed attempts timed out and no target responded meanwhile.
 	silent bool
 }
 
@@ -146,7 +144,9 @@
 			return f
 		}
 	}
+	started := time.Now()
 	f, missed := summarize(r.dialEach(ctx, r.sample(0)))
+	f.silent = f.silent && !r.respondedSince(started)
 	if f.reached > 0 {
 		return f
 	}
@@ -156,7 +156,7 @@
 	defer cancel()
 	opinions := make(chan opinion, len(missed))
 	for _, l := range missed {
-		go func() { opinions <- r.askPeers(ctx, l, 1) }()
+		go func() { opinions <- r.askPeers(ctx, l, r.peersForCheck(l)) }()
 	}
 	for range missed {
 		if <-opinions == reached {
@@ -239,7 +239,9 @@
 	if r.cfg.Peers == nil {
 		return true
 	}
-	switch r.askPeers(ctx, l, exitOpinions) {
+	others := make(chan bool, 1)
+	go func() { others <- r.reachesAny(ctx, l.Address) }()
+	switch r.askPeers(ctx, l, r.peersFor(l, nil)) {
 	case reached:
 		if !usesPeers {
 			r.recordBypass(l)
@@ -249,7 +251,7 @@
 	case refused:
 		return true // peers answer so only if they reach other targets
 	default:
-		return !usesPeers && r.reachesAny(ctx, l.Address)
+		return !usesPeers && <-others
 	}
 }
 
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -1,8 +1,10 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -14,42 +16,50 @@
 	"crocusramp.dev/crocusramp/pkg/tunnel"
 )
 
-// peersFor returns the peers through which a request to a target may pass, the preferred one first. Those
-// near the target come first, so that the path is not longer than the direct one. Among peers that are
-// equally near, each VM and target has its own order, which spreads the connections of a VM over the
-// peers.
-func (r *Client) peersFor(l *target.Live, allowsRegion func(region string) bool) []member.Peer {
+// peersFor returns the peers through which a request to a target may pass, the preferred one first.
+func (r *Client) peersFor(l *target.Live, allowsRegion func(region string) bool) []*member.Peer {
+	ranked := r.rankPeers(l, allowsRegion)
+	return ranked[:min(len(ranked), maxPeersTried)]
+}
+
+// peersForCheck returns the nearest peer and a random other one: the nearest peers of all targets may
+// have lost their links too.
+func (r *Client) peersForCheck(l *target.Live) []*member.Peer {
+	ranked := r.rankPeers(l, nil)
+	if len(ranked) <= 2 {
+		return ranked
+	}
+	return []*member.Peer{ranked[0], ranked[1+rand.IntN(len(ranked)-1)]}
+}
+
+// rankPeers returns the peers that carry tunnels in the allowed regions. Those near the target come first,
+// so that the path is not longer than the direct one. Among peers that are equally near, each VM and
+// target has its own order, which spreads the connections of a VM over the peers.
+func (r *Client) rankPeers(l *target.Live, allowsRegion func(region string) bool) []*member.Peer {
 	type candidate struct {
-		peer     member.Peer
+		peer     *member.Peer
 		distance int
 		score    uint64
 	}
 	var candidates []candidate
 	now := time.Now()
 	seed := xxhash.Sum64String(r.cfg.VM) ^ l.Hash
+	peers := r.cfg.Peers()
 	r.mu.Lock()
-	for _, p := range r.cfg.Peers() {
+	for i := range peers {
+		p := &peers[i]
 		if !p.CarriesTunnels || p.State != member.Live || p.MissedHeartbeats > 0 || now.Before(r.avoided[p.ID]) || (allowsRegion != nil && !allowsRegion(p.Region)) {
 			continue
 		}
-		candidates = append(candidates, candidate{p, r.distance(&p, l), (xxhash.Sum64String(p.ID) ^ seed) * 0x9e3779b97f4a7c15})
+		candidates = append(candidates, candidate{p, r.distance(p, l), (xxhash.Sum64String(p.ID) ^ seed) * 0x9e3779b97f4a7c15})
 	}
 	r.mu.Unlock()
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.distance != b.distance {
-			return a.distance - b.distance
-		}
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.peer.ID, b.peer.ID)
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), strings.Compare(a.peer.ID, b.peer.ID))
 	})
-	var out []member.Peer
-	for _, c := range candidates[:min(len(candidates), maxPeersTried)] {
-		out = append(out, c.peer)
+	out := make([]*member.Peer, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.peer
 	}
 	return out
 }
@@ -78,11 +88,8 @@
 	refused
 )
 
-// askPeers asks up to n peers whether they can connect to a target. A single one that can outweighs the
-// others.
-func (r *Client) askPeers(ctx context.Context, l *target.Live, n int) opinion {
-	peers := r.peersFor(l, nil)
-	peers = peers[:min(len(peers), n)]
+// askPeers asks peers whether they can connect to a target. A single one that can outweighs the others.
+func (r *Client) askPeers(ctx context.Context, l *target.Live, peers []*member.Peer) opinion {
 	answers := make(chan opinion, len(peers))
 	for _, p := range peers {
 		go func() {
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -158,7 +158,12 @@
 	case failure == nil:
 		r.recordResponse(time.Now())
 		return resp, "", nil
-	case !failure.NotConnected || failure.ContextEnded || r.cfg.Peers == nil:
+	case failure.ContextEnded || r.cfg.Peers == nil:
+		return nil, "", failure
+	case !failure.NotConnected:
+		if errors.Is(failure, syscall.ETIMEDOUT) {
+			r.requestCheck()
+		}
 		return nil, "", failure
 	case failure.DialTimedOut && r.respondedSince(started):
 		return nil, "", failure // other targets respond, so it is this one that does not
@@ -197,12 +202,16 @@
 // instant returns the nanoseconds from epoch to t on the monotonic clock.
 func instant(t time.Time) int64 { return int64(t.Sub(epoch)) }
 
-// intervalWeight is the weight of one interval in the moving average of responseInterval.
-const intervalWeight = 0.05
+const (
+	// intervalWeight is the weight of one interval in the moving average of responseInterval.
+	intervalWeight = 0.05
+	// maxInterval bounds it, so that a time without requests does not count for long.
+	maxInterval = time.Second
+)
 
 // recordResponse records a response on a direct connection.
 func (r *Client) recordResponse(now time.Time) {
-	interval := instant(now) - r.lastResponse.Swap(instant(now))
+	interval := min(instant(now)-r.lastResponse.Swap(instant(now)), int64(maxInterval))
 	mean := r.responseInterval.Load()
 	r.responseInterval.Store(mean + int64(intervalWeight*float64(interval-mean)))
 }
