pkg/tunnel: a link is recorded before the caller is told of it

TestMaxConns failed in a run of 20 beside load: Open was 1 although two tunnels had been dialed, because a link was recorded after the 200 was sent.

--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -121,16 +121,11 @@
 	l, early, err := s.accept(w, target)
 	if err != nil {
 		target.Close()
-		s.release(nil)
+		s.release(l)
 		s.counters.failed.Inc(1)
 		s.config.Log.Debug().Err(err).Str("target", t.ID).Msg("tunnel not opened")
 		return
 	}
-	if !s.add(l) {
-		l.Close()
-		s.release(nil)
-		return
-	}
 	s.counters.opened.Inc(1)
 	s.config.Log.Debug().Str("target", t.ID).Str("vm", r.RemoteAddr).Msg("tunnel opened")
 	s.watch.add(l.callerTCP, l)
@@ -164,20 +159,26 @@
 }
 
 // accept takes the caller's connection over from the HTTP server and answers the CONNECT request. It
-// returns the bytes that arrived behind the request.
-func (s *Server) accept(w http.ResponseWriter, target net.Conn) (_ *link, early []byte, _ error) {
+// returns the bytes that arrived behind the request. If it fails, the link may be nil.
+func (s *Server) accept(w http.ResponseWriter, target net.Conn) (l *link, early []byte, _ error) {
 	caller, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		refuse(w, resultDeclined)
 		return nil, nil, err
 	}
-	l, err := newLink(caller, target, &s.counters)
+	l, err = newLink(caller, target, &s.counters)
+	if err != nil {
+		caller.Close()
+		return nil, nil, err
+	}
+	// The link is recorded first, so that a caller that has the answer is counted.
+	err = s.add(l)
 	if err == nil {
 		err = l.answer()
 	}
 	if err != nil {
-		caller.Close()
-		return nil, nil, err
+		l.Close()
+		return l, nil, err
 	}
 	return l, buffered(buffer.Reader), nil
 }
@@ -200,15 +201,15 @@
 	return false
 }
 
-// add records a connection that is to be carried. It returns false after Close.
-func (s *Server) add(l *link) bool {
+// add records a connection that is to be carried. It fails after Close.
+func (s *Server) add(l *link) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		return false
+		return http.ErrServerClosed
 	}
 	s.carried[l] = struct{}{}
-	return true
+	return nil
 }
 
 // release ends a reservation. l is nil if the connection was never carried.
