pkg/reach: finding a path takes a second at most

Three peers that hang took 0.6 s each after 0.35 s for the direct connection: a request could reach a target that had been known to drain for longer than drain_s. By reading, on review.

--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -30,6 +30,8 @@
 const (
 	// maxPeersTried is how many peers are tried for one connection.
 	maxPeersTried = 3
+	// maxPathTime bounds the time to find a path, after which the choice of the target may be outdated.
+	maxPathTime = time.Second
 	// bypassTime is how long connections to a target go through peers after this VM could not connect
 	// to it and a peer could.
 	bypassTime = 2 * time.Second
@@ -272,9 +274,15 @@
 // wraps ErrNoPath if there is none.
 func (r *Client) doThroughPeer(ctx context.Context, req *http.Request, l *target.Live, o Options) (*forward.Response, string, *forward.Error) {
 	failure := &forward.Error{NotConnected: true, Err: ErrNoPath}
+	until := time.Now().Add(maxPathTime)
 	for _, p := range r.peersFor(l, o.AllowsRegion) {
+		if !time.Now().Before(until) {
+			break
+		}
 		o.Exchange.Pool = tunnelPool(l.Address, p.ID)
 		o.Exchange.Dial = func(ctx context.Context) (net.Conn, error) {
+			ctx, cancel := context.WithDeadline(ctx, until)
+			defer cancel()
 			return r.cfg.Tunnels.Dial(ctx, p.PeerAddress, tunnelTarget(l))
 		}
 		resp, f := r.cfg.Client.Do(ctx, req, o.Exchange)
@@ -287,7 +295,7 @@
 }
 
 // peerAtFault reports whether a tunnel was not opened because of the peer. The peer is then avoided for
-// a while, unless it only does not know the target.
+// a while, unless it only does not know the target or was not given enough time.
 func (r *Client) peerAtFault(id string, f error) bool {
 	var e *tunnel.Error
 	if !errors.As(f, &e) {
@@ -300,7 +308,7 @@
 		r.mu.Unlock()
 		return true
 	default:
-		return e.Reason == tunnel.UnknownTarget
+		return e.Reason == tunnel.UnknownTarget || e.Reason == tunnel.ContextEnded // after maxPathTime
 	}
 }
 
