a stop waits for requests that have begun to arrive; idle limits of any length

A stopping VM closed its callers' connections once none carried a request that net/http counted as active: the same cause as that of idle connections, in a window of microseconds. It now waits for what has begun to arrive, and idle connections are closed by their readers.

Also by reading: the fixed idle time-out of 75 s closed connections for which longer was announced; a limit under 1.25 s left an earlier announcement in force; the first bytes of a request that never comes held a connection open (TestBeginningOfRequestDoesNotHoldConnection); a deadline that was set for an idle connection could end the read of a body.

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -36,6 +36,9 @@
 	EndFailed End = "failed"
 )
 
+// headerTimeout bounds how long the beginning of a request may be there without the rest of its header.
+const headerTimeout = 10 * time.Second
+
 // state is what a connection is used for.
 type state uint8
 
@@ -54,11 +57,13 @@
 	mu        sync.Mutex
 	state     state
 	idleSince time.Time
-	idleFor   time.Duration // before the current request
-	keepFor   time.Duration // the idle timeout that the caller was told
-	expired   bool          // the read deadline was set because of the idle timeout
-	requests  int
-	end       End
+	// readingSince is when the first bytes of the request that is being read arrived.
+	readingSince time.Time
+	idleFor      time.Duration // before the current request
+	keepFor      time.Duration // the idle timeout that the caller was told
+	expired      bool          // the read deadline was set because of the idle timeout
+	requests     int
+	end          End
 }
 
 // KeepFor records that the caller was told that it may reuse the connection for d after the response.
@@ -93,8 +98,8 @@
 		}
 	}
 	switch {
-	case n > 0 && c.state == stateIdle:
-		c.state = stateReading
+	case n > 0 && (c.state == stateIdle || c.state == stateNew):
+		c.state, c.readingSince = stateReading, time.Now()
 	case c.expired && errors.Is(err, os.ErrDeadlineExceeded):
 		c.setEnd(EndIdle)
 	case err != nil:
@@ -104,19 +109,31 @@
 }
 
 // expire makes the read that waits for the next request fail, if the connection has been idle for longer
-// than limit at now and than the caller was told. net/http then closes the connection. It is not closed
-// here, because the next request may have been read already. expire reports whether the connection
-// expires now.
+// than limit at now and than the caller was told, or if only the beginning of a request has come for
+// longer than headerTimeout. net/http then closes the connection. It is not closed here, because the
+// next request may have been read already. expire reports whether the connection expires now.
 func (c *Conn) expire(limit time.Duration, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateIdle || now.Sub(c.idleSince) <= max(limit, c.keepFor) || peek.Look(c.TCPConn) == peek.Readable {
+	switch {
+	case c.state == stateIdle && now.Sub(c.idleSince) > max(limit, c.keepFor):
+	case c.state == stateReading && now.Sub(c.readingSince) > headerTimeout:
+	default:
 		return false
 	}
 	if peek.Unsent(c.TCPConn) > 0 { // the caller is still receiving the response
 		c.idleSince = now
 		return false
 	}
+	return c.endRead()
+}
+
+// endRead makes the read that waits for the next request fail, unless bytes have arrived. It reports
+// whether it did not do so before. The caller holds mu.
+func (c *Conn) endRead() bool {
+	if peek.Look(c.TCPConn) == peek.Readable {
+		return false
+	}
 	first := !c.expired
 	c.expired = true
 	// Repeated for a connection that is still open, because net/http may have replaced the deadline.
--- a/pkg/conntrack/tracker.go
+++ b/pkg/conntrack/tracker.go
@@ -74,6 +74,10 @@
 	}
 	c.state = stateActive
 	c.requests++
+	if c.expired {
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
 }
 
 // rest records the end of a request.
@@ -83,8 +87,23 @@
 	c.state, c.idleSince = stateIdle, now
 }
 
-// ActiveCount returns the number of connections with a request whose response is not completely sent.
-func (t *Tracker) ActiveCount() int { return t.count(stateActive) }
+// Drain closes the connections that are idle and returns the number of connections that carry a request,
+// from its first byte to the end of its response, or that are not closed yet. It is called repeatedly
+// until there are none.
+func (t *Tracker) Drain() int {
+	n := 0
+	for _, c := range t.list() {
+		c.mu.Lock()
+		if c.state == stateIdle {
+			c.endRead()
+		}
+		if c.state != stateNew {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
 
 // count returns the number of connections in a state.
 func (t *Tracker) count(s state) int {
--- a/pkg/conntrack/tracker_test.go
+++ b/pkg/conntrack/tracker_test.go
@@ -182,3 +182,83 @@
 		t.Errorf("open after the announced time: %v", err)
 	}
 }
+
+// TestDrainAnswersWhatWasRead guards against a stop that cuts a request that has been read and has not
+// reached its handler.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	const rounds, perRound = 20, 48
+	lost := 0
+	for range rounds {
+		var mu sync.Mutex
+		handled := map[string]bool{}
+		tracker := NewTracker(metrics.NewRegistry())
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			handled[r.URL.Path] = true
+			mu.Unlock()
+			fmt.Fprint(w, "ok")
+		}))
+		server.Config.ConnState, server.Config.ConnContext = tracker.ConnState, ConnContext
+		server.Listener = tracker.Listener(server.Listener)
+		server.Start()
+		var group sync.WaitGroup
+		failed := make([]bool, perRound)
+		for i := range perRound {
+			c := dial(t, server.Listener.Addr().String())
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 30 * time.Microsecond)
+				fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i) // may fail: the connection is being closed
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				failed[i] = err != nil
+			})
+		}
+		time.Sleep(perRound / 2 * 30 * time.Microsecond)
+		for tracker.Drain() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if err := server.Config.Close(); err != nil {
+			t.Fatal(err)
+		}
+		group.Wait()
+		mu.Lock()
+		for i, f := range failed {
+			if f && handled[fmt.Sprint("/", i)] {
+				lost++
+			}
+		}
+		mu.Unlock()
+		server.Close()
+	}
+	if lost > 0 {
+		t.Errorf("%d requests were read and got no answer", lost)
+	}
+}
+
+// TestBeginningOfRequestDoesNotHoldConnection guards against a connection that stays open for ever because
+// a few bytes came after the last request.
+func TestBeginningOfRequestDoesNotHoldConnection(t *testing.T) {
+	tracker, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	c := dial(t, address)
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	fmt.Fprint(c, "\r\n")
+	for tracker.count(stateReading) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	tracker.CloseExpired(time.Second, time.Now().Add(headerTimeout-time.Second))
+	if tracker.count(stateReading) != 1 {
+		t.Error("closed before the time for a header was over")
+	}
+	tracker.CloseExpired(time.Second, time.Now().Add(headerTimeout+time.Second))
+	if _, err := in.ReadByte(); err == nil {
+		t.Error("the connection is still open")
+	}
+}
--- a/pkg/edge/conns.go
+++ b/pkg/edge/conns.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -13,8 +14,6 @@
 // fixed when a server starts.
 func (d *Daemon) closeIdle(ctx context.Context) {
 	every(ctx, idlePeriod, func() {
-		if limit := d.Snapshot().CallerLimits.IdleTimeout; limit > 0 {
-			d.conns.CloseExpired(limit, time.Now())
-		}
+		d.conns.CloseExpired(cmp.Or(d.Snapshot().CallerLimits.IdleTimeout, callerIdleTimeout), time.Now())
 	})
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -78,7 +78,8 @@
 	// atMostOnceMaxIdle is the longest that a connection may have been idle and still be
 	// reused for a request that must not run twice.
 	atMostOnceMaxIdle = 3 * time.Second
-	// callerIdleTimeout bounds idle caller connections until a configuration is loaded.
+	// callerIdleTimeout bounds idle caller connections if the configuration has no limit, and those to
+	// the other listeners.
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout bounds how long a caller may take to send a request header.
 	headerTimeout = 10 * time.Second
@@ -380,6 +381,7 @@
 		if l.address == s.Listen.Callers {
 			server.ConnState, server.ConnContext = d.conns.ConnState, conntrack.ConnContext
 			listener, d.callers = d.conns.Listener(listener), server
+			server.IdleTimeout = 0 // closeIdle follows the configuration
 		} else {
 			d.servers = append(d.servers, server)
 		}
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -98,11 +98,12 @@
 	}
 }
 
-// awaitDelivery waits until every response is sent.
+// awaitDelivery waits until every request that has begun to arrive is answered and the idle connections
+// are closed.
 func (d *Daemon) awaitDelivery(ctx context.Context) {
 	ticker := time.NewTicker(deliveryPoll)
 	defer ticker.Stop()
-	for d.conns.ActiveCount() > 0 {
+	for d.conns.Drain() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -362,12 +362,10 @@
 		return
 	}
 	limit := c.state.CallerLimits.IdleTimeout
-	seconds := int(reuseFraction * limit.Seconds())
-	if seconds < 1 {
-		return
-	}
 	conn.KeepFor(limit)
-	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
+	if seconds := int(reuseFraction * limit.Seconds()); seconds >= 1 {
+		h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
+	}
 }
 
 // endlessResponseBytes is how many bytes of a response of unknown length may arrive before the
