pkg/edge: a delayed stop sends its last answers before it exits

What callers saw: a request that a stopping VM had read ended with a closed connection and no answer (LOST), in a process that got no processor time for some tenths of a second near the end of its grace period.

Cause: the exit at 0.95 of the grace period is a fixed time. A stop that reached the final answers (due at 0.9) after it exited at once, before the goroutines of the requests had written them, although the rest of the grace period was left.

Change: answers get at least half of what is left of the grace period when they are ordered. In time, that is 0.95 as before.

Before: TestDelayedStopAnswersWhatOutlastsIt failed 4 of 4 ("status 0, want 502"). After: passed 4 of 4.

--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -22,6 +22,9 @@
 	// responses are still being sent. A process that the platform has to kill at the end of
 	// the grace period counts as an ungraceful stop.
 	exitAfter = 0.95
+	// lateDelivery is the fraction of the rest of the grace period that responses get to be
+	// sent if the process reaches that point late.
+	lateDelivery = 0.5
 	// quietPeriod is how long a stopping VM without running requests waits for requests
 	// that are already in transit.
 	quietPeriod = 200 * time.Millisecond
@@ -60,7 +63,7 @@
 		d.ingress.LogRunning("request still in flight near the end of the grace period")
 		d.ingress.Abandon()
 	}
-	delivery, cancelDelivery := context.WithDeadline(context.Background(), after(exitAfter))
+	delivery, cancelDelivery := context.WithDeadline(context.Background(), deliveryDeadline(started, time.Now(), grace))
 	defer cancelDelivery()
 	d.unregister(delivery)
 	d.awaitDelivery(delivery)
@@ -73,6 +76,17 @@
 	d.sendSpans(delivery)
 }
 
+// deliveryDeadline returns when a VM that began to stop at started and sends its last responses
+// from now on exits.
+func deliveryDeadline(started, now time.Time, grace time.Duration) time.Time {
+	deadline := started.Add(time.Duration(exitAfter * float64(grace)))
+	late := now.Add(time.Duration(lateDelivery * float64(started.Add(grace).Sub(now))))
+	if late.After(deadline) {
+		return late
+	}
+	return deadline
+}
+
 // awaitQuiet waits until no request runs and none has arrived for quietPeriod, or until no
 // request has run for maxQuietPeriods such periods. It is needed because closing the
 // listener resets the connections that it has not accepted yet.
