pkg/edge, pkg/limit: log the reason where an error was only turned into a decision

- a registration whose row names another VM was ignored with a line without a reason
- a configuration that is removed from the store was ignored without a line
- the wait for loans of an earlier process ended as not settled without the error, and without the VM that had not confirmed
- a peer that does not know an account of a loan exchange counted as having no tokens, without a line

No decision changes.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -107,7 +107,11 @@
 			changed = d.applyEvacuation(domain, c, u.Restored, now) || changed
 			continue
 		}
-		if platform.IsConfig(c.Key) && !c.Removed {
+		switch {
+		case !platform.IsConfig(c.Key):
+		case c.Removed:
+			d.log.Warn().Int64("config", d.Snapshot().Version).Stringer("row", c.Version).Msg("the configuration is no longer in the store; keeping the one in force")
+		default:
 			changed = d.applyConfig(c.Value, c.Version) || changed
 		}
 	}
@@ -325,7 +329,10 @@
 				continue
 			}
 			v, err := decodeRegistration(c.Row)
-			if err != nil || v.ID != c.Key {
+			if err == nil && v.ID != c.Key {
+				err = fmt.Errorf("the row names VM %q", v.ID)
+			}
+			if err != nil {
 				d.log.Warn().Err(err).Str("vm", c.Key).Msg("ignoring an invalid VM registration")
 				continue
 			}
@@ -366,7 +373,7 @@
 	vms, err := d.fleet.VMs(ctx)
 	settled := err == nil && d.awaitSettled(ctx, vms)
 	d.fleet.endLoanWait(settled, d.clock.Now())
-	d.log.Info().Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("the wait for loans of an earlier process of this VM has ended")
+	d.log.Info().Err(err).Bool("settled", settled).Int("vms", len(vms)).Dur("after_ms", time.Since(started)).Msg("the wait for loans of an earlier process of this VM has ended")
 }
 
 // awaitSettled waits for all limiters concurrently. It reports whether the loans of earlier
--- a/pkg/limit/exchange.go
+++ b/pkg/limit/exchange.go
@@ -38,6 +38,9 @@
 	for _, r := range response.Accounts {
 		byAccount[r.Account] = r
 	}
+	if unknown := len(accounts) - len(byAccount); unknown > 0 {
+		s.cfg.Log.Debug().Str("vm", p.ID).Int("accounts", unknown).Msg("a peer does not know accounts of a loan exchange")
+	}
 	return byAccount
 }
 
--- a/pkg/limit/settle.go
+++ b/pkg/limit/settle.go
@@ -94,11 +94,14 @@
 // ends.
 func (s *Service) awaitLoansEndedAt(ctx context.Context, vm storage.VM, id, incarnation string) {
 	client := s.client(vm.PeerAddress)
+	var holds bool
+	var err error
 	for refused := 0; ctx.Err() == nil; {
 		call, cancel := context.WithTimeout(ctx, holdsTimeout)
-		r, err := client.Holds(call, &peerpb.HoldsRequest{Vm: id, Incarnation: incarnation})
+		var r *peerpb.HoldsResponse
+		r, err = client.Holds(call, &peerpb.HoldsRequest{Vm: id, Incarnation: incarnation})
 		cancel()
-		if err == nil && !r.Holds {
+		if holds = r.GetHolds(); err == nil && !holds {
 			return
 		}
 		if refused++; !errors.Is(err, syscall.ECONNREFUSED) {
@@ -112,4 +115,5 @@
 		case <-ctx.Done():
 		}
 	}
+	s.cfg.Log.Info().Err(err).Str("vm", vm.ID).Str("address", vm.PeerAddress).Bool("holds", holds).Msg("a VM did not confirm that the loans of an earlier process of this VM have ended")
 }
