pkg/edge: rows are removed in transactions that the store accepts

The store takes at most 100 entries a transaction, and each removal has a condition. More than 50 rows of VMs that left, or of suspect requests, were removed by one call, which the store refused with 400, again in each pass: they stayed for good, and none of the others was removed either. Found by reading.

Class: an error that is logged and retried though it can never succeed. A pass now removes at most 50 rows, and the next one goes on.

Before: TestSweepFitsATransaction ("the removal of 99 rows has 198 entries") and TestManySuspectRowsAreRemoved ("100 of 100 rows are still in the store") failed. After: both passed.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -20,6 +20,7 @@
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
+	"crocusramp.dev/crocusramp/platform"
 )
 
 const (
@@ -200,8 +201,11 @@
 	return vms
 }
 
-// expiredRows returns the rows of VMs that left at least leftRowRetention ago. It returns
-// none unless this VM is the coordinator, which removes them.
+// maxRowRemovals is how many rows a transaction removes at most; each removal has a condition.
+const maxRowRemovals = platform.MaxTransactionRows / 2
+
+// expiredRows returns the rows of VMs that left at least leftRowRetention ago, at most
+// maxRowRemovals. It returns none unless this VM is the coordinator, which removes them.
 func (r *registry) expiredRows(now clock.Time) []Registration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -214,7 +218,7 @@
 			out = append(out, v)
 		}
 	}
-	return out
+	return out[:min(len(out), maxRowRemovals)]
 }
 
 // hasRow reports whether the registration is still the known one of its VM.
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -16,6 +16,7 @@
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
+	"crocusramp.dev/crocusramp/platform"
 )
 
 func registrations(n int) []Registration {
@@ -354,3 +355,19 @@
 		t.Errorf("newest versions: config %d, list %v, want 4 and 2.8", config, list)
 	}
 }
+
+// TestSweepFitsATransaction guards against rows of VMs that left and are never removed because their
+// removal exceeds the store's limit of a transaction.
+func TestSweepFitsATransaction(t *testing.T) {
+	rows := registrations(platform.MaxTransactionRows)
+	for i := range rows[1:] {
+		rows[1+i].Left, rows[1+i].version = true, storage.Version{Number: int64(i + 1)}
+	}
+	r := newTestRegistry(rows[0].ID, true)
+	r.setRows(rows, second)
+	expired := r.expiredRows(second + clock.Time(leftRowRetention))
+	// Each removal has a condition.
+	if n := 2 * len(expired); n == 0 || n > platform.MaxTransactionRows {
+		t.Errorf("the removal of %d rows has %d entries, at most %d are accepted", len(expired), n, platform.MaxTransactionRows)
+	}
+}
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -374,8 +374,8 @@
 }
 
 // removeRows removes the rows of requests that a target has answered and, on the coordinator, rows
-// that have not changed for suspectRetention. If the list has dropped a case that still has a row,
-// because it holds a limited number of suspects, removeRows restores the case.
+// that have not changed for suspectRetention, at most maxRowRemovals. If the list has dropped a case
+// that still has a row, because it holds a limited number of suspects, removeRows restores the case.
 func (s *suspects) removeRows(ctx context.Context) {
 	coordinator, now := s.isCoordinator(), s.clock.Now()
 	s.mu.Lock()
@@ -385,7 +385,7 @@
 		if _, known := s.list.Find(row.Fingerprint); !known && !expired && !row.cleared {
 			s.list.Restore(row.Case)
 		}
-		if row.cleared || (expired && coordinator) {
+		if (row.cleared || (expired && coordinator)) && len(t.Remove) < maxRowRemovals {
 			t.Expect = append(t.Expect, platform.Row{Table: fleetTable, Key: key, Version: row.version})
 			t.Remove = append(t.Remove, platform.Row{Table: fleetTable, Key: key})
 		}
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -33,6 +33,9 @@
 	if f.unavailable {
 		return storage.Version{}, errors.New("store is unavailable")
 	}
+	if len(t.Expect)+len(t.Writes)+len(t.Remove) > platform.MaxTransactionRows {
+		return storage.Version{}, platform.ErrRejected
+	}
 	for _, e := range t.Expect {
 		if current := f.rows[e.Key]; current.Version != e.Version {
 			return storage.Version{}, &platform.ConflictError{Current: []platform.Row{current}}
@@ -271,3 +274,26 @@
 		t.Error("the row was not written after witnessDelay")
 	}
 }
+
+// TestManySuspectRowsAreRemoved guards against rows that are never removed because their removal exceeds
+// the store's limit of a transaction.
+func TestManySuspectRowsAreRemoved(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	vm := newTestSuspects(store, c)
+	const requests = platform.MaxTransactionRows
+	for i := range byte(requests) {
+		f := quarantine.NewFingerprint(quarantine.BaseHash{1, i}, nil)
+		row := encodeSuspectRow(quarantine.Case{Fingerprint: f, Deaths: []quarantine.Death{{ID: "a@1", Target: "a"}, {ID: "b@1", Target: "b", Prior: 1}}})
+		store.version.Number++
+		row.Version = store.version
+		store.rows[row.Key] = row
+		vm.apply(platform.Change{Row: row}, false)
+		vm.Clear(f)
+	}
+	for range 3 {
+		vm.removeRows(t.Context())
+	}
+	if n := len(store.rows); n != 0 {
+		t.Errorf("%d of %d rows are still in the store", n, requests)
+	}
+}
