pkg/limit: a limit above 2^52 admits instead of refusing everything

A configured rate or burst that is too large to be counted exactly, such as the largest int64 for "no limit", became 0: every request of the account got 429, and the log said only "limit in force". It counts as 2^52 now. Values of peers stay 0 if they are invalid.

Before: TestHugeLimitAdmits failed for 2^53, the largest float64 and infinity. After: passed, with the other tests of the package. Found by reading.

--- a/pkg/limit/book.go
+++ b/pkg/limit/book.go
@@ -123,7 +123,8 @@
 func (b *budget) setShares(a *config.Account, h *lease.Holding, now clock.Time) {
 	next := share{}
 	if a != nil {
-		next = share{validAmount(a.Rate), validAmount(a.Burst)}
+		// Larger limits count as the largest that can be counted.
+		next = share{validAmount(min(a.Rate, maxAmount)), validAmount(min(a.Burst, maxAmount))}
 	}
 	if b.started && next != b.limit {
 		b.setSlotShares(slotSharesOf(b.limit, h), now)
--- a/pkg/limit/ledger_test.go
+++ b/pkg/limit/ledger_test.go
@@ -304,3 +304,16 @@
 		t.Errorf("%d requests in a second, the limit is 2 per second with a burst of 3", admitted)
 	}
 }
+
+// TestHugeLimitAdmits guards against a limit that is too large to be counted exactly and then admits
+// nothing.
+func TestHugeLimitAdmits(t *testing.T) {
+	for _, x := range []float64{maxAmount, 2 * maxAmount, math.MaxFloat64, math.Inf(1)} {
+		b := newBudget("a", func() uint64 { return 1 })
+		b.home = true
+		b.setShares(&config.Account{Name: "a", Rate: x, Burst: x}, hold(1, 0, 1), 0)
+		if got := b.admit(0, 0, at(time.Second)); got != stepAdmit {
+			t.Errorf("limit %g: got step %d, want %d", x, got, stepAdmit)
+		}
+	}
+}
