pkg/edge: VMs take turns to write lost registrations again

What the store saw: after a restore, each VM wrote the lost rows of all VMs that did not do so themselves (those that had left, or were dead) at a random moment from 1 to 3 s. With feeds that tell of a write up to 0.9 s later, that is nearly a write for each pair of row and VM, against 400 writes a second of the platform.

Evidence: TestRestoreOfManyVMsSpreadsWrites (45 VMs of one process, 15 left after the copy; the stand-in's feed is immediate): 99 writes for 15 rows, 2 of 2 runs.

Change: for each row the live VMs have an order by the hash of row and VM, and one more of them may write it each second. Before: red, 99 writes.

--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/platform"
 )
@@ -19,10 +23,14 @@
 	// restoredRowHold is how long the known state of a row stays in force that the restored store
 	// contradicts: the platform's time for lost rows to be written again.
 	restoredRowHold = 2 * time.Second
-	// rewriteDelay and rewriteSpread determine when a VM writes a lost registration of another VM
-	// again. Most VMs write their own row before.
-	rewriteDelay  = time.Second
-	rewriteSpread = 2 * time.Second
+	// rewriteDelay is how long the lost registration of a VM is left to that VM. Then the other VMs
+	// take turns of rewriteTurn to write it again, at most maxRewriteTurns. A turn is longer than
+	// the delay with which a feed tells the others of the write.
+	rewriteDelay    = time.Second
+	rewriteTurn     = time.Second
+	maxRewriteTurns = 10
+	// rewriteSpread is how far the VMs' writes of a turn are spread.
+	rewriteSpread = 300 * time.Millisecond
 	// eraSettleTime is how long after a restore VMs that start ask their peers for later changes
 	// than those in the store.
 	eraSettleTime = 15 * time.Second
@@ -203,29 +211,55 @@
 	}
 }
 
-// rewriteRegistrations writes the lost registrations of other VMs that nobody has written again.
+// rewriteRegistrations writes the lost registrations of other VMs that nobody has written again. For
+// each of them the live VMs have an order in which they try.
 func (d *Daemon) rewriteRegistrations(ctx context.Context, lost []Registration) {
 	started := time.Now()
-	select {
-	case <-time.After(rewriteDelay + rand.N(rewriteSpread)):
-	case <-ctx.Done():
-		return
-	}
-	written := 0
-	for _, v := range lost {
-		if v.ID == d.fleet.self.ID || !d.fleet.hasRow(v) {
-			continue
+	all, written := len(lost), 0
+	wait := rewriteDelay + rand.N(rewriteSpread)
+	for turn := 0; turn < maxRewriteTurns; turn++ {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
 		}
-		row := v.row()
-		expected := platform.Row{Table: fleetTable, Key: row.Key, Version: v.version}
-		if _, err := d.store.Transact(ctx, platform.Transaction{Expect: []platform.Row{expected}, Writes: []platform.Row{row}}); err != nil {
-			d.log.Info().Err(err).Str("vm", v.ID).Msg("did not write the lost registration of another VM again")
-			continue
+		wait = rewriteTurn
+		lost = slices.DeleteFunc(lost, func(v Registration) bool { return v.ID == d.fleet.self.ID || !d.fleet.hasRow(v) })
+		if len(lost) == 0 {
+			break
+		}
+		for _, v := range lost {
+			if d.rewriteRank(v.ID) <= turn && d.rewriteRegistration(ctx, v) {
+				written++
+			}
 		}
-		written++
 	}
 	d.rowsRewritten.Inc(int64(written))
-	d.log.Info().Int("lost", len(lost)).Int("written", written).Dur("after_ms", time.Since(started)).Msg("lost registrations are written again")
+	d.log.Info().Int("lost", all).Int("written", written).Int("not_written", len(lost)).Dur("after_ms", time.Since(started)).Msg("lost registrations are written again")
+}
+
+// rewriteRank returns this VM's rank among the live VMs that may write the row of a VM again.
+func (d *Daemon) rewriteRank(id string) int {
+	view := d.members.View()
+	var live []Registration
+	for i := range view.Peers {
+		if p := &view.Peers[i]; p.State == member.Live && p.ID != id {
+			live = append(live, Registration{ID: p.ID})
+		}
+	}
+	return d.fleet.rankFor(xxhash.Sum64String(id), live)
+}
+
+// rewriteRegistration writes the lost registration of another VM unless its row has changed. It reports
+// whether it did.
+func (d *Daemon) rewriteRegistration(ctx context.Context, v Registration) bool {
+	row := v.row()
+	expected := platform.Row{Table: fleetTable, Key: row.Key, Version: v.version}
+	if _, err := d.store.Transact(ctx, platform.Transaction{Expect: []platform.Row{expected}, Writes: []platform.Row{row}}); err != nil {
+		d.log.Info().Err(err).Str("vm", v.ID).Msg("did not write the lost registration of another VM again")
+		return false
+	}
+	return true
 }
 
 // settleEra records in the coordinator's row that the fleet knows nothing that the store of the era
