--- a/pkg/edge/restore_test.go
+++ b/pkg/edge/restore_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -189,3 +191,98 @@
 		t.Errorf("cases %+v", cases)
 	}
 }
+
+// trialMutant names a mechanism that trialRun leaves out.
+type trialMutant string
+
+const (
+	trialMutantNone    trialMutant = ""
+	trialMutantNoHold  trialMutant = "trials are granted right after a restore"
+	trialMutantNoWords trialMutant = "neither heartbeats nor rows tell of trials after a restore"
+)
+
+// trialRun lets VMs compete for trials in random order with copies and restores of the store. It returns
+// how many were granted. After each restore, heartbeats and rows reach all VMs within the hold.
+func trialRun(t *testing.T, seed uint64, m trialMutant) (granted int) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	vms := []*suspects{newTestSuspects(store, c), newTestSuspects(store, c), newTestSuspects(store, c)}
+	feed := func(vm *suspects) {
+		for _, change := range store.all() {
+			vm.apply(change, false)
+		}
+	}
+	exchange := func() {
+		for _, from := range vms {
+			for _, to := range vms {
+				for _, k := range from.list.Cases(0) {
+					if to != from {
+						to.reports.Merge(k, "peer")
+					}
+				}
+			}
+		}
+		for _, vm := range vms {
+			for _, k := range vm.missingRows() {
+				_ = vm.writeRow(t.Context(), k.Case, k.version) // another VM may have written it
+			}
+		}
+		for _, vm := range vms {
+			feed(vm)
+		}
+	}
+	vms[0].reportTwoDeaths()
+	vms[0].syncOnce(t)
+	exchange()
+	copies := []map[string]platform.Row{maps.Clone(store.rows)}
+	told := true // of what was known before the last restore
+	var holdEnds clock.Time
+	for range 80 {
+		vm := vms[r.IntN(len(vms))]
+		switch r.IntN(7) {
+		case 0, 1:
+			if vm.Try(t.Context(), poison) {
+				granted++
+			}
+		case 2:
+			copies = append(copies, maps.Clone(store.rows))
+		case 3:
+			store.restoreTo(copies[max(0, len(copies)-1-r.IntN(2))], vms...)
+			told, holdEnds = false, c.Now().Add(restoreTrialHold)
+			if m == trialMutantNoHold {
+				for _, vm := range vms {
+					vm.trialsFrom = 0
+				}
+			}
+		case 4:
+			feed(vm)
+		default:
+			d := time.Duration(r.IntN(9000)) * time.Millisecond
+			if !told && c.Now().Add(d) >= holdEnds && m != trialMutantNoWords {
+				exchange()
+				told = true
+			}
+			c.Advance(d)
+		}
+	}
+	return granted
+}
+
+// TestRestoresGrantNoMoreTrials checks random interleavings of trials, copies and restores, and that the
+// check fails without each mechanism.
+func TestRestoresGrantNoMoreTrials(t *testing.T) {
+	for seed := range uint64(modelSeeds) {
+		if n := trialRun(t, seed, trialMutantNone); n > maxTrials {
+			t.Fatalf("seed %d: %d trials were granted, at most %d may be", seed, n, maxTrials)
+		}
+	}
+	for _, m := range []trialMutant{trialMutantNoHold, trialMutantNoWords} {
+		found := false
+		for seed := uint64(0); seed < modelSeeds && !found; seed++ {
+			found = trialRun(t, seed, m) > maxTrials
+		}
+		if !found {
+			t.Errorf("%s: nothing is found", m)
+		}
+	}
+}
