callers are not told how long they may reuse a connection

A connection still stays open for the limit under which its last answer was sent, which is the one that its caller knows.

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -66,8 +66,8 @@
 	end          End
 }
 
-// KeepFor records that the caller was told that it may reuse the connection for d after the response.
-// The connection is not closed as idle before then, even if the configured limit decreases.
+// KeepFor records that the caller relies on an idle timeout of d after the response. The connection is not
+// closed as idle before then, even if the configured limit decreases.
 func (c *Conn) KeepFor(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -109,7 +109,7 @@
 }
 
 // expire makes the read that waits for the next request fail, if the connection has been idle for longer
-// than limit at now and than the caller was told, or if only the beginning of a request has come for
+// than limit at now and than the caller relies on, or if only the beginning of a request has come for
 // longer than headerTimeout. net/http then closes the connection. It is not closed here, because the
 // next request may have been read already. expire reports whether the connection expires now.
 func (c *Conn) expire(limit time.Duration, now time.Time) bool {
--- a/pkg/conntrack/tracker.go
+++ b/pkg/conntrack/tracker.go
@@ -129,7 +129,7 @@
 }
 
 // CloseExpired closes the connections that have been idle for longer than limit at now and than their
-// callers were told, except those on which a request has begun to arrive.
+// callers rely on, except those on which a request has begun to arrive.
 func (t *Tracker) CloseExpired(limit time.Duration, now time.Time) {
 	for _, c := range t.list() {
 		if c.expire(limit, now) {
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -332,7 +331,7 @@
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 		a.body = []byte(a.detail + "\n")
 	}
-	c.announceIdleTimeout(h)
+	c.keepConnection()
 	c.log(a)
 	if a.drop {
 		panic(http.ErrAbortHandler)
@@ -350,21 +349,11 @@
 	}
 }
 
-// reuseFraction is the part of the idle timeout in which callers may reuse a connection. The rest is
-// for the time that responses and requests are in transit.
-const reuseFraction = 0.8
-
-// announceIdleTimeout tells the caller for how long it may reuse its connection, and the connection to
-// stay open for longer than that.
-func (c *call) announceIdleTimeout(h http.Header) {
-	conn := c.connection()
-	if c.state == nil || conn == nil || h.Get("Connection") == "close" {
-		return
-	}
-	limit := c.state.CallerLimits.IdleTimeout
-	conn.KeepFor(limit)
-	if seconds := int(reuseFraction * limit.Seconds()); seconds >= 1 {
-		h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", seconds))
+// keepConnection keeps the caller's connection open for the idle limit under which this answer is sent:
+// the caller knows no later one.
+func (c *call) keepConnection() {
+	if conn := c.connection(); conn != nil && c.state != nil {
+		conn.KeepFor(c.state.CallerLimits.IdleTimeout)
 	}
 }
 
