pkg/target: a refused connection does not break off requests in flight

A target that refused one new connection counted as unreachable, and the requests and streams on its other connections were broken off although these worked. Found by the soak with VMs that are cut off (connections are refused, open ones live on): complete responses truncated, 502 while the target ran the request. The connections of a process that has exited end by themselves.

TestRefusedConnectionDoesNotInterruptOthers before: "status 502 for the request in flight".

--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -257,7 +257,13 @@
 	if errors.Is(f.Err, forward.ErrCallerBody) {
 		return t
 	}
-	if l.RecordFailure(unreachable) {
+	var suspect bool
+	if f.NotConnected && errors.Is(f, syscall.ECONNREFUSED) {
+		suspect = l.RecordRefusedConnection()
+	} else {
+		suspect = l.RecordFailure(unreachable)
+	}
+	if suspect {
 		c.s.cfg.Log.Warn().Str("request", c.info.ID).Str("target", l.ID).Str("address", l.Address).
 			Err(f.Err).Bool("unreachable", unreachable).Msg("target is now suspect")
 	}
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -321,3 +321,47 @@
 		t.Errorf("status %d for a caller that is connected", a.status)
 	}
 }
+
+// TestRefusedConnectionDoesNotInterruptOthers guards against requests in flight that are broken off on
+// connections that work, because the target refuses a new one.
+func TestRefusedConnectionDoesNotInterruptOthers(t *testing.T) {
+	w := newFixture(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		l.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		close(arrived)
+		<-release
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 0\r\n\r\n", hID, r.Header.Get(hID), hSeal)
+	}()
+	w.register("i-1", "fd-e", l.Addr().String())
+	first := make(chan int, 1)
+	go func() {
+		resp, _, err := w.send("GET", "/safe/slow", "")
+		if err != nil {
+			t.Error(err)
+			first <- 0
+			return
+		}
+		first <- resp.StatusCode
+	}()
+	<-arrived
+	w.expect(http.StatusServiceUnavailable, "GET", "/safe/x")
+	close(release)
+	if got := <-first; got != http.StatusOK {
+		t.Errorf("status %d for the request in flight", got)
+	}
+}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -172,6 +172,14 @@
 	return !l.suspect.Swap(true)
 }
 
+// RecordRefusedConnection records that the target refused a connection, which makes it suspect. Requests in
+// flight continue: their connections show whether the process has exited. It reports whether the target
+// became suspect because of it.
+func (l *Live) RecordRefusedConnection() bool {
+	l.consecutiveFailures.Add(1)
+	return !l.suspect.Swap(true)
+}
+
 // UnreachableContext returns a context that is cancelled when the target is found to be
 // unreachable, so that requests waiting for a response can give up.
 func (l *Live) UnreachableContext() context.Context {
