pkg/reach: targets that have exited are no reason to believe that another has

Whether this VM reaches other targets was asked of those that it did not know to have exited; with none of these left it counted as reaching some. A VM that was cut off then took each refused connection for an exit, broke off the requests on the target's other connections and told the others of its death.

--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -188,13 +187,19 @@
 	return f, missed
 }
 
-// sample returns a random target of each failure domain, of at most n failure domains unless n is 0.
+// sample returns a random target of each failure domain, of at most n failure domains unless n is 0. The
+// targets that are known to have exited are left out.
 func (r *Client) sample(n int) []*target.Live {
+	return r.sampleOf(n, func(l *target.Live) bool { return !l.Exited() && !l.Replaced() })
+}
+
+// sampleOf is like sample for the targets that eligible selects.
+func (r *Client) sampleOf(n int, eligible func(l *target.Live) bool) []*target.Live {
 	byDomain := map[string][]*target.Live{}
 	for _, regions := range r.cfg.Targets().Pools {
 		for _, list := range regions {
 			for _, l := range list {
-				if !l.Exited() && !l.Replaced() {
+				if eligible(l) {
 					byDomain[l.FailureDomain] = append(byDomain[l.FailureDomain], l)
 				}
 			}
@@ -255,11 +260,10 @@
 	}
 }
 
-// reachesAny reports whether this VM connects to any of a few targets at other addresses, or there is
-// none.
+// reachesAny reports whether this VM connects to any of a few targets at other addresses, or none is
+// listed.
 func (r *Client) reachesAny(ctx context.Context, except string) bool {
-	sample := slices.DeleteFunc(r.sample(narrowSample+1), func(l *target.Live) bool { return l.Address == except })
-	f, _ := summarize(r.dialEach(ctx, sample))
+	f, _ := summarize(r.dialEach(ctx, r.sampleOf(narrowSample, func(l *target.Live) bool { return l.Address != except })))
 	return f.reached > 0 || f.domains == 0
 }
 
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -337,6 +337,11 @@
 		{"the VM is cut off", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)) }}, false},
 		{"the VM is cut off and there is no peer", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)) }, noPeers}, false},
 		{"it has exited and the VM is cut off", []func(w *world){exit, func(w *world) { w.direct.Store(int32(refuse)) }}, true},
+		{"the VM is cut off, there is no peer and the other targets have exited", []func(w *world){noPeers, func(w *world) {
+			w.direct.Store(int32(refuse))
+			w.target("i-1").SetExited()
+			w.target("i-2").SetExited()
+		}}, false},
 		{"the VM is known to be cut off", []func(w *world){func(w *world) { w.direct.Store(int32(refuse)); w.client.cutOff.Store(true) }}, false},
 		{"it has exited and the VM is known to be cut off", []func(w *world){exit, func(w *world) { w.direct.Store(int32(refuse)); w.client.cutOff.Store(true) }}, true},
 	}
