pkg/forward: a reset that the write of the body noticed is no end of a response

Callers got a truncated response as a complete one: a response without a length that the target had cut off by resetting the connection while the request's body was still being sent. The kernel reports a reset once. If the write of the body took the error, the read of the response saw EOF. TLS connections, thus tunnels, had the same fault: crypto/tls takes an end between two records without close_notify for io.EOF.

Excluded: "the body had not been sent" or "sending it failed" as the sign, because both also hold if a target answers early, ends its response in order and resets what arrives later.

The write's error tells them apart: ECONNRESET if the connection was open, EPIPE if the target's end came first. So the end of a response without a length is an error if a write had failed otherwise than with EPIPE. The connection is closed before the error is looked at, and the lock waits for a write that has the error and has not recorded it yet. Such a connection was never reused, and Response.Close closed it next. Other responses are not affected: chunked and Content-Length ones cut off in the same way were errors before.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,6 +23,9 @@
 	writer *bufio.Writer
 	// written counts the bytes that the kernel accepted in the current exchange.
 	written atomic.Int64
+	// writing is held during a write. writeErr is the error of the first one that failed.
+	writing  sync.Mutex
+	writeErr error
 	// readBudget is the number of bytes that may still be read. It bounds the
 	// response header, because http.ReadResponse has no limit of its own.
 	readBudget atomic.Int64
@@ -43,7 +47,12 @@
 
 // Write writes p to the connection and counts the bytes written.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	c.written.Add(int64(n))
 	if _, ok := c.Conn.(*tls.Conn); ok && err != nil && n == 0 {
 		// A TLS record may have been sent although its write failed.
@@ -52,6 +61,21 @@
 	return n, err
 }
 
+// failureBeforeEOF closes a connection on which a read returned io.EOF. If the connection had failed and the
+// target had not ended it, it returns the error. The kernel reports a failure once: if a concurrent write got
+// the error, reads see a clean end, also with TLS. That write gets EPIPE if the target's end came before the
+// failure.
+func (c *conn) failureBeforeEOF() error {
+	c.Close() // a write may block, and hold the lock, until then
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	var errno syscall.Errno
+	if !errors.As(c.writeErr, &errno) || errno == syscall.EPIPE {
+		return nil
+	}
+	return c.writeErr
+}
+
 // readLimiter reads from a connection up to its budget.
 type readLimiter struct{ c *conn }
 
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -203,13 +203,17 @@
 			return ErrRequestIDMismatch
 		}
 	}
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if closeDelimited && !x.client.config.AllowCloseDelimited {
+	if closeDelimited(resp) && !x.client.config.AllowCloseDelimited {
 		return ErrNoLength
 	}
 	return nil
 }
 
+// closeDelimited reports whether only the end of the connection ends the response's body.
+func closeDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // fail closes the connection and describes the failure.
 func (x *exchange) fail(ctx context.Context, gotResponse bool, err error) *Error {
 	x.detachContext()
@@ -249,6 +253,11 @@
 // returns an error other than io.EOF.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if err == io.EOF && closeDelimited(r.Response) {
+		if failure := r.exchange.conn.failureBeforeEOF(); failure != nil {
+			err = failure
+		}
+	}
 	if err == io.EOF {
 		r.eof = true
 	}
