--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -13,7 +13,7 @@
 
 const (
 	// minCheckInterval is the least time between two checks whether this VM is cut off.
-	minCheckInterval = 500 * time.Millisecond
+	minCheckInterval = time.Second
 	// narrowSample is how many targets are dialed first while others respond, and silence how long no
 	// target must have responded for a check to skip that.
 	narrowSample = 2
