--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -270,8 +270,8 @@
 // carriesTunnels reports whether this VM carries connections to targets for other VMs.
 func (d *Daemon) carriesTunnels() bool { return d.ready() && !d.reach.CutOff() }
 
-// tunnelAddress returns the address of a target for another VM. It is false for targets that this VM
-// would not send new requests to.
+// tunnelAddress returns the address of a target for another VM. It is false for targets that drain, are
+// leaving or are evacuated. Suspect ones are allowed, because the other VM checks their health.
 func (d *Daemon) tunnelAddress(t tunnel.Target) (string, bool) {
 	l := d.targets.Find(t.ID, t.StartedAt)
 	if l == nil || l.Leaving() || !slices.Contains(d.targets.Snapshot().Pools[l.Pool][l.Region], l) {
@@ -329,7 +329,7 @@
 	d.loop.Go(background, d.suspects.syncRows)
 	d.loop.Go(background, d.closeIdle)
 	d.loop.Go(background, d.reach.Watch)
-	d.loop.Go(background, func(ctx context.Context) { every(ctx, balancePeriod, d.reach.CloseSilent) })
+	d.loop.Go(background, func(ctx context.Context) { every(ctx, balancePeriod, d.reach.CloseUnusable) })
 	d.loop.Go(background, func(ctx context.Context) { every(ctx, targetSweepPeriod, d.client.Sweep) })
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -10,12 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/lease"
 	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/retry"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/storage"
@@ -313,10 +312,9 @@
 // rankFor returns this VM's rank for the target with the given hash, by rendezvous hashing.
 // The VMs with the lowest ranks use the target while it is cold.
 func (r *registry) rankFor(hash uint64, vms []Registration) int {
-	score := func(id string) uint64 { return (xxhash.Sum64String(id) ^ hash) * 0x9e3779b97f4a7c15 }
-	own, rank := score(r.self.ID), 0
+	own, rank := placement.Score(r.self.ID, hash), 0
 	for _, v := range vms {
-		if v.ID != r.self.ID && score(v.ID) > own {
+		if v.ID != r.self.ID && placement.Score(v.ID, hash) > own {
 			rank++
 		}
 	}
@@ -369,7 +367,9 @@
 		consider(&v.Peers[i])
 	}
 	out := near.addresses()
-	if len(near.connected) == 0 && (len(out) == 0 || len(far.connected) >= len(near.cutOff)+len(far.cutOff)) {
+	// VMs elsewhere serve at fewer hops than near ones that all need peers, if they are enough.
+	farAreEnough := len(far.connected) >= len(near.cutOff)+len(far.cutOff)
+	if len(out) == 0 || (len(near.connected) == 0 && farAreEnough) {
 		out = far.addresses()
 	}
 	if len(out) == 0 {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -194,3 +194,11 @@
 	longest := time.Duration(maxWaitFraction * float64(objective))
 	return slices.IndexFunc(candidates, func(c Occupancy) bool { return c.Usable && c.mayQueue(longest) })
 }
+
+// scoreMultiplier spreads the difference of two hashes over all bits: 2^64 divided by the golden ratio.
+const scoreMultiplier = 0x9e3779b97f4a7c15
+
+// Score returns the weight of a VM for an object in rendezvous hashing, from the hash of the object.
+func Score(vm string, object uint64) uint64 {
+	return (xxhash.Sum64String(vm) ^ object) * scoreMultiplier
+}
--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -14,13 +14,13 @@
 const (
 	// minCheckInterval is the least time between two checks whether this VM is cut off.
 	minCheckInterval = time.Second
-	// narrowSample is how many targets are dialed first while others respond, and silence how long no
-	// target must have responded for a check to skip that.
+	// narrowSample is how many targets are dialed first while others respond.
 	narrowSample = 2
-	silence      = 300 * time.Millisecond
-	// minWaiting is how many requests must wait for a response, and silenceFactor how many times the
-	// usual interval between two responses must have passed, for silence to start a check.
-	minWaiting    = 3
+	// silence is how long no target must have responded to count as silent.
+	silence = 300 * time.Millisecond
+	// minWaiting is how many requests must wait for a response for silence to start a check.
+	minWaiting = 3
+	// silenceFactor is how many times the usual interval between two responses must have passed as well.
 	silenceFactor = 8
 	// returnPeriod is the mean time between two checks whether a VM that is cut off reaches targets
 	// again.
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/placement"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/pkg/tunnel"
 )
@@ -51,7 +52,7 @@
 		if !p.CarriesTunnels || p.State != member.Live || p.MissedHeartbeats > 0 || now.Before(r.avoided[p.ID]) || (allowsRegion != nil && !allowsRegion(p.Region)) {
 			continue
 		}
-		candidates = append(candidates, candidate{p, r.distance(p, l), (xxhash.Sum64String(p.ID) ^ seed) * 0x9e3779b97f4a7c15})
+		candidates = append(candidates, candidate{p, r.distance(p, l), placement.Score(p.ID, seed)})
 	}
 	r.mu.Unlock()
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -119,9 +120,9 @@
 	return result
 }
 
-// CloseSilent closes the tunnels through peers that stopped answering heartbeats, and the idle ones
+// CloseUnusable closes the tunnels through peers that stopped answering heartbeats, and the idle ones
 // through peers that carry no more connections.
-func (r *Client) CloseSilent() {
+func (r *Client) CloseUnusable() {
 	if r.cfg.Peers == nil {
 		return
 	}
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -152,36 +152,43 @@
 	if r.usesPeers(l) {
 		return r.doWhileCutOff(ctx, direct, req, l, o)
 	}
+	resp, failure, tryPeers := r.doDirectly(direct, req, o.Exchange)
+	if !tryPeers {
+		return resp, "", failure
+	}
+	throughPeer, via, peerFailure := r.doThroughPeer(ctx, req, l, o)
+	if peerFailure != nil && errors.Is(peerFailure, ErrNoPath) {
+		return nil, "", failure
+	}
+	if peerFailure == nil || !peerFailure.NotConnected {
+		r.recordBypass(l)
+	}
+	return throughPeer, via, peerFailure
+}
+
+// doDirectly sends a request to a target directly. tryPeers is set if a peer may be able to connect to the
+// target.
+func (r *Client) doDirectly(ctx context.Context, req *http.Request, o forward.Options) (resp *forward.Response, failure *forward.Error, tryPeers bool) {
 	started := time.Now()
 	r.waiting.Add(1)
-	resp, failure = r.cfg.Client.Do(direct, req, o.Exchange)
+	resp, failure = r.cfg.Client.Do(ctx, req, o)
 	r.waiting.Add(-1)
 	switch {
 	case failure == nil:
 		r.recordResponse(time.Now())
-		return resp, "", nil
+		return resp, nil, false
 	case failure.ContextEnded || r.cfg.Peers == nil:
-		return nil, "", failure
+		return nil, failure, false
 	case !failure.NotConnected:
 		if errors.Is(failure, syscall.ETIMEDOUT) {
 			r.requestCheck()
 		}
-		return nil, "", failure
+		return nil, failure, false
 	case failure.DialTimedOut && r.respondedSince(started):
-		return nil, "", failure // other targets respond, so it is this one that does not
+		return nil, failure, false // other targets respond, so it is this one that does not
 	}
 	r.requestCheck()
-	if !failure.DialTimedOut { // most likely the target has exited
-		return nil, "", failure
-	}
-	throughPeer, via, peerFailure := r.doThroughPeer(ctx, req, l, o)
-	if peerFailure != nil && errors.Is(peerFailure, ErrNoPath) {
-		return nil, "", failure
-	}
-	if peerFailure == nil || !peerFailure.NotConnected {
-		r.recordBypass(l)
-	}
-	return throughPeer, via, peerFailure
+	return nil, failure, failure.DialTimedOut // if it is refused, most likely the target has exited
 }
 
 // doWhileCutOff sends a request to a target through a peer or, if there is none, directly, because the
