pkg/ingress: the request's line names the carrier of each attempt

It named that of the last attempt only, so that a connection that broke because its carrier was killed looked like the fault of the target if a later attempt was sent directly.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -66,7 +66,7 @@
 
 	tried      []*target.Live // targets of all attempts, in order
 	sentAt     time.Time      // start of the last attempt
-	via        string         // peer through which the last attempt went; empty if it was sent directly
+	via        []string       // peer through which each attempt went; empty if it was sent directly
 	retries    retries
 	mayHaveRun bool
 	// priorDeaths is the number of targets known to have died while they ran this request, and
@@ -473,8 +473,8 @@
 	}
 	last := c.tried[len(c.tried)-1]
 	e.Strs("targets", ids).Str("region", last.Region).Int("load", c.load).Object("choice", c.choice).Stringer("list", c.targetsVersion).Bool("may_have_run", c.mayHaveRun)
-	if c.via != "" {
-		e.Str("via", c.via)
+	if slices.ContainsFunc(c.via, func(peer string) bool { return peer != "" }) {
+		e.Strs("via", c.via)
 	}
 }
 
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -202,7 +202,7 @@
 		Exchange:     forward.Options{AtMostOnce: !c.idempotent(), AbortBody: c.abortBodyRead, GotConn: gotConn},
 		AllowsRegion: c.allowsRegion,
 	})
-	c.via = via
+	c.via = append(c.via, via)
 	span.SetAttributes(attribute.String("target.id", l.ID), attribute.String("via", via))
 	if failure != nil {
 		stop()
@@ -245,7 +245,7 @@
 // unreachable or only failed this request.
 func (c *call) handleFailure(l *target.Live, f *forward.Error) *attempt {
 	t := &attempt{notRun: !f.Wrote, mayHaveArrived: f.Wrote, err: fmt.Errorf("target %s: %w", l.ID, f)}
-	if f.ContextEnded || errors.Is(f, reach.ErrNoPath) || (c.via == "" && c.s.cfg.Client.CutOff()) {
+	if f.ContextEnded || errors.Is(f, reach.ErrNoPath) || (c.via[len(c.via)-1] == "" && c.s.cfg.Client.CutOff()) {
 		return t // says nothing about the target
 	}
 	if f.ConnectionClosed && c.s.hasExited(l) {
