--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -60,7 +60,7 @@
 	// readingSince is when the first bytes of the request that is being read arrived.
 	readingSince time.Time
 	idleFor      time.Duration // before the current request
-	keepFor      time.Duration // the idle timeout that the caller was told
+	keepFor      time.Duration // the idle timeout on which the caller relies
 	expired      bool          // the read deadline was set because of the idle timeout
 	requests     int
 	end          End
