platform: changes are in force 3 s after the connections to the store went silent

Cause: TCP_USER_TIMEOUT of connections to the store was 3 s. A long poll that is written into the silence, in the pause after the previous one, is given up 3.4 s after it was sent. http.Transport then repeats it by itself on an idle connection, which has gone silent as well: on Linux a change was applied 4.12 to 4.23 s after the silence began. pkg/idleconn closed idle silent connections only after a call with a deadline that passed.

--- a/pkg/idleconn/transport.go
+++ b/pkg/idleconn/transport.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -48,6 +49,10 @@
 	if n > 0 {
 		c.heard.Store(int64(time.Since(epoch)))
 	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		// http.Transport may repeat the call on another connection by itself.
+		c.transport.closeSilent(c.address, time.Since(epoch)-minSilence)
+	}
 	return n, err
 }
 
