edge: a stopping VM still carries connections for VMs without another path

Cause: a VM stopped to carry connections at SIGTERM, although it serves its own callers for up to 2.9 s more and exits 3 to 5 s later. Where stops follow each other faster than they last, all VMs with links are stopping at once, and the others have no path.

A VM carries new connections for three quarters of its grace period now, and its heartbeats tell for how long yet (carries_for_us). Peers use it only if no running VM carries, and of several the one that carries for longest, because a transfer that outlasts its carrier is broken off.

Older builds ignore the new field and do not use VMs that are leaving; their heartbeats have no such field, and then a VM that is leaving is not used.

Excluded: the search for another path. A peer was never asked, because none with carries_tunnels was listed.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -132,8 +132,10 @@
 	// shutdownTracer sends the buffered spans to the collector.
 	shutdownTracer func(context.Context) error
 
-	roster         *roster // used by the fleet table's watcher only
-	leaving        atomic.Bool
+	roster  *roster // used by the fleet table's watcher only
+	leaving atomic.Bool
+	// carriesUntil is when this VM stops carrying new connections for other VMs; nil until it stops.
+	carriesUntil   atomic.Pointer[time.Time]
 	servers        []*http.Server
 	callers        *http.Server
 	listenerErrors chan error
@@ -258,6 +260,9 @@
 		p.ListVersion = *v
 	}
 	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
+	if until := d.carriesUntil.Load(); until != nil && p.CarriesTunnels {
+		p.CarriesUntil = *until
+	}
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
 	if l := d.reportedLimits.Load(); l != nil {
 		p.Limits = *l
@@ -267,8 +272,12 @@
 	}
 }
 
-// carriesTunnels reports whether this VM carries connections to targets for other VMs.
-func (d *Daemon) carriesTunnels() bool { return d.ready() && !d.reach.CutOff() }
+// carriesTunnels reports whether this VM carries new connections to targets for other VMs. It does so for a
+// time after it was told to stop, because it may be the only one that reaches the targets.
+func (d *Daemon) carriesTunnels() bool {
+	until := d.carriesUntil.Load()
+	return d.state.Load() != nil && !d.reach.CutOff() && (until == nil || time.Now().Before(*until))
+}
 
 // tunnelAddress returns the address of a target for another VM. It is false for targets that drain, are
 // leaving or are evacuated. Suspect ones are allowed, because the other VM checks their health.
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -14,6 +14,9 @@
 	// abort of a request that was sent later than 3 s after SIGTERM, so the VM refuses new
 	// requests before then.
 	stopNotice = 2900 * time.Millisecond
+	// carryFor is the fraction of the grace period for which a stopping VM carries new connections for
+	// VMs that have no other path. The requests on them have the time to abandonAfter to finish.
+	carryFor = 0.75
 	// abandonAfter is the fraction of the grace period after which requests that still run
 	// are aborted with a final response. The platform excuses requests that are aborted in
 	// the last sixth of it.
@@ -45,6 +48,8 @@
 	started := time.Now()
 	grace := d.settings.Load().Bounds.Grace.Duration
 	after := func(fraction float64) time.Time { return started.Add(time.Duration(fraction * float64(grace))) }
+	carriesUntil := after(carryFor)
+	d.carriesUntil.Store(&carriesUntil)
 	d.leaving.Store(true)
 	for _, l := range d.limiters() {
 		l.StopLending()
@@ -112,12 +117,12 @@
 	}
 }
 
-// awaitDelivery waits until every request that has begun to arrive is answered and the idle connections
-// are closed.
+// awaitDelivery waits until every request that has begun to arrive is answered, the idle connections are
+// closed and the tunnels of other VMs have ended.
 func (d *Daemon) awaitDelivery(ctx context.Context) {
 	ticker := time.NewTicker(deliveryPoll)
 	defer ticker.Stop()
-	for d.conns.Drain() > 0 {
+	for d.conns.Drain() > 0 || d.tunnels.Open() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -59,6 +59,8 @@
 	CutOff bool
 	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
 	CarriesTunnels bool
+	// CarriesUntil is when a Leaving peer stops carrying new connections. It is zero for all others.
+	CarriesUntil time.Time
 	// FreePermits is its count of free permits at the last heartbeat.
 	FreePermits int
 	// SlotsHeld is its number of slots at the last heartbeat.
@@ -76,6 +78,11 @@
 	MissedHeartbeats int
 }
 
+// Carries reports whether the peer carries new connections to targets for other VMs at now.
+func (p *Peer) Carries(now time.Time) bool {
+	return p.CarriesTunnels && (p.State == Live || p.State == Leaving && now.Before(p.CarriesUntil))
+}
+
 // PoolLoad is a VM's load in a pool of targets in its own region.
 type PoolLoad struct {
 	Pool string
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -231,6 +231,9 @@
 
 		CutOff: p.CutOff, CarriesTunnels: p.CarriesTunnels,
 	}
+	if !p.CarriesUntil.IsZero() {
+		info.CarriesForUs = max(0, time.Until(p.CarriesUntil).Microseconds())
+	}
 	for _, l := range p.Pools {
 		info.Pools = append(info.Pools, &peerpb.PoolLoad{
 			Pool: l.Pool, Permits: int32(l.Permits), Running: int32(l.Running), Queued: int32(l.Queued), Demand: l.Demand, BoundTo: l.BoundTo, LargeResponses: l.LargeResponses,
@@ -267,6 +270,9 @@
 	if i.GetLeaving() {
 		p.State = Leaving
 	}
+	if i.GetCarriesForUs() > 0 {
+		p.CarriesUntil = sent.Add(time.Duration(i.GetCarriesForUs()) * time.Microsecond)
+	}
 	for _, l := range i.GetPools() {
 		p.Pools = append(p.Pools, PoolLoad{
 			Pool: l.GetPool(), Permits: int(l.GetPermits()), Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Demand: l.GetDemand(), BoundTo: l.GetBoundTo(), LargeResponses: l.GetLargeResponses(),
--- a/pkg/member/prober_test.go
+++ b/pkg/member/prober_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+// TestHeartbeatsTellWhoCarries guards against VMs that use no stopping peer although it still carries
+// connections, or one that stops carrying them.
+func TestHeartbeatsTellWhoCarries(t *testing.T) {
+	const left = 2 * time.Second
+	now := time.Now()
+	for _, tt := range []struct {
+		name           string
+		peer           Peer
+		carries, later bool // now, and once left is over
+	}{
+		{"it runs", Peer{CarriesTunnels: true}, true, true},
+		{"it is cut off or of an old version", Peer{}, false, false},
+		{"it stops", Peer{State: Leaving, CarriesTunnels: true, CarriesUntil: now.Add(left)}, true, false},
+		{"it has stopped carrying", Peer{State: Leaving, CarriesUntil: now.Add(-left)}, false, false},
+		{"it carries although it stops, and does not say for how long", Peer{State: Leaving, CarriesTunnels: true}, false, false},
+	} {
+		got := fromProto(toProto(tt.peer), now, time.Now())
+		if c := got.Carries(now); c != tt.carries {
+			t.Errorf("%s: carries %v", tt.name, c)
+		}
+		if c := got.Carries(now.Add(left)); c != tt.later {
+			t.Errorf("%s: carries %v after %v", tt.name, c, left)
+		}
+	}
+}
+
 // TestHeartbeatsCarrySuspects guards against VMs that send a request that crashes targets, because
 // they started after the targets' deaths were reported, or because no report reached them.
 func TestHeartbeatsCarrySuspects(t *testing.T) {
--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -35,7 +35,8 @@
 
 // rankPeers returns the peers that carry tunnels in the allowed regions. Those near the target come first,
 // so that the path is not longer than the direct one. Among peers that are equally near, each VM and
-// target has its own order, which spreads the connections of a VM over the peers.
+// target has its own order, which spreads the connections of a VM over the peers. Peers that are stopping
+// come last, those that carry for longest first, because they break off what lasts longer.
 func (r *Client) rankPeers(l *target.Live, allowsRegion func(region string) bool) []*member.Peer {
 	type candidate struct {
 		peer     *member.Peer
@@ -49,14 +50,15 @@
 	r.mu.Lock()
 	for i := range peers {
 		p := &peers[i]
-		if !p.CarriesTunnels || p.State != member.Live || p.MissedHeartbeats > 0 || now.Before(r.avoided[p.ID]) || (allowsRegion != nil && !allowsRegion(p.Region)) {
+		if !p.Carries(now) || p.MissedHeartbeats > 0 || now.Before(r.avoided[p.ID]) || (allowsRegion != nil && !allowsRegion(p.Region)) {
 			continue
 		}
 		candidates = append(candidates, candidate{p, r.distance(p, l), placement.Score(p.ID, seed)})
 	}
 	r.mu.Unlock()
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), strings.Compare(a.peer.ID, b.peer.ID))
+		return cmp.Or(cmp.Compare(a.peer.State, b.peer.State), b.peer.CarriesUntil.Compare(a.peer.CarriesUntil),
+			cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), strings.Compare(a.peer.ID, b.peer.ID))
 	})
 	out := make([]*member.Peer, len(candidates))
 	for i, c := range candidates {
@@ -121,17 +123,20 @@
 }
 
 // CloseUnusable closes the tunnels through peers that stopped answering heartbeats, and the idle ones
-// through peers that carry no more connections.
+// through peers that carry no more connections. A peer that is stopping waits for its tunnels, so idle
+// ones are kept only while this VM has no other path.
 func (r *Client) CloseUnusable() {
 	if r.cfg.Peers == nil {
 		return
 	}
+	now, peers := time.Now(), r.cfg.Peers()
+	needsLeaving := r.CutOff() && !slices.ContainsFunc(peers, func(p member.Peer) bool { return p.State == member.Live && p.Carries(now) })
 	idle := map[string]bool{}
-	for _, p := range r.cfg.Peers() {
+	for _, p := range peers {
 		if p.State == member.Silent || p.State == member.Gone {
 			r.cfg.Tunnels.CloseVia(p.PeerAddress)
 		}
-		if p.State != member.Live || !p.CarriesTunnels {
+		if !p.Carries(now) || p.State == member.Leaving && !needsLeaving {
 			idle[p.ID] = true
 		}
 	}
