--- /dev/null
+++ b/pkg/edge/testdata/forms/4a31882/exchange_request.pb
@@ -0,0 +1,3 @@
+
+$cf840556-14a4-4fbd-8316-c544bd7cf3d6“дрћВёчґґ
+i-0@1 Iх”ш2†х @
--- /dev/null
+++ b/pkg/edge/testdata/forms/4a31882/holds_request.pb
@@ -0,0 +1,2 @@
+
+vm-0$65271f06-4e3c-4662-a80b-5f6ccc70857e
--- /dev/null
+++ b/pkg/edge/testdata/forms/abffda1/exchange_request.pb
@@ -0,0 +1,3 @@
+
+$cbc07231-e507-4dce-a1c7-bcf0ea11ea0f­®…×éœ¯ 
+i-0@1 I©ô'‘ış @
--- /dev/null
+++ b/pkg/edge/testdata/forms/abffda1/holds_request.pb
@@ -0,0 +1,2 @@
+
+vm-0$5a69b31a-f127-44c9-91db-c96f3299cc53
--- /dev/null
+++ b/pkg/edge/testdata/forms/abffda1/report_deaths_request.pb
@@ -0,0 +1,4 @@
+
+X
+ ¿ÊdøÓËIXÏ¯HÊttß±™ñeùå<"FúYš>ÓÀ¸ $½·ÉP&&œ6‚|1¸Ÿ]cq<ÕGJxşıw‚²Œ\"
+i-6@1i-6
