each process logs its build at start

Beside a mixed fleet the log of a VM did not tell which commit it ran. The started line has it from the build information, without linker flags; it is unknown where the program was built with -buildvcs=false or outside a repository.

--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/telemetry"
 )
 
 // Run serves until ctx ends or a listener fails, then shuts down gracefully. It
@@ -23,7 +25,7 @@
 	d.log.Info().Str("incarnation", d.self.Incarnation).
 		Stringer("callers", d.listeners.callers.Addr()).
 		Stringer("operators", d.listeners.operators.Addr()).
-		Stringer("peers", d.listeners.peers.Addr()).Msg("started")
+		Stringer("peers", d.listeners.peers.Addr()).Str("build", telemetry.Build()).Msg("started")
 
 	var err error
 	select {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -334,7 +334,7 @@
 	d.loop.Go(background, func(ctx context.Context) { d.watchSettings(ctx, reload) })
 	s := d.settings.Load()
 	d.log.Info().Str("incarnation", d.self.Incarnation).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).
-		Str("store", s.Store.Address).Bool("first_start", s.FirstStart).Msg("started")
+		Str("store", s.Store.Address).Bool("first_start", s.FirstStart).Str("build", telemetry.Build()).Msg("started")
 	var err error
 	select {
 	case <-ctx.Done():
