ingress: a caller's timeout is no failure of the target

A target went out of use although it was well: three requests whose callers' time ended while the first megabyte of their responses arrived made it suspect.

Cause: readResponse recorded every response that could not be read whole as a failure of the target, also if the request had been cancelled: its deadline was over, its caller had left, or this VM stopped. An attempt that gets no response at all by then is not counted either.

Each response header resets the count, so requests one after the other never reached three; requests side by side did.

The tests' request IDs are drawn atomically now, because these requests are sent side by side.

--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -307,7 +307,10 @@
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
-var ids int
+// lastID is the number in the last request ID.
+var lastID atomic.Int64
+
+func newID() string { return fmt.Sprint("id-", lastID.Add(1)) }
 
 // send makes a request and returns the answer and its body. err is set if no complete answer
 // arrived.
@@ -317,9 +320,8 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	ids++
 	r.Host = "host.example"
-	r.Header.Set(hID, fmt.Sprint("id-", ids))
+	r.Header.Set(hID, newID())
 	r.Header.Set(hKey, testKey)
 	r.Header.Set(hTimeout, "5000")
 	for _, f := range change {
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -393,7 +393,9 @@
 	l.EndRequest()
 	resp.Close()
 	if err != nil {
-		l.RecordFailure(false)
+		if context.Cause(ctx) == nil { // otherwise the request was cancelled while the response arrived
+			l.RecordFailure(false)
+		}
 		return &attempt{mayHaveArrived: true, err: fmt.Errorf("target %s: incomplete response: %w", l.ID, err)}
 	}
 	c.s.demand.recordDuration(c.demandKey(), l.RecordServiceTime(time.Since(c.sentAt), c.load))
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -464,8 +464,7 @@
 	defer c.Close()
 	in := bufio.NewReader(c)
 	get := func() *http.Response {
-		ids++
-		fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n%s: id-%d\r\n%s: %s\r\n\r\n", hID, ids, hKey, testKey)
+		fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n%s: %s\r\n%s: %s\r\n\r\n", hID, newID(), hKey, testKey)
 		resp, err := http.ReadResponse(in, nil)
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/ingress/stall_test.go
+++ b/pkg/ingress/stall_test.go
@@ -42,9 +42,8 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
-			ids++
 			start := time.Now()
-			fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n%s: id-%d\r\n%s: %s\r\n%s: %d\r\n\r\n", hID, ids, hKey, testKey, hTimeout, timeout.Milliseconds())
+			fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", hID, newID(), hKey, testKey, hTimeout, timeout.Milliseconds())
 			if _, err := io.ReadFull(c, make([]byte, 64)); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/ingress/stop_test.go
+++ b/pkg/ingress/stop_test.go
@@ -22,9 +22,8 @@
 	if err := c.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
 		w.t.Fatal(err)
 	}
-	ids++
-	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: host.example\r\n%s: id-%d\r\n%s: %s\r\n%s: 5000\r\nContent-Length: %d\r\n\r\n%s",
-		path, hID, ids, hKey, testKey, hTimeout, length, strings.Repeat("x", sent))
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: host.example\r\n%s: %s\r\n%s: %s\r\n%s: 5000\r\nContent-Length: %d\r\n\r\n%s",
+		path, hID, newID(), hKey, testKey, hTimeout, length, strings.Repeat("x", sent))
 	return bufio.NewReader(c)
 }
 
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -147,13 +148,12 @@
 // complete.
 func (w *fixture) fetch(timeout time.Duration) (n int64, whole bool) {
 	w.t.Helper()
-	ids++
 	r, err := http.NewRequest(http.MethodGet, w.front.URL+"/safe/x", nil)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	r.Host = "host.example"
-	for name, value := range map[string]string{hID: fmt.Sprint("id-", ids), hKey: testKey, hTimeout: fmt.Sprint(timeout.Milliseconds())} {
+	for name, value := range map[string]string{hID: newID(), hKey: testKey, hTimeout: fmt.Sprint(timeout.Milliseconds())} {
 		r.Header.Set(name, value)
 	}
 	resp, err := http.DefaultClient.Do(r)
@@ -248,6 +248,34 @@
 	}
 }
 
+// TestTimeoutInFirstMegabyteDoesNotMakeTargetSuspect guards against targets that go out of use because
+// callers' timeouts end while a response that is to be buffered still arrives.
+func TestTimeoutInFirstMegabyteDoesNotMakeTargetSuspect(t *testing.T) {
+	w := newFixture(t)
+	w.add("i-1", "fd-e", func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(hSeal, "s")
+		for r.Context().Err() == nil {
+			if _, err := rw.Write([]byte("x")); err != nil {
+				return
+			}
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	var requests sync.WaitGroup
+	for range 6 {
+		requests.Go(func() {
+			if resp, _, err := w.send("GET", "/safe/x", "", func(r *http.Request) { r.Header.Set(hTimeout, "300") }); err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+				t.Errorf("%v, %v; want a timeout", resp, err)
+			}
+		})
+	}
+	requests.Wait()
+	if w.targets.Snapshot().Pools[testPool]["east"][0].Suspect() {
+		t.Error("the target became suspect")
+	}
+}
+
 // TestTruncatedAnswerOverHTTP10 guards against a truncated answer that an HTTP/1.0 caller takes for
 // complete, because there the close of the connection marks the end of an answer.
 func TestTruncatedAnswerOverHTTP10(t *testing.T) {
