edge: an evacuation written after a restore is in force at once

After a restore of the store each VM held every evacuation of the first read back for 2 s that it did not know, because the copy may list one that had ended. A VM that learned of the restore late (its path to the store was away longer, or its long polls hung) read evacuations there that operators had written since, and went on sending to the evacuated targets for 2 s more (EVAC).

A row of the copy bears the number that it had; the VM remembers the number of the row that last evacuated each domain, and holds back an evacuation only if the restored row bears it. An evacuation that it never saw is in force at once: at worst a domain that had been evacuated and returned while the VM was cut off is left out for up to the time of the rewrite. What remains: a number that the restored store happens to give out again to the same domain's row.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -126,12 +126,12 @@
 // or is no longer evacuated now.
 func (d *Daemon) applyEvacuation(domain string, c platform.Change, restored bool, now time.Time) bool {
 	on := !c.Removed
-	if restored && d.evacuations.hold(domain, on, now) {
+	if restored && d.evacuations.hold(domain, on, c.Version.Number, now) {
 		d.log.Warn().Str("failure_domain", domain).Bool("evacuated", !on).Stringer("row", c.Version).Dur("for_ms", restoredRowHold).
 			Msg("the restored store has another state of an evacuation; keeping the known one for now")
 		return false
 	}
-	d.evacuations.set(domain, on)
+	d.evacuations.set(domain, on, c.Version.Number)
 	d.targets.Evacuate(domain, on, now)
 	d.log.Info().Str("failure_domain", domain).Bool("evacuated", on).Stringer("row", c.Version).Msg("evacuation of a failure domain changed")
 	return true
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -158,8 +158,8 @@
 // does not list them, they are in use again after restoredRowHold.
 func (d *Daemon) applyRecalledEvacuations(domains []string, now time.Time) {
 	for _, domain := range domains {
-		d.evacuations.set(domain, true)
-		d.evacuations.hold(domain, false, now)
+		d.evacuations.set(domain, true, 0)
+		d.evacuations.hold(domain, false, 0, now)
 		d.targets.Evacuate(domain, true, now)
 		time.AfterFunc(restoredRowHold, d.applyHeldEvacuations)
 	}
--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -45,7 +45,10 @@
 	known atomic.Bool
 	mu    sync.Mutex
 	on    map[string]bool
-	held  map[string]heldEvacuation
+	// rows holds the number of the row that last evacuated each domain. A restored row with another
+	// number was written since.
+	rows map[string]int64
+	held map[string]heldEvacuation
 }
 
 // heldEvacuation is a failure domain's state in the store that is put in force at until.
@@ -55,23 +58,26 @@
 }
 
 func newEvacuations() *evacuations {
-	return &evacuations{on: map[string]bool{}, held: map[string]heldEvacuation{}}
+	return &evacuations{on: map[string]bool{}, rows: map[string]int64{}, held: map[string]heldEvacuation{}}
 }
 
-// set records a state that was written after the last restore.
-func (e *evacuations) set(domain string, on bool) {
+// set records a state that was written after the last restore, by the row with the given number.
+func (e *evacuations) set(domain string, on bool, row int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.held, domain)
 	e.on[domain] = on
+	if on {
+		e.rows[domain] = row
+	}
 }
 
-// hold records a state of the restored store. It reports whether the state differs from the known one,
-// which then stays in force for restoredRowHold.
-func (e *evacuations) hold(domain string, on bool, now time.Time) bool {
+// hold records a state of the restored store. It reports whether the state may be older than the known
+// one, which then stays in force for restoredRowHold.
+func (e *evacuations) hold(domain string, on bool, row int64, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.on[domain] == on {
+	if e.on[domain] == on || (on && e.rows[domain] != row) {
 		delete(e.held, domain)
 		return false
 	}
--- a/pkg/edge/restore_model_test.go
+++ b/pkg/edge/restore_model_test.go
@@ -95,6 +95,7 @@
 	mutantPlainRoster     mutant = "registrations of the restored store replace known ones"
 	mutantNoRewrite       mutant = "lost registrations are not written again"
 	mutantPlainEvacuation mutant = "evacuations of the restored store are in force at once"
+	mutantLateEvacuation  mutant = "evacuations that were written after the restore are held back, too"
 	mutantBareNumbers     mutant = "versions are compared without their era"
 )
 
@@ -111,6 +112,9 @@
 	// left holds the keys of targets that have left, and evacuated the operators' evacuations.
 	left      map[string]bool
 	evacuated map[string]bool
+	// endedRows holds the numbers of the rows of evacuations that have ended. A row with such a number
+	// may come from a copy.
+	endedRows map[string]map[int64]bool
 	next      int
 }
 
@@ -121,7 +125,7 @@
 
 func newModel(seed uint64, m mutant) *model {
 	w := &model{
-		rand: rand.New(rand.NewPCG(seed, 0)), mutant: m, now: time.Now(), entries: map[string]*target.Entry{}, published: map[string]int64{}, left: map[string]bool{}, evacuated: map[string]bool{},
+		rand: rand.New(rand.NewPCG(seed, 0)), mutant: m, now: time.Now(), entries: map[string]*target.Entry{}, published: map[string]int64{}, left: map[string]bool{}, evacuated: map[string]bool{}, endedRows: map[string]map[int64]bool{},
 		store: &modelStore{rows: map[string]modelRow{}, changedAt: map[string]int64{}},
 	}
 	for range 5 {
@@ -162,8 +166,14 @@
 }
 
 func (w *model) setEvacuated(domain string, on bool) {
-	w.evacuated[domain] = on
 	key := "evacuate/" + domain
+	if r, ok := w.store.rows[key]; ok && !on {
+		if w.endedRows[domain] == nil {
+			w.endedRows[domain] = map[int64]bool{}
+		}
+		w.endedRows[domain][r.version.Number] = true
+	}
+	w.evacuated[domain] = on
 	if on {
 		w.store.put(key, modelRow{evacuated: domain})
 	} else if _, ok := w.store.rows[key]; ok {
@@ -211,7 +221,7 @@
 		case r.registration != nil:
 			rows = append(rows, *r.registration)
 		default:
-			w.applyEvacuation(v, r.evacuated, true, restored)
+			w.applyEvacuation(v, r.evacuated, true, r.version.Number, restored)
 		}
 	}
 	for key := range v.known {
@@ -221,7 +231,7 @@
 		delete(v.known, key)
 		switch domain, evacuation := cutEvacuation(key); {
 		case evacuation:
-			w.applyEvacuation(v, domain, false, restored)
+			w.applyEvacuation(v, domain, false, 0, restored)
 		case w.entries[key] != nil:
 			v.targets.Remove([]string{key}, restored, time.Second, w.now)
 		case !restored:
@@ -253,14 +263,17 @@
 	return "", false
 }
 
-func (w *model) applyEvacuation(v *modelVM, domain string, on, restored bool) {
-	if restored && w.mutant != mutantPlainEvacuation && v.evacuations.hold(domain, on, w.now) {
+func (w *model) applyEvacuation(v *modelVM, domain string, on bool, row int64, restored bool) {
+	if w.mutant == mutantLateEvacuation && on {
+		v.evacuations.rows[domain] = row
+	}
+	if restored && w.mutant != mutantPlainEvacuation && v.evacuations.hold(domain, on, row, w.now) {
 		return
 	}
 	if !restored { // the operators have changed it since
 		delete(v.evacuatedUntil, domain)
 	}
-	v.evacuations.set(domain, on)
+	v.evacuations.set(domain, on, row)
 	v.targets.Evacuate(domain, on, w.now)
 }
 
@@ -295,8 +308,8 @@
 	return out
 }
 
-// check reports a target that a VM uses again although it knew that the target had left, or uses right
-// after a restore although its domain is evacuated.
+// check reports a target that a VM uses again although it knew that the target had left, or uses although
+// its domain was evacuated before a restore, or is evacuated in the store that the VM has read.
 func (w *model) check(v *modelVM) error {
 	used := v.used(w.now)
 	for id := range w.left {
@@ -309,6 +322,13 @@
 			return fmt.Errorf("%s uses %s, whose domain was evacuated before the restore", v.self.ID, id)
 		}
 	}
+	for id := range used {
+		domain := w.entries[id].FailureDomain
+		r, listed := w.store.rows["evacuate/"+domain]
+		if listed && v.seen == w.store.version && w.evacuated[domain] && !w.endedRows[domain][r.version.Number] {
+			return fmt.Errorf("%s uses %s, whose domain is evacuated", v.self.ID, id)
+		}
+	}
 	for _, s := range v.targets.States() {
 		// A VM that removed an earlier entry, which had lapsed, does not know that the target has left.
 		if w.left[s.ID] && (s.Draining || s.Removed) && s.Sequence >= w.published[s.ID] {
@@ -457,7 +477,7 @@
 
 // TestRestoreModelFindsMutants checks that the model fails without each mechanism.
 func TestRestoreModelFindsMutants(t *testing.T) {
-	for _, m := range []mutant{mutantPlainEntries, mutantPlainRoster, mutantNoRewrite, mutantPlainEvacuation, mutantBareNumbers} {
+	for _, m := range []mutant{mutantPlainEntries, mutantPlainRoster, mutantNoRewrite, mutantPlainEvacuation, mutantLateEvacuation, mutantBareNumbers} {
 		t.Run(string(m), func(t *testing.T) {
 			for seed := range uint64(modelSeeds) {
 				if err := newModel(seed, m).run(); err != nil {
--- a/pkg/edge/restore_test.go
+++ b/pkg/edge/restore_test.go
@@ -64,18 +64,19 @@
 func TestHeldEvacuations(t *testing.T) {
 	now := time.Now()
 	e := newEvacuations()
-	e.set("lost", true)
-	e.set("written again", true)
-	e.set("ended", false)
+	e.set("lost", true, 1)
+	e.set("written again", true, 2)
+	e.set("ended", true, 3)
+	e.set("ended", false, 4)
 	for domain, on := range map[string]bool{"lost": false, "written again": false, "ended": true} {
-		if !e.hold(domain, on, now) {
+		if !e.hold(domain, on, 3, now) {
 			t.Errorf("%s is not held", domain)
 		}
 	}
-	if e.hold("never evacuated", false, now) {
+	if e.hold("never evacuated", false, 0, now) {
 		t.Error("an unchanged domain is held")
 	}
-	e.set("written again", true)
+	e.set("written again", true, 5)
 	if due := e.expire(now.Add(restoredRowHold - 1)); len(due) != 0 {
 		t.Errorf("in force too early: %v", due)
 	}
