member, edge: heartbeats tell the era of the store

A VM learns of a restore of the store by any response. If the restored store leaves long polls hanging that wait for changes after a version that it no longer has, a VM without other calls learned of it only when a poll ended, up to 12 s later, or by the lag of its configuration or list behind a peer's (1.5 s after the heartbeat that showed it). Evacuations had no such second way.

Heartbeats now carry the newest era that a VM knows. A VM that hears of a later one reads all tables again, once for each era, as it does when it sees the new era itself; a peer's word is never used to judge responses. Builds without the field send 0, which is never later. No further calls to the store in a calm fleet.

What remains: if the polls of all VMs hang and no VM makes another call, nobody knows before the first of them ends.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -257,6 +257,7 @@
 	if v := d.listNewest.Load(); v != nil {
 		p.ListVersion = *v
 	}
+	p.StoreEra = d.store.Era()
 	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
 	if l := d.reportedLimits.Load(); l != nil {
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -26,8 +26,9 @@
 	}
 	operators := watch(platform.OperatorTable, d.applyOperator)
 	targets := watch(platform.TargetTable, d.applyTargets(ctx))
-	watch(fleetTable, d.applyFleet(ctx))
+	fleet := watch(fleetTable, d.applyFleet(ctx))
 	d.loop.Go(ctx, func(ctx context.Context) { d.comparePeerVersions(ctx, operators, targets) })
+	d.loop.Go(ctx, func(ctx context.Context) { d.comparePeerEras(ctx, operators, targets, fleet) })
 }
 
 const (
@@ -79,6 +80,31 @@
 	})
 }
 
+// comparePeerEras makes the watchers read their tables again when a peer knows of a restore of the store
+// that this VM does not know of: the store may never respond to long polls from before it.
+func (d *Daemon) comparePeerEras(ctx context.Context, watchers ...*platform.Watcher) {
+	known := int64(0)
+	every(ctx, comparePeriod, func() {
+		peers := newestEra(d.members.View())
+		if peers <= max(known, d.store.Era()) {
+			return
+		}
+		known = peers
+		d.log.Warn().Int64("era", d.store.Era()).Int64("peers", peers).Msg("a peer knows of a later restore of the store; reading all tables again")
+		for _, w := range watchers {
+			w.Refresh()
+		}
+	})
+}
+
+// newestEra returns the newest era of the store that a peer reported.
+func newestEra(view *member.View) (era int64) {
+	for i := range view.Peers {
+		era = max(era, view.Peers[i].StoreEra)
+	}
+	return era
+}
+
 // newestVersions returns the newest versions that live peers reported.
 func newestVersions(view *member.View) (config int64, list storage.Version) {
 	for i := range view.Peers {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -55,6 +55,9 @@
 	// ListVersion is the version of the newest change of the list of targets that it
 	// knew at the last heartbeat.
 	ListVersion storage.Version
+	// StoreEra is the newest era of the platform's store that it knew at the last heartbeat: how often the
+	// store was restored from a copy.
+	StoreEra int64
 	// CutOff is set if it reached no target itself at the last heartbeat.
 	CutOff bool
 	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -228,6 +228,7 @@
 		SlotsHeld:     int32(p.SlotsHeld),
 		ListVersion:   p.ListVersion.Number,
 		ListEra:       p.ListVersion.Era,
+		StoreEra:      p.StoreEra,
 
 		CutOff: p.CutOff, CarriesTunnels: p.CarriesTunnels,
 	}
@@ -261,6 +262,7 @@
 		FreePermits:   int(i.GetFreePermits()),
 		SlotsHeld:     int(i.GetSlotsHeld()),
 		ListVersion:   storage.Version{Era: i.GetListEra(), Number: i.GetListVersion()},
+		StoreEra:      i.GetStoreEra(),
 
 		CutOff: i.GetCutOff(), CarriesTunnels: i.GetCarriesTunnels(),
 	}
