--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -259,6 +259,7 @@
 	if v := d.listNewest.Load(); v != nil {
 		p.ListVersion = *v
 	}
+	p.StoreEra = d.store.Era()
 	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
 	if until := d.carriesUntil.Load(); until != nil && p.CarriesTunnels {
 		p.CarriesUntil = *until
