ingress: TestEndlessResponsesMakeTargetSuspect survives a stalled process

The test failed now and then beside other load: "an incomplete answer of 19 bytes looks complete". It took this VM's own answer 503 or 504 for an incomplete response of the target: a VM that stalls for longer than the request's 500 ms refuses it, and that answer is complete. In the case "breaks off", a stall could also end the request at its deadline, which is no failure of the target.

Trace: the test's process stopped (SIGSTOP) for 0.1 to 0.5 s and continued for 10 to 90 ms, over and over.

Answers other than 200 now count as no response of the target; a 200 that looks complete is an error as before. The response that breaks off has 20 s, as its failure does not depend on the time.

--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// fetch sends a request and returns how many bytes of the answer arrived and whether it was
-// complete.
+// fetch sends a request and returns how many bytes of the target's response arrived and whether it was
+// complete. An error response is the VM's own.
 func (w *fixture) fetch(timeout time.Duration) (n int64, whole bool) {
 	w.t.Helper()
 	r, err := http.NewRequest(http.MethodGet, w.front.URL+"/safe/x", nil)
@@ -161,6 +161,9 @@
 		return 0, false
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, false
+	}
 	n, err = io.Copy(io.Discard, resp.Body)
 	return n, err == nil
 }
@@ -171,17 +174,18 @@
 	head := "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\n"
 	long := strconv.Itoa(2 * maxBufferedResponse)
 	for _, tt := range []struct {
-		name   string
-		handle func(net.Conn)
-		least  int64 // bytes from which an incomplete response counts against the target
+		name    string
+		handle  func(net.Conn)
+		timeout time.Duration // of the first request
+		least   int64         // bytes from which an incomplete response counts against the target
 	}{
-		{"never ends", endlessBody(head + "\r\n"), endlessResponseBytes + maxBufferedResponse},
-		{"breaks off", func(c net.Conn) {
+		{"never ends", endlessBody(head + "\r\n"), 500 * time.Millisecond, endlessResponseBytes + maxBufferedResponse},
+		{"breaks off", func(c net.Conn) { // at once, so the timeout must not matter
 			defer c.Close()
 			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				_, _ = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get(hID))+"Content-Length: "+long+"\r\n\r\n"+strings.Repeat("x", maxBufferedResponse+1000))
 			}
-		}, maxBufferedResponse},
+		}, 20 * time.Second, maxBufferedResponse},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newFixture(t)
@@ -190,7 +194,7 @@
 			// A busy machine takes longer for the same number of bytes.
 			atFault := func() {
 				t.Helper()
-				for timeout := 500 * time.Millisecond; timeout < time.Minute; timeout *= 2 {
+				for timeout := tt.timeout; timeout < time.Minute; timeout *= 2 {
 					n, whole := w.fetch(timeout)
 					if whole {
 						t.Errorf("an incomplete answer of %d bytes looks complete", n)
