hangup: catch SIGHUP from the start of the process on

A SIGHUP in the first milliseconds of a process ended it, so the VM was down until the next start; the platform sends one whenever the settings change.

Cause: both commands asked for SIGHUP after all packages had been initialized and the command line was parsed. Now internal/hangup does so as it is initialized.

What remains is exec and the start of Go's runtime, before any code of ours.

--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
 
+	"crocusramp.dev/crocusramp/internal/hangup"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
 )
@@ -118,15 +118,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: log: %w", settings.ErrInvalid, err)
 	}
-	// The default action of SIGHUP would end the process and abort the requests
-	// in flight.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	go func() {
 		for ctx.Err() == nil {
 			select {
-			case <-hangups:
+			case <-hangup.Signals():
 				log.Warn().Msg("SIGHUP ignored; restart the daemon to apply changed settings")
 			case <-ctx.Done():
 			}
--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"crocusramp.dev/crocusramp/internal/hangup"
 	"crocusramp.dev/crocusramp/pkg/daemon"
 	"crocusramp.dev/crocusramp/pkg/settings"
 	"crocusramp.dev/crocusramp/pkg/telemetry"
@@ -15,11 +14,6 @@
 
 // Run runs `crocusrampd edge` until ctx ends.
 func Run(ctx context.Context, c *daemon.EdgeCommand, stdout io.Writer) error {
-	// SIGHUP is caught until the process exits: its default action would kill the process
-	// while a graceful stop still serves requests.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	s, err := settings.LoadEdge(c.Settings)
 	if err != nil {
 		return err
@@ -29,7 +23,7 @@
 		return nil
 	}
 	reload := make(chan struct{}, 1)
-	go forwardReloads(ctx, hangups, reload)
+	go forwardReloads(ctx, hangup.Signals(), reload)
 	out := telemetry.NewAsyncWriter(stdout)
 	defer out.Close()
 	log, err := telemetry.NewUnlimitedLogger(out, telemetry.LogConfig{Level: s.Log.Level, Text: s.Log.Format == "text", VM: s.VM.ID})
