edge: a VM that saw one death of a suspect writes its row at once

Two VMs that each see one death of a request within the time of a report both recorded that they saw it only if two deaths were known at that moment. Neither counted as a witness then, and the row waited for witnessDelay (2 s) on both.

A VM records each death that it saw itself, and forgets it with the suspect.

TestSimultaneousDeathsAreWrittenAtOnce failed before: "the row was not written at once".

--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -85,7 +86,8 @@
 	rows map[string]*suspectRow // by key
 	// missingSince is when this VM first found a suspect's row missing or outdated, by key.
 	missingSince map[string]clock.Time
-	sawDeath     map[string]bool // keys of suspects with a death that this VM saw itself
+	// sawDeath holds the suspects with a death that this VM saw itself, by key.
+	sawDeath map[string]quarantine.Fingerprint
 	// trialAskedAt is when this VM last asked for a trial of each suspect, by key.
 	trialAskedAt map[string]clock.Time
 	// trialsFrom is when trials may be asked for again after a restore of the store; 0 if it was not
@@ -112,7 +114,7 @@
 	return &suspects{
 		list: d.quarantine, store: d.store, clock: d.clock, log: d.log, isCoordinator: d.fleet.isCoordinator,
 		reports: deathreport.New(deathreport.Config{List: d.quarantine, Members: d.members, PeerDialer: d.dialer, Log: d.log}),
-		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]bool{},
+		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]quarantine.Fingerprint{},
 		trialAskedAt: map[string]clock.Time{}, lastHeartbeat: map[string]clock.Time{},
 	}
 }
@@ -199,11 +201,12 @@
 func (s *suspects) Report(f quarantine.Fingerprint, d quarantine.Death) bool {
 	suspect := s.reports.Report(f, d)
 	c, ok := s.list.Find(f)
-	if !ok || !c.MustBeShared() {
+	if !ok {
 		return suspect
 	}
+	// Also after a first death: another VM may report the second one.
 	s.mu.Lock()
-	s.sawDeath[suspectKey(f)] = true
+	s.sawDeath[suspectKey(f)] = f
 	s.mu.Unlock()
 	if c.Restricted() { // most other suspects are soon answered, so their rows can wait
 		s.wake()
@@ -355,7 +358,7 @@
 		if at, ok := s.missingSince[key]; ok {
 			since[key] = at
 		}
-		if !s.sawDeath[key] && now.Sub(since[key]) < witnessDelay {
+		if _, saw := s.sawDeath[key]; !saw && now.Sub(since[key]) < witnessDelay {
 			continue
 		}
 		switch {
@@ -366,8 +369,11 @@
 		}
 	}
 	s.missingSince = since
+	maps.DeleteFunc(s.sawDeath, func(_ string, f quarantine.Fingerprint) bool {
+		_, suspect := s.list.Find(f)
+		return !suspect
+	})
 	if len(cases) == 0 {
-		clear(s.sawDeath)
 		clear(s.trialAskedAt)
 	}
 	return out
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"crocusramp.dev/crocusramp/pkg/clock"
@@ -71,7 +72,7 @@
 	return &suspects{
 		list: list, store: store, clock: c, log: zerolog.Nop(), isCoordinator: func() bool { return true },
 		reports: deathreport.New(deathreport.Config{List: list, Members: noPeers{}, Log: zerolog.Nop()}),
-		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]bool{},
+		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]quarantine.Fingerprint{},
 		trialAskedAt: map[string]clock.Time{}, lastHeartbeat: map[string]clock.Time{},
 	}
 }
@@ -275,6 +276,34 @@
 	}
 }
 
+// TestSimultaneousDeathsAreWrittenAtOnce guards against a row that waits for witnessDelay because two VMs
+// saw one death each at the same time.
+func TestSimultaneousDeathsAreWrittenAtOnce(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	s := newTestSuspects(store, c)
+	s.Report(poison, quarantine.Death{ID: "a@1", Target: "a"})
+	s.reports.Merge(quarantine.Case{Fingerprint: poison, Deaths: []quarantine.Death{{ID: "b@1", Target: "b"}}}, "vm-2")
+	s.syncOnce(t)
+	if len(store.all()) != 1 {
+		t.Error("the row was not written at once")
+	}
+}
+
+// TestWitnessesAreForgotten checks that a VM forgets what it saw of requests that are no longer suspect.
+func TestWitnessesAreForgotten(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	s := newTestSuspects(store, c)
+	s.Report(poison, quarantine.Death{ID: "a@1", Target: "a"})
+	other := quarantine.NewFingerprint(quarantine.BaseHash{2}, nil)
+	s.Report(other, quarantine.Death{ID: "a@1", Target: "a"})
+	s.Report(other, quarantine.Death{ID: "b@1", Target: "b"})
+	s.list.RecordAnswer(poison)
+	s.syncOnce(t)
+	if diff := cmp.Diff(map[string]quarantine.Fingerprint{suspectKey(other): other}, s.sawDeath); diff != "" {
+		t.Errorf("suspects with a death that the VM saw (-want +got):\n%s", diff)
+	}
+}
+
 // TestManySuspectRowsAreRemoved guards against rows that are never removed because their removal exceeds
 // the store's limit of a transaction.
 func TestManySuspectRowsAreRemoved(t *testing.T) {
