edge: a suspect's row does not depend on the VM that saw the deaths

Cause: a VM that saw a death itself writes the row within 0.5 s, all others 2 s after they miss it. If the witness is killed before it has written it, or the store is away then or restored from a copy, the deaths are known only to VMs that do not write them for 2 s, and those that are killed within that time take them along.

The VMs that saw no death write the row one after another, the live VM with the lowest ID after 0.5 s, so that a dead witness costs no more than that and a large fleet does not write all at once after 2 s. A row that a restore lost is written at once by that VM, and the era itself triggers a pass.

TestSuspectOutlivesWitness ("the row was not written in the pass after the one of the VM that saw the deaths") and TestLostSuspectIsWrittenAtOnce ("the restore triggers no pass", "the lost row was not written again at once") failed before.

--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -49,9 +49,13 @@
 	maxSuspectRows = 64
 	// rowSyncPeriod is how often the suspects are compared with their rows in the store. A VM that
 	// saw one of a suspect's deaths itself writes a missing or outdated row in its next pass. The
-	// other VMs wait for witnessDelay first.
-	rowSyncPeriod = 500 * time.Millisecond
-	witnessDelay  = 2 * time.Second
+	// other VMs wait for witnessDelay first, and each for witnessStep longer than the live VM with
+	// the next lower ID, up to maxWitnessDelay: a VM that saw the death may be killed before it
+	// has written the row.
+	rowSyncPeriod   = 500 * time.Millisecond
+	witnessDelay    = 500 * time.Millisecond
+	witnessStep     = 250 * time.Millisecond
+	maxWitnessDelay = 2 * time.Second
 	// trialTimeout bounds a trial's write to the store. trialAskInterval is the least time between two
 	// such writes for a suspect.
 	trialTimeout     = time.Second
@@ -74,6 +78,7 @@
 type suspects struct {
 	list    *quarantine.List
 	reports *deathreport.Service
+	members member.Source
 	store   suspectStore
 	clock   clock.Clock
 	log     zerolog.Logger
@@ -112,7 +117,7 @@
 
 func newSuspects(d *Daemon) *suspects {
 	return &suspects{
-		list: d.quarantine, store: d.store, clock: d.clock, log: d.log, isCoordinator: d.fleet.isCoordinator,
+		list: d.quarantine, members: d.members, store: d.store, clock: d.clock, log: d.log, isCoordinator: d.fleet.isCoordinator,
 		reports: deathreport.New(deathreport.Config{List: d.quarantine, Members: d.members, PeerDialer: d.dialer, Log: d.log}),
 		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]quarantine.Fingerprint{},
 		trialAskedAt: map[string]clock.Time{}, lastHeartbeat: map[string]clock.Time{},
@@ -135,6 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.trialsFrom = s.clock.Now().Add(restoreTrialHold)
+	s.wake() // rows that could not be written before the restore
 }
 
 // apply applies a change of the fleet's table. It reports whether the row is a suspect's. restored
@@ -149,6 +155,10 @@
 	old := s.rows[change.Key]
 	if change.Removed {
 		delete(s.rows, change.Key)
+		if old != nil && restored { // no VM need wait for one that saw the deaths
+			s.missingSince[change.Key] = s.clock.Now().Add(-witnessDelay)
+			s.wake()
+		}
 		if old != nil && !restored {
 			s.list.RecordAnswer(old.Fingerprint)
 			s.log.Info().Str("fingerprint", old.String()).Stringer("row", change.Version).Msg("request is no longer suspect")
@@ -340,11 +350,23 @@
 // the store.
 func (r *suspectRow) lacksTrials(c *quarantine.Case) bool { return c.Trials > r.Trials }
 
+// witnessWait returns how long a row must be missing before this VM writes it although it saw none of
+// the suspect's deaths.
+func (s *suspects) witnessWait() time.Duration {
+	view, wait := s.members.View(), witnessDelay
+	for i := range view.Peers {
+		if p := &view.Peers[i]; p.State == member.Live && p.MissedHeartbeats == 0 && p.ID < view.Self.ID {
+			wait += witnessStep
+		}
+	}
+	return min(wait, maxWitnessDelay)
+}
+
 // missingRows returns the cases whose rows this VM must write now, each with the version of the row
 // that it replaces.
 func (s *suspects) missingRows() (out []suspectRow) {
 	cases := s.list.Cases(0)
-	now := s.clock.Now()
+	now, wait := s.clock.Now(), s.witnessWait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := map[string]clock.Time{}
@@ -358,7 +380,7 @@
 		if at, ok := s.missingSince[key]; ok {
 			since[key] = at
 		}
-		if _, saw := s.sawDeath[key]; !saw && now.Sub(since[key]) < witnessDelay {
+		if _, saw := s.sawDeath[key]; !saw && now.Sub(since[key]) < wait {
 			continue
 		}
 		switch {
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -70,7 +70,7 @@
 func newTestSuspects(store *fakeStore, c *clock.Fake) *suspects {
 	list := quarantine.NewList(quarantine.Config{Size: maxSuspects, Retention: suspectRetention, Duration: quarantineTime, Backoff: quarantineBackoff, MaxTrials: maxTrials, MaxAnswered: maxAnswered, Clock: c})
 	return &suspects{
-		list: list, store: store, clock: c, log: zerolog.Nop(), isCoordinator: func() bool { return true },
+		list: list, members: noPeers{}, store: store, clock: c, log: zerolog.Nop(), isCoordinator: func() bool { return true },
 		reports: deathreport.New(deathreport.Config{List: list, Members: noPeers{}, Log: zerolog.Nop()}),
 		wakeups: make(chan struct{}, 1), rows: map[string]*suspectRow{}, missingSince: map[string]clock.Time{}, sawDeath: map[string]quarantine.Fingerprint{},
 		trialAskedAt: map[string]clock.Time{}, lastHeartbeat: map[string]clock.Time{},
@@ -276,6 +276,73 @@
 	}
 }
 
+// livePeers is a member.Source of a VM "vm-3" with live peers of the given IDs.
+type livePeers []string
+
+func (p livePeers) View() *member.View {
+	v := &member.View{Self: member.Peer{ID: "vm-3"}}
+	for _, id := range p {
+		v.Peers = append(v.Peers, member.Peer{ID: id, State: member.Live})
+	}
+	return v
+}
+
+// TestSuspectOutlivesWitness guards against a suspect that is forgotten because the VM that saw the deaths
+// is killed before it has written the row, and the others soon after it.
+func TestSuspectOutlivesWitness(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	s := newTestSuspects(store, c)
+	for _, id := range []string{"a", "b", "c"} {
+		s.reports.Merge(quarantine.Case{Fingerprint: poison, Deaths: []quarantine.Death{{ID: id + "@1", Target: id}}}, "killed")
+	}
+	s.syncOnce(t)
+	c.Advance(2 * rowSyncPeriod)
+	s.syncOnce(t)
+	if len(store.all()) != 1 {
+		t.Error("the row was not written in the pass after the one of the VM that saw the deaths")
+	}
+}
+
+// TestLostSuspectIsWrittenAtOnce guards against a suspect that is forgotten because its row is lost in a
+// restore of the store, and the VMs that know it are killed soon after that.
+func TestLostSuspectIsWrittenAtOnce(t *testing.T) {
+	store, c := &fakeStore{rows: map[string]platform.Row{}}, clock.NewFake(1)
+	witness, s := newTestSuspects(store, c), newTestSuspects(store, c)
+	witness.reportTwoDeaths()
+	witness.syncOnce(t)
+	for _, change := range store.all() {
+		s.apply(change, false)
+	}
+	store.restoreTo(nil, s)
+	select {
+	case <-s.wakeups:
+	default:
+		t.Error("the restore triggers no pass")
+	}
+	s.syncOnce(t)
+	if len(store.all()) != 1 {
+		t.Error("the lost row was not written again at once")
+	}
+}
+
+// TestWitnessWaits checks that the VMs that saw none of a suspect's deaths write its row one after another.
+func TestWitnessWaits(t *testing.T) {
+	s := newTestSuspects(&fakeStore{}, clock.NewFake(1))
+	for _, tt := range []struct {
+		peers livePeers
+		want  time.Duration
+	}{
+		{livePeers{"vm-4", "vm-5"}, witnessDelay},
+		{livePeers{"vm-1", "vm-2", "vm-4"}, witnessDelay + 2*witnessStep},
+		{make(livePeers, 90), maxWitnessDelay},
+	} {
+		s.members = tt.peers
+		if got := s.witnessWait(); got != tt.want {
+			t.Errorf("%d peers: %v, want %v", len(tt.peers), got, tt.want)
+		}
+	}
+}
+
 // TestSimultaneousDeathsAreWrittenAtOnce guards against a row that waits for witnessDelay because two VMs
 // saw one death each at the same time.
 func TestSimultaneousDeathsAreWrittenAtOnce(t *testing.T) {
