edge: a VM that starts after a restore goes on asking peers that know more

A process that starts while the store may lack changes asked up to 8 registered VMs for 300 ms, once, and then went by the store. It learned nothing if these had just started themselves, were slow or gone, or if the one that knew was not among the 8 or had no row in the copy. An answer that came after the 0.7 s for which the first reads wait was dropped.

Heartbeats now tell since which era a VM has followed the store. Until the era is settled (15 s at most), a VM that started in it asks every peer that has followed the store for longer once, as soon as it answers heartbeats, until 8 of them have answered, and applies what they know in the same order as before: configurations by version, targets by start and sequence number, evacuations for 2 s unless the store lists them. Who was told passes it on and says so in its heartbeats. Builds without the field send 0 and are asked once; an answer counts only if the peer has read the operators' table. A VM that lags behind a peer's configuration now asks peers that have it rather than 8 random ones. Nothing is asked in a settled era, and no call to the store is added.

What remains: if all processes end, nobody knows. They go by the store; a machine counts as in touch only a stable window after its start, by when operators and targets have written again.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -146,7 +146,10 @@
 	configSource atomic.Pointer[[]byte]
 	// recalled is closed once this VM knows whether its peers know later changes than the store.
 	recalled chan struct{}
-	recall   recalledState // valid once recalled is closed
+	recallMu sync.Mutex
+	recall   recalledState // guarded by recallMu
+	// knownSinceEra is the era since which this VM has followed the store, itself or by the word of others.
+	knownSinceEra atomic.Int64
 	// settledEra is the newest era of the store in which, as far as this VM knows, the store lacks
 	// nothing that the fleet knows.
 	settledEra    atomic.Int64
@@ -257,7 +260,7 @@
 	if v := d.listNewest.Load(); v != nil {
 		p.ListVersion = *v
 	}
-	p.StoreEra = d.store.Era()
+	p.StoreEra, p.KnownSinceEra = d.store.Era(), d.knownSinceEra.Load()
 	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
 	p.Pools = append(p.Pools, d.ingress.Demand()...)
 	if l := d.reportedLimits.Load(); l != nil {
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,7 +68,7 @@
 		if configLag.shouldRefresh(d.Snapshot().Version < newestConfig, time.Now()) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; sending a new request to the store")
 			operators.Refresh()
-			state, _ := d.askPeers(ctx, loadRegistrations(&d.fleet.vms))
+			state, _ := d.askPeers(ctx, lateRecallTimeout, peersWithConfig(d.members.View(), newestConfig))
 			if d.applyRecalledConfigs(state.configs) {
 				d.targets.Publish(storage.Version{})
 			}
@@ -80,6 +81,16 @@
 	})
 }
 
+// peersWithConfig returns some of the live peers that reported the configuration, in random order.
+func peersWithConfig(view *member.View, version int64) (peers []member.Peer) {
+	for _, i := range rand.Perm(len(view.Peers)) {
+		if p := view.Peers[i]; p.State == member.Live && p.ConfigVersion == version && len(peers) < maxRecallPeers {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
 // comparePeerEras makes the watchers read their tables again when a peer knows of a restore of the store
 // that this VM does not know of: the store may never respond to long polls from before it.
 func (d *Daemon) comparePeerEras(ctx context.Context, watchers ...*platform.Watcher) {
@@ -238,9 +249,7 @@
 			d.removeTargets(ctx, removed, afterOutage, now)
 		}
 		if first {
-			for _, l := range d.targets.ApplyStates(d.awaitRecall().targets, now) {
-				d.dropTarget(l)
-			}
+			d.applyRecalledTargets(d.awaitRecall().targets, now)
 		}
 		if len(u.Changes) > 0 || first {
 			d.targets.Publish(u.Version)
--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -85,6 +85,19 @@
 	return true
 }
 
+// recall records that a peer knows a domain to be evacuated. It reports whether the domain is evacuated
+// only from now on, for restoredRowHold unless the store lists it.
+func (e *evacuations) recall(domain string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.on[domain] {
+		return false
+	}
+	e.on[domain] = true
+	e.held[domain] = heldEvacuation{false, now.Add(restoredRowHold)}
+	return true
+}
+
 // extend restarts the holds after another restore.
 func (e *evacuations) extend(now time.Time) {
 	e.mu.Lock()
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -58,6 +58,9 @@
 	// StoreEra is the newest era of the platform's store that it knew at the last heartbeat: how often the
 	// store was restored from a copy.
 	StoreEra int64
+	// KnownSinceEra is the era since which it had followed the store at the last heartbeat, itself or by the
+	// word of others. It is 0 also if unknown.
+	KnownSinceEra int64
 	// CutOff is set if it reached no target itself at the last heartbeat.
 	CutOff bool
 	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -229,6 +229,7 @@
 		ListVersion:   p.ListVersion.Number,
 		ListEra:       p.ListVersion.Era,
 		StoreEra:      p.StoreEra,
+		KnownSinceEra: p.KnownSinceEra,
 
 		CutOff: p.CutOff, CarriesTunnels: p.CarriesTunnels,
 	}
@@ -263,6 +264,7 @@
 		SlotsHeld:     int(i.GetSlotsHeld()),
 		ListVersion:   storage.Version{Era: i.GetListEra(), Number: i.GetListVersion()},
 		StoreEra:      i.GetStoreEra(),
+		KnownSinceEra: i.GetKnownSinceEra(),
 
 		CutOff: i.GetCutOff(), CarriesTunnels: i.GetCarriesTunnels(),
 	}
