edge: an era is settled whoever is lost meanwhile

A restored store counts as complete once a VM has recorded its era as settled. Only a VM that had lived through the restore did so, only if it was the registered VM with the lowest ID, and only once: it noted the era as settled before it wrote. If that VM was lost within 15 s, if all VMs had started since, or if the write failed, the era was never settled: every process that starts later then asks its peers, waits up to 300 ms for them before it serves, and grants no trials for 6 s.

Every VM that has seen the restore or has started in the unsettled era now tries, from 15 s on; the live one with the lowest ID first, each of the others 2 s later if nobody has. The write is conditional on the VM's row, so that a delayed one can't bring back a VM that has left. A fleet writes once, as before.

TestEraIsSettled failed before in three of four cases, "era 1 is not settled": the coordinator is lost, all VMs have started since, the store is unavailable at that time. The fourth, a second restore meanwhile, passed before: each era has a timer of its own.

--- a/pkg/edge/fleet.go
+++ b/pkg/edge/fleet.go
@@ -223,6 +223,16 @@
 // hasRow reports whether the registration is still the known one of its VM.
 func (r *registry) hasRow(v Registration) bool { return slices.Contains(loadRegistrations(&r.rows), v) }
 
+// ownRow returns this VM's registration as last read, or none.
+func (r *registry) ownRow() Registration {
+	for _, v := range loadRegistrations(&r.rows) {
+		if v.ID == r.self.ID {
+			return v
+		}
+	}
+	return Registration{}
+}
+
 // isCoordinator reports whether this VM does the work that only one VM of the fleet should do.
 // That is the registered VM with the lowest ID.
 func (r *registry) isCoordinator() bool {
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -73,6 +73,7 @@
 		return
 	}
 	d.suspects.beginEra()
+	d.settleLater(ctx, era)
 	asked := make([]member.Peer, 0, maxRecallPeers)
 	for _, i := range rand.Perm(len(vms)) {
 		if v := vms[i]; v.ID != d.fleet.self.ID && !v.Left && len(asked) < maxRecallPeers {
--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -34,6 +34,8 @@
 	// eraSettleTime is how long after a restore VMs that start ask their peers for later changes
 	// than those in the store.
 	eraSettleTime = 15 * time.Second
+	// settleTurn is the time for which each live VM waits for those before it to record the era as settled.
+	settleTurn = 2 * time.Second
 	// maxRetired bounds the remembered incarnations of VMs.
 	maxRetired = 4096
 )
@@ -220,7 +222,7 @@
 	lost := d.roster.restore(rows)
 	d.log.Warn().Stringer("row", version).Int("vms", len(d.roster.vms)).Int("lost", len(lost)).Msg("registrations after the restore of the store")
 	d.rewriteLater(ctx, lost)
-	time.AfterFunc(eraSettleTime, func() { d.settleEra(ctx, version.Era) })
+	d.settleLater(ctx, version.Era)
 }
 
 // rewriteLater has lost registrations of other VMs written again in the background.
@@ -281,15 +283,51 @@
 	return true
 }
 
-// settleEra records in the coordinator's row that the fleet knows nothing that the store of the era
-// lacks.
-func (d *Daemon) settleEra(ctx context.Context, era int64) {
-	if ctx.Err() != nil || d.store.Era() != era || d.leaving.Load() || !d.fleet.isCoordinator() || d.settledEra.Load() >= era {
-		return
+// settleLater records in this VM's row, eraSettleTime from now, that the fleet knows nothing that the
+// store of the era lacks. The live VMs take turns of settleTurn, in order of ID, until one has done so.
+func (d *Daemon) settleLater(ctx context.Context, era int64) {
+	d.loop.Go(ctx, func(ctx context.Context) {
+		wait := eraSettleTime
+		for turn := 0; ; turn++ {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				return
+			}
+			wait = settleTurn
+			if d.store.Era() != era || d.leaving.Load() || d.settledEra.Load() >= era {
+				return
+			}
+			if liveBefore(d.members.View()) <= turn && d.settleEra(ctx, era) {
+				return
+			}
+		}
+	})
+}
+
+// liveBefore returns the number of live peers with lower IDs than this VM's.
+func liveBefore(view *member.View) (n int) {
+	for i := range view.Peers {
+		if p := &view.Peers[i]; p.State == member.Live && p.ID < view.Self.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// settleEra records the era as settled. It reports whether it did. The write is conditional because a
+// delayed one must not replace the row that this VM writes when it stops.
+func (d *Daemon) settleEra(ctx context.Context, era int64) bool {
+	v := d.registration()
+	v.SettledEra = era
+	expected := platform.Row{Table: fleetTable, Key: v.ID, Version: d.fleet.ownRow().version}
+	if _, err := d.store.Transact(ctx, platform.Transaction{Expect: []platform.Row{expected}, Writes: []platform.Row{v.row()}}); err != nil {
+		d.log.Warn().Err(err).Int64("era", era).Msg("failed to record the store's era as settled")
+		return false
 	}
-	d.settledEra.Store(era)
-	_, err := d.store.Transact(ctx, platform.Transaction{Writes: []platform.Row{d.registration().row()}})
-	d.log.Info().Err(err).Int64("era", era).Msg("recorded the store's era as settled")
+	d.settledEra.Store(max(d.settledEra.Load(), era))
+	d.log.Info().Int64("era", era).Msg("recorded the store's era as settled")
+	return true
 }
 
 // registration returns this VM's registration as it is written now.
