daemon: test the log line of a restored store

docs/PROMISES.md promises that each process of `serve` logs an error with the new era when the store was restored from a copy.

--- a/pkg/daemon/main_test.go
+++ b/pkg/daemon/main_test.go
@@ -36,20 +36,21 @@
 const waitTimeout = 30 * time.Second
 
 type standins struct {
+	store     *standin.Store
 	platform  settings.Platform
 	directory *directory.Server
 }
 
 func startStandins(t testing.TB) *standins {
 	t.Helper()
-	s := &standins{directory: directory.New()}
+	s := &standins{store: standin.New(), directory: directory.New()}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
 		return server.URL
 	}
 	s.platform = settings.Platform{
-		Store:     settings.Store{Address: strings.TrimPrefix(serve(standin.New().Handler()), "http://")},
+		Store:     settings.Store{Address: strings.TrimPrefix(serve(s.store.Handler()), "http://")},
 		Directory: settings.Directory{URL: serve(s.directory.Handler()) + "/"},
 	}
 	return s
@@ -123,6 +124,12 @@
 
 // start runs a daemon until the test ends.
 func start(t *testing.T, s settings.Settings) *Daemon {
+	t.Helper()
+	return startWithLog(t, s, zerolog.Nop())
+}
+
+// startWithLog is like start with a log.
+func startWithLog(t *testing.T, s settings.Settings, log zerolog.Logger) *Daemon {
 	t.Helper()
 	text, err := json.Marshal(s)
 	if err != nil {
@@ -132,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := New(context.Background(), parsed, zerolog.Nop())
+	d, err := New(context.Background(), parsed, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/daemon/recovery_test.go
+++ b/pkg/daemon/recovery_test.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +102,48 @@
 	}
 	b.Fatalf("the VMs did not hold %d slots within 3 minutes", total)
 }
+
+// errorLines is a writer for a zerolog.Logger that passes on the lines of level error.
+type errorLines chan []byte
+
+func (w errorLines) Write(p []byte) (int, error) { return len(p), nil }
+
+func (w errorLines) WriteLevel(l zerolog.Level, p []byte) (int, error) {
+	if l == zerolog.ErrorLevel {
+		w <- bytes.Clone(p)
+	}
+	return len(p), nil
+}
+
+// TestRestoredStoreIsLogged guards against operators who do not learn that slots, claims and
+// configuration changes were lost in a restore of the store (docs/PROMISES.md).
+func TestRestoredStoreIsLogged(t *testing.T) {
+	s := startStandins(t)
+	s.store.SendEra(true)
+	vm := s.settings("vm-1")
+	vm.Stop.Notice = settings.Duration{Duration: 10 * time.Millisecond}
+	lines := make(errorLines, 100)
+	startWithLog(t, vm, zerolog.New(lines))
+	waitFor(t, "the VM has written to the store", func() bool { return s.store.Counts().Writes > 0 })
+	if len(lines) > 0 {
+		t.Errorf("logged before the restore: %s", <-lines)
+	}
+	for era := range int64(2) {
+		s.store.Restore(s.store.Copy())
+		select {
+		case line := <-lines:
+			var got struct {
+				Era     int64
+				Message string
+			}
+			if err := json.Unmarshal(line, &got); err != nil {
+				t.Fatal(err)
+			}
+			if got.Era != era+1 || !strings.Contains(got.Message, "restored from a copy") || !strings.Contains(got.Message, "slots, claims and configuration changes") {
+				t.Errorf("restore %d: %s", era+1, line)
+			}
+		case <-time.After(waitTimeout):
+			t.Fatalf("restore %d was not logged", era+1)
+		}
+	}
+}
