edge: the row of a replaced process does not hide the process that replaced it

Cause: a VM that was cut off writes the row of a VM's earlier process again, which another VM knows to be replaced. roster.set took that for the row of a process that had left and counted the VM as left, although it knew the later process; its row as left and the process's own were then written in turn.

A row of a process that has left or was replaced now leaves what is known of the VM's later process as it is, and that is written again. Only if no later process is known the VM counts as left.

--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -156,16 +156,23 @@
 func (r *roster) remove(id string) { delete(r.vms, id) }
 
 // set applies a row and remembers the processes that ended by the change. A VM that knew less may have
-// written the row of a process that has left again; set then keeps it as left and reports that it must
-// be written again.
+// written the row of a process again that has left or was replaced; set then keeps what is known of the VM
+// and reports that it must be written again.
 func (r *roster) set(v Registration) (outdated bool) {
+	old := r.vms[v.ID]
 	if !v.Left && r.retired[v.Incarnation] {
-		v.Left, outdated = true, true
+		outdated = true
+		if old.Incarnation != "" && !r.retired[old.Incarnation] {
+			old.version = v.version
+			v = old
+		} else {
+			v.Left = true
+		}
 	}
 	if len(r.retired) >= maxRetired {
 		clear(r.retired)
 	}
-	if old := r.vms[v.ID]; old.Incarnation != "" && old.Incarnation != v.Incarnation {
+	if old.Incarnation != "" && old.Incarnation != v.Incarnation {
 		r.retired[old.Incarnation] = true
 	}
 	if v.Left && v.Incarnation != "" {
