edge: a configuration version that is given out again is applied

A VM ignored every configuration whose version was not above the one in force. If a restore of the store loses a version and the operators then give its number out again with other contents, the VMs that had seen the lost one never applied it, while those that had not did.

A configuration of the same version replaces the one in force if its contents differ and its row is newer than the one last read (by era, then number). Lower versions are ignored as before, so that versions which come by again in order put nothing older in force; what peers tell has no row and never replaces the same version.

TestConfigurationVersionGivenOutAgain failed before: "status 200 for key-2, want 401", "status 401 for key-3, want 200" 2 s after the write.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -152,8 +152,11 @@
 	knownSinceEra atomic.Int64
 	// settledEra is the newest era of the store in which, as far as this VM knows, the store lacks
 	// nothing that the fleet knows.
-	settledEra    atomic.Int64
-	configMu      sync.Mutex // serializes applyConfig
+	settledEra atomic.Int64
+	configMu   sync.Mutex // serializes applyConfig
+	// configRow is the version of the row that the configuration in force was last read from. It is zero if
+	// only peers told of it. Guarded by configMu.
+	configRow     storage.Version
 	rowsRewritten metrics.Counter
 }
 
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -192,7 +193,8 @@
 }
 
 // applyConfig puts a configuration in force if it can be decoded and its version is newer than
-// the present one's. It reports whether it did.
+// the present one's. One of the same version replaces it only if its row is newer: operators may give a
+// version out again that a restore of the store has lost. applyConfig reports whether it did so.
 func (d *Daemon) applyConfig(value []byte, row storage.Version) bool {
 	d.configMu.Lock()
 	defer d.configMu.Unlock()
@@ -202,12 +204,17 @@
 		return false
 	}
 	old := d.state.Load()
-	if old != nil && next.Version <= old.Version {
+	if old != nil && next.Version == old.Version && bytes.Equal(value, *d.configSource.Load()) {
+		d.configRow = storage.Latest(d.configRow, row)
+		return false
+	}
+	if old != nil && (next.Version < old.Version || (next.Version == old.Version && !d.configRow.Before(row))) {
 		d.log.Warn().Int64("config", next.Version).Int64("in_force", old.Version).Msg("ignoring a configuration that is not newer than the one in force")
 		return false
 	}
 	d.targets.SetServices(next.Services)
 	d.configSource.Store(&value)
+	d.configRow = row
 	d.state.Store(ingress.NewState(next, old))
 	d.log.Info().Int64("config", next.Version).Stringer("row", row).Int("routes", len(next.Routes)).
 		Int("accounts", len(next.Accounts)).Msg("configuration in force")
