reach: look-ups name a VM again once its links are back

Cause: a VM that is cut off repeatedly checks its links 4, 8, then 16 times before it trusts them again, 0.7 s apart, and its heartbeats said cut_off all the while. Where all VMs of a region say so, look-ups name those elsewhere. The delay is right for the path (requests pass through peers meanwhile, which costs a hop), not for look-ups, whose effect on callers lasts another 2 to 6 s.

cut_off is told until minReturnChecks checks in a row reached targets, as after a single cut; for the path nothing changes. A check that fails tells it again.

Excluded: to name no VMs of other regions at all.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -259,7 +259,7 @@
 	if v := d.listNewest.Load(); v != nil {
 		p.ListVersion = *v
 	}
-	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
+	p.CutOff, p.CarriesTunnels = d.reach.LinksLost(), d.carriesTunnels()
 	if until := d.carriesUntil.Load(); until != nil && p.CarriesTunnels {
 		p.CarriesUntil = *until
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -55,7 +55,8 @@
 	// ListVersion is the version of the newest change of the list of targets that it
 	// knew at the last heartbeat.
 	ListVersion storage.Version
-	// CutOff is set if it reached no target itself at the last heartbeat.
+	// CutOff is set if it reached no target itself at the last heartbeat. Without it, a peer may still
+	// connect through others because it has lost its links repeatedly.
 	CutOff bool
 	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
 	CarriesTunnels bool
--- a/pkg/reach/check.go
+++ b/pkg/reach/check.go
@@ -126,11 +126,13 @@
 		if good++; 2*f.reached < f.domains {
 			good = 0
 		}
+		r.returning.Store(good >= minReturnChecks)
 	}
 	r.mu.Lock()
 	clear(r.bypassed)
 	r.mu.Unlock()
 	r.cutOff.Store(false)
+	r.returning.Store(false)
 	r.cfg.Log.Info().Dur("after_ms", time.Since(began)).Int("checks", needed).Msg("targets are reached directly again")
 }
 
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -71,7 +71,9 @@
 	cfg Config
 	// cutOff is set while this VM reaches no target directly.
 	cutOff atomic.Bool
-	cuts   metrics.Counter
+	// returning is set while it is cut off and its latest checks reached targets again.
+	returning atomic.Bool
+	cuts      metrics.Counter
 	// bypasses counts connections that peers opened after this VM could not.
 	bypasses metrics.Counter
 	// lastResponse is the instant of the last response on a direct connection, 0 for none.
@@ -124,9 +126,13 @@
 	return r
 }
 
-// CutOff reports whether this VM reaches no target directly while peers do.
+// CutOff reports whether this VM reaches no target directly while peers do. It does so for a time after the
+// links are back if they were lost repeatedly.
 func (r *Client) CutOff() bool { return r.cutOff.Load() }
 
+// LinksLost reports whether this VM is cut off and has not reached targets again since.
+func (r *Client) LinksLost() bool { return r.cutOff.Load() && !r.returning.Load() }
+
 // LinksLostContext returns a context that is cancelled when the connections to targets that are open now
 // turn out to be lost.
 func (r *Client) LinksLostContext() context.Context { return r.linksLost.Load().ctx }
