--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -266,7 +266,7 @@
 		p.ListVersion = *v
 	}
 	p.StoreEra, p.KnownSinceEra = d.store.Era(), d.knownSinceEra.Load()
-	p.CutOff, p.CarriesTunnels = d.reach.CutOff(), d.carriesTunnels()
+	p.CutOff, p.CarriesTunnels = d.reach.LinksLost(), d.carriesTunnels()
 	if until := d.carriesUntil.Load(); until != nil && p.CarriesTunnels {
 		p.CarriesUntil = *until
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -61,7 +61,8 @@
 	// KnownSinceEra is the era since which it had followed the store at the last heartbeat, itself or by the
 	// word of others. It is 0 also if unknown.
 	KnownSinceEra int64
-	// CutOff is set if it reached no target itself at the last heartbeat.
+	// CutOff is set if it reached no target itself at the last heartbeat. Without it, a peer may still
+	// connect through others because it has lost its links repeatedly.
 	CutOff bool
 	// CarriesTunnels is set if it carried connections to targets for other VMs at the last heartbeat.
 	CarriesTunnels bool
