edge: the configuration in the model of restores

The model of a restored store now has operators who write configurations, write the newest again when it was lost, and may give a lost version out again. It checks that no VM goes back to a configuration that was written earlier, and that a VM which has read the newest has it in force. It calls the rule that decides (replacesConfig, taken out of applyConfig).

Left out: peers' answers to a VM that starts, and older versions that come by in order (TestConfigurationVersionGivenOutAgain has those).

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -208,7 +208,7 @@
 		d.configRow = storage.Latest(d.configRow, row)
 		return false
 	}
-	if old != nil && (next.Version < old.Version || (next.Version == old.Version && !d.configRow.Before(row))) {
+	if old != nil && !replacesConfig(next.Version, old.Version, row, d.configRow) {
 		d.log.Warn().Int64("config", next.Version).Int64("in_force", old.Version).Msg("ignoring a configuration that is not newer than the one in force")
 		return false
 	}
@@ -222,6 +222,11 @@
 	return true
 }
 
+// replacesConfig reports whether a configuration with other contents replaces the one in force.
+func replacesConfig(next, inForce int64, row, inForceRow storage.Version) bool {
+	return next > inForce || (next == inForce && inForceRow.Before(row))
+}
+
 // logLimits logs the client accounts whose limits a configuration changes.
 func (d *Daemon) logLimits(next *config.Config, old *ingress.State) {
 	for name, a := range next.Accounts {
--- a/pkg/edge/restore_model_test.go
+++ b/pkg/edge/restore_model_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -15,8 +16,14 @@
 // The model below runs the state of several VMs against a store that is restored from copies at random
 // moments, and compares it with what operators, targets and VMs did.
 
-// modelRow is a row of the model's store: a target's entry, an evacuation or a registration.
+// modelConfig is a configuration of the model. Operators write them in the order of written; after a
+// restore they may give a lost version out again.
+type modelConfig struct{ version, written int64 }
+
+// modelRow is a row of the model's store: a target's entry, an evacuation, a registration or the
+// configuration.
 type modelRow struct {
+	config       *modelConfig
 	entry        *target.Entry
 	evacuated    string
 	registration *Registration
@@ -79,6 +86,8 @@
 	targets     *target.Registry
 	evacuations *evacuations
 	lost        []Registration
+	config      modelConfig
+	configRow   storage.Version
 	known       map[string]bool // keys of rows that it has read
 	// gone holds the targets that it knows to have left.
 	gone map[string]bool
@@ -96,6 +105,8 @@
 	mutantNoRewrite       mutant = "lost registrations are not written again"
 	mutantPlainEvacuation mutant = "evacuations of the restored store are in force at once"
 	mutantLateEvacuation  mutant = "evacuations that were written after the restore are held back, too"
+	mutantPlainConfig     mutant = "the configuration of the restored store replaces the known one"
+	mutantDroppedConfig   mutant = "a configuration of a version that is given out again is dropped"
 	mutantBareNumbers     mutant = "versions are compared without their era"
 )
 
@@ -112,10 +123,12 @@
 	// left holds the keys of targets that have left, and evacuated the operators' evacuations.
 	left      map[string]bool
 	evacuated map[string]bool
+	config    modelConfig // what operators last wrote
 	// endedRows holds the numbers of the rows of evacuations that have ended. A row with such a number
 	// may come from a copy.
 	endedRows map[string]map[int64]bool
 	next      int
+	failed    error // the first violation that a VM's sync has found
 }
 
 // modelSeeds is the number of random runs of a test.
@@ -131,6 +144,7 @@
 	for range 5 {
 		w.addTarget()
 	}
+	w.configure()
 	for i := range 3 {
 		w.vms = append(w.vms, w.startVM(fmt.Sprint("vm-", i)))
 	}
@@ -165,6 +179,52 @@
 	w.store.put(id, modelRow{entry: &e})
 }
 
+// configure writes the next configuration. It may bear the version of one that a restore has lost; earlier
+// copies are then not restored any more, because they may hold the lost one.
+func (w *model) configure() {
+	again := w.configLost() && w.rand.IntN(2) == 0
+	if !again {
+		w.config.version++
+	}
+	w.config.written++
+	c := w.config
+	w.store.put(configKey, modelRow{config: &c})
+	if again {
+		w.copies = []modelCopy{w.store.copy()}
+	}
+}
+
+// configLost reports whether the store lacks the newest configuration.
+func (w *model) configLost() bool {
+	r, ok := w.store.rows[configKey]
+	return ok && *r.config != w.config
+}
+
+// applyConfig applies the configuration as Daemon.applyConfig does.
+func (w *model) applyConfig(v *modelVM, c modelConfig, row storage.Version) error {
+	if c == v.config {
+		v.configRow = storage.Latest(v.configRow, row)
+		return nil
+	}
+	replaces := replacesConfig(c.version, v.config.version, row, v.configRow)
+	switch w.mutant {
+	case mutantPlainConfig:
+		replaces = true
+	case mutantDroppedConfig:
+		replaces = c.version > v.config.version
+	}
+	if !replaces {
+		return nil
+	}
+	if c.written < v.config.written {
+		return fmt.Errorf("%s goes back from configuration %+v to %+v", v.self.ID, v.config, c)
+	}
+	v.config, v.configRow = c, row
+	return nil
+}
+
+const configKey = "config"
+
 func (w *model) setEvacuated(domain string, on bool) {
 	key := "evacuate/" + domain
 	if r, ok := w.store.rows[key]; ok && !on {
@@ -218,6 +278,8 @@
 			if v.roster.set(*r.registration) {
 				v.lost = append(v.lost, v.roster.vms[key])
 			}
+		case r.config != nil:
+			w.failed = cmp.Or(w.failed, w.applyConfig(v, *r.config, r.version))
 		case r.registration != nil:
 			rows = append(rows, *r.registration)
 		default:
@@ -311,6 +373,12 @@
 // check reports a target that a VM uses again although it knew that the target had left, or uses although
 // its domain was evacuated before a restore, or is evacuated in the store that the VM has read.
 func (w *model) check(v *modelVM) error {
+	if w.failed != nil {
+		return w.failed
+	}
+	if r := w.store.rows[configKey]; v.seen == w.store.version && *r.config == w.config && v.config != w.config {
+		return fmt.Errorf("%s has configuration %+v in force, want %+v", v.self.ID, v.config, w.config)
+	}
 	used := v.used(w.now)
 	for id := range w.left {
 		if v.gone[id] && used[id] {
@@ -344,7 +412,7 @@
 	ids := slices.Sorted(maps.Keys(w.entries))
 	id := ids[w.rand.IntN(len(ids))]
 	v := w.vms[1+w.rand.IntN(len(w.vms)-1)] // the first VM is never cut off and does not stop
-	switch w.rand.IntN(10) {
+	switch w.rand.IntN(11) {
 	case 0:
 		w.addTarget()
 	case 1, 2: // a target drains, or its entry is removed
@@ -386,11 +454,17 @@
 		w.store.restore(w.copies[max(0, len(w.copies)-1-w.rand.IntN(2))])
 	case 9:
 		w.writeAgain()
+	case 10:
+		w.configure()
 	}
 }
 
 // writeAgain has operators and targets write again what was lost.
 func (w *model) writeAgain() {
+	if w.configLost() {
+		c := w.config
+		w.store.put(configKey, modelRow{config: &c})
+	}
 	for _, domain := range modelDomains {
 		w.setEvacuated(domain, w.evacuated[domain])
 	}
@@ -477,7 +551,7 @@
 
 // TestRestoreModelFindsMutants checks that the model fails without each mechanism.
 func TestRestoreModelFindsMutants(t *testing.T) {
-	for _, m := range []mutant{mutantPlainEntries, mutantPlainRoster, mutantNoRewrite, mutantPlainEvacuation, mutantLateEvacuation, mutantBareNumbers} {
+	for _, m := range []mutant{mutantPlainEntries, mutantPlainRoster, mutantNoRewrite, mutantPlainEvacuation, mutantLateEvacuation, mutantPlainConfig, mutantDroppedConfig, mutantBareNumbers} {
 		t.Run(string(m), func(t *testing.T) {
 			for seed := range uint64(modelSeeds) {
 				if err := newModel(seed, m).run(); err != nil {
