edge: a peer's word keeps an evacuation that the restored store lists

A VM holds an evacuation of the restored store back for 2 s if the copy may list one that has ended. If a peer told within that time that the domain is evacuated, the VM evacuated it, but replaced the held state by 'in use': after 2 s the domain was in use again although the store lists it (EVAC).

TestRecalledEvacuationThatTheStoreLists fails without the change: 'the state changes to map[fd-a:false] once the hold has ended'.

--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -96,6 +96,10 @@
 		return false
 	}
 	e.on[domain] = true
+	if e.held[domain].on { // the store lists it, too
+		delete(e.held, domain)
+		return true
+	}
 	e.held[domain] = heldEvacuation{false, now.Add(restoredRowHold)}
 	return true
 }
--- a/pkg/edge/restore_test.go
+++ b/pkg/edge/restore_test.go
@@ -287,3 +287,20 @@
 		}
 	}
 }
+
+// TestRecalledEvacuationThatTheStoreLists guards against a domain that is in use again although the store
+// lists its evacuation: a peer told of it while the restored row was held back.
+func TestRecalledEvacuationThatTheStoreLists(t *testing.T) {
+	e, now := newEvacuations(), time.Unix(100, 0)
+	e.set("fd-a", true, 7)
+	e.set("fd-a", false, 8)
+	if !e.hold("fd-a", true, 7, now) {
+		t.Fatal("the row of an evacuation that had ended is not held back")
+	}
+	if !e.recall("fd-a", now) {
+		t.Error("a peer's word does not evacuate the domain")
+	}
+	if ended := e.expire(now.Add(2 * restoredRowHold)); len(ended) > 0 {
+		t.Errorf("the state changes to %v once the hold has ended", ended)
+	}
+}
