edge: VMs notice a long poll that gets no response

A VM that misses one response of a long poll went on by the old configuration for up to 3.2 s and by the old evacuations for 12.3 s, while all others had the new ones (CONFIG: refused as an older version says; EVAC). After a restore that leaves polls pending, all VMs refused a new key for 8 s if the two VMs whose polls are short had just stopped or did not reach the store. Both found by review; the former is as old as the feeds.

Cause: nothing but the response tells a pending poll from one that will never get one. What peers know was compared only for configurations and targets, each 0.5 s, and acted on after 1.5 to 2 s; evacuations not at all. The VMs with short polls were the two with the lowest IDs, whatever became of them, and a new rank held from the next poll on.

Heartbeats now tell the newest change of the operators' table, as they do for the targets' list. A VM that lags behind for 0.9 s (more than a feed's pauses) reads the table again, compared each 0.25 s. They also tell whether a VM's short polls are answered: a VM polls briefly unless two live VMs with lower IDs tell so, and ends its pending long poll when it becomes one. Earlier builds tell neither; their list's era tells of a restore. A changed store address ends the pending polls, too. No call to the store is added.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -140,10 +140,12 @@
 	callers        *http.Server
 	listenerErrors chan error
 	conns          *conntrack.Tracker
-	// listKnown is the store version up to which the list of targets has been read;
-	// listNewest is the version of the newest change to the list itself. nil is unknown.
-	listKnown, listNewest atomic.Pointer[storage.Version]
-	evacuations           *evacuations
+	watchers       []*platform.Watcher
+	// list and operators hold the versions of the targets' and the operators' tables.
+	list, operators tableVersions
+	// operatorsReadAt is when the operators' table was last read (clock.Time); 0 until then.
+	operatorsReadAt atomic.Int64
+	evacuations     *evacuations
 	// configSource is the configuration in force as the operators wrote it.
 	configSource atomic.Pointer[[]byte]
 	// recalled is closed once this VM knows whether its peers know later changes than the store.
@@ -262,10 +264,7 @@
 	if s := d.state.Load(); s != nil {
 		p.ConfigVersion = s.Version
 	}
-	if v := d.listNewest.Load(); v != nil {
-		p.ListVersion = *v
-	}
-	p.StoreEra, p.KnownSinceEra = d.store.Era(), d.knownSinceEra.Load()
+	d.fillStoreStatus(p)
 	p.CutOff, p.CarriesTunnels = d.reach.LinksLost(), d.carriesTunnels()
 	if until := d.carriesUntil.Load(); until != nil && p.CarriesTunnels {
 		p.CarriesUntil = *until
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -341,14 +341,14 @@
 		want        bool
 	}{
 		{0, 5, 5, false},
-		{500, 5, 6, false},
-		{1000, 5, 6, false},
-		{1500, 6, 6, false}, // caught up
-		{2000, 6, 7, false},
-		{3500, 6, 7, false},
-		{3600, 6, 7, true},
-		{4000, 6, 7, false}, // the timer restarts after a refresh
-		{5600, 6, 8, true},
+		{250, 5, 6, false},
+		{750, 5, 6, false},
+		{1000, 6, 6, false}, // caught up
+		{1250, 6, 7, false},
+		{2150, 6, 7, false},
+		{2250, 6, 7, true},
+		{2500, 6, 7, false}, // the timer restarts after a refresh
+		{3500, 6, 8, true},
 	} {
 		if got := b.shouldRefresh(tt.own < tt.newest, at(tt.ms)); got != tt.want {
 			t.Errorf("at %d ms, own %d, newest %d: shouldRefresh returned %v", tt.ms, tt.own, tt.newest, got)
@@ -356,14 +356,36 @@
 	}
 }
 
-func TestNewestVersionsOfLivePeers(t *testing.T) {
+func TestNewestOfPeers(t *testing.T) {
+	version := func(era, number int64) storage.Version { return storage.Version{Era: era, Number: number} }
 	v := &member.View{Peers: []member.Peer{
-		{State: member.Live, ConfigVersion: 3, ListVersion: storage.Version{Era: 1, Number: 9}},
-		{State: member.Live, ConfigVersion: 4, ListVersion: storage.Version{Era: 2, Number: 8}},
-		{State: member.Silent, ConfigVersion: 99, ListVersion: storage.Version{Era: 3, Number: 99}},
+		{State: member.Live, ConfigVersion: 3, ListVersion: version(1, 9), OperatorsVersion: version(2, 3), StoreEra: 2},
+		{State: member.Live, ConfigVersion: 4, ListVersion: version(2, 8), OperatorsVersion: version(1, 7), StoreEra: 2},
+		{State: member.Silent, ConfigVersion: 99, ListVersion: version(3, 99), OperatorsVersion: version(3, 99)}, // of a build that does not tell the era
 	}}
-	if config, list := newestVersions(v); config != 4 || list != (storage.Version{Era: 2, Number: 8}) {
-		t.Errorf("newest versions: config %d, list %v, want 4 and 2.8", config, list)
+	want := newestKnown{config: 4, list: version(2, 8), operators: version(2, 3), era: 3}
+	if got := newestOfPeers(v); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// TestPollsBriefly guards against a fleet in which no VM polls the operators' table briefly, because those
+// with the lowest IDs do not reach the store, stop or are of an earlier build.
+func TestPollsBriefly(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		peers []member.Peer
+		want  bool
+	}{
+		{"two others do", []member.Peer{{ID: "a", PollsBriefly: true}, {ID: "b", PollsBriefly: true}}, false},
+		{"one does not reach the store", []member.Peer{{ID: "a"}, {ID: "b", PollsBriefly: true}}, true},
+		{"one stops", []member.Peer{{ID: "a", PollsBriefly: true, State: member.Leaving}, {ID: "b", PollsBriefly: true}}, true},
+		{"one is silent", []member.Peer{{ID: "a", PollsBriefly: true, MissedHeartbeats: 1}, {ID: "b", PollsBriefly: true}}, true},
+		{"later ones do", []member.Peer{{ID: "x", PollsBriefly: true}, {ID: "y", PollsBriefly: true}}, true},
+	} {
+		if got := pollsBriefly(&member.View{Self: member.Peer{ID: "m"}, Peers: tt.peers}); got != tt.want {
+			t.Errorf("%s: %v", tt.name, got)
+		}
 	}
 }
 
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -5,14 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/ingress"
-	"crocusramp.dev/crocusramp/pkg/member"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/platform"
@@ -27,123 +25,18 @@
 	operators := newWatcher(platform.OperatorTable, d.applyOperator)
 	operators.Wait = d.operatorsFeedWait
 	targets := newWatcher(platform.TargetTable, d.applyTargets(ctx))
-	fleet := newWatcher(fleetTable, d.applyFleet(ctx))
-	for _, w := range []*platform.Watcher{operators, targets, fleet} {
+	d.watchers = []*platform.Watcher{operators, targets, newWatcher(fleetTable, d.applyFleet(ctx))}
+	for _, w := range d.watchers {
 		d.loop.Go(ctx, w.Run)
 	}
-	d.loop.Go(ctx, func(ctx context.Context) { d.comparePeerVersions(ctx, operators, targets) })
-	d.loop.Go(ctx, func(ctx context.Context) { d.comparePeerEras(ctx, operators, targets, fleet) })
+	d.loop.Go(ctx, func(ctx context.Context) { d.comparePeers(ctx, operators, targets) })
 }
 
-const (
-	// shortPollers is the number of VMs whose long polls of the operators' table are short. By them
-	// the fleet learns of a restore of the store although it left all pending polls without a response.
-	shortPollers = 2
-	// shortPoll is how long such a poll waits for changes.
-	shortPoll = time.Second
-)
-
-// operatorsFeedWait returns how long the next poll of the operators' table waits for changes, or 0 for
-// the usual time.
-func (d *Daemon) operatorsFeedWait() time.Duration {
-	if liveRank(d.members.View()) < shortPollers {
-		return shortPoll
-	}
-	return 0
-}
-
-const (
-	// comparePeriod is how often this VM's versions are compared with those of its peers.
-	comparePeriod = 500 * time.Millisecond
-	// maxLag is how long a peer may have a newer version before this VM sends a new request
-	// to the store. It is longer than the time for which a feed batches changes.
-	maxLag = 1500 * time.Millisecond
-)
-
-// lagTimer measures for how long a peer has had a newer version than this VM.
-type lagTimer struct{ since time.Time }
-
-// shouldRefresh reports whether this VM has lagged behind for longer than maxLag. It then restarts
-// the timer.
-func (t *lagTimer) shouldRefresh(lags bool, now time.Time) bool {
-	switch {
-	case !lags:
-		t.since = time.Time{}
-	case t.since.IsZero():
-		t.since = now
-	case now.Sub(t.since) > maxLag:
-		t.since = time.Time{}
-		return true
-	}
-	return false
-}
-
-// comparePeerVersions makes a watcher send a new request to the store when a live peer has had
-// a newer version for longer than maxLag: the store may have accepted the pending request and
-// never respond to it.
-func (d *Daemon) comparePeerVersions(ctx context.Context, operators, targets *platform.Watcher) {
-	var configLag, listLag lagTimer
-	every(ctx, comparePeriod, func() {
-		newestConfig, newestList := newestVersions(d.members.View())
-		if configLag.shouldRefresh(d.Snapshot().Version < newestConfig, time.Now()) {
-			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newestConfig).Msg("a peer has a newer configuration; sending a new request to the store")
-			operators.Refresh()
-			state, _ := d.askPeers(ctx, lateRecallTimeout, peersWithConfig(d.members.View(), newestConfig))
-			if d.applyRecalledConfigs(state.configs) {
-				d.targets.Publish(storage.Version{})
-			}
-		}
-		known := d.listKnown.Load()
-		if known != nil && listLag.shouldRefresh(known.Before(newestList), time.Now()) {
-			d.log.Warn().Stringer("list", known).Stringer("peers", newestList).Msg("a peer has a newer list of targets; sending a new request to the store")
-			targets.Refresh()
-		}
-	})
-}
-
-// peersWithConfig returns some of the live peers that reported the configuration, in random order.
-func peersWithConfig(view *member.View, version int64) (peers []member.Peer) {
-	for _, i := range rand.Perm(len(view.Peers)) {
-		if p := view.Peers[i]; p.State == member.Live && p.ConfigVersion == version && len(peers) < maxRecallPeers {
-			peers = append(peers, p)
-		}
+// refreshWatchers makes all watchers read their tables again.
+func (d *Daemon) refreshWatchers() {
+	for _, w := range d.watchers {
+		w.Refresh()
 	}
-	return peers
-}
-
-// comparePeerEras makes the watchers read their tables again when a peer knows of a restore of the store
-// that this VM does not know of: the store may never respond to long polls from before it.
-func (d *Daemon) comparePeerEras(ctx context.Context, watchers ...*platform.Watcher) {
-	known := int64(0)
-	every(ctx, comparePeriod, func() {
-		peers := newestEra(d.members.View())
-		if peers <= max(known, d.store.Era()) {
-			return
-		}
-		known = peers
-		d.log.Warn().Int64("era", d.store.Era()).Int64("peers", peers).Msg("a peer knows of a later restore of the store; reading all tables again")
-		for _, w := range watchers {
-			w.Refresh()
-		}
-	})
-}
-
-// newestEra returns the newest era of the store that a peer reported.
-func newestEra(view *member.View) (era int64) {
-	for i := range view.Peers {
-		era = max(era, view.Peers[i].StoreEra)
-	}
-	return era
-}
-
-// newestVersions returns the newest versions that live peers reported.
-func newestVersions(view *member.View) (config int64, list storage.Version) {
-	for i := range view.Peers {
-		if p := &view.Peers[i]; p.State == member.Live {
-			config, list = max(config, p.ConfigVersion), storage.Latest(list, p.ListVersion)
-		}
-	}
-	return config, list
 }
 
 // applyOperator applies changes of the operators' table: configurations and evacuations.
@@ -173,6 +66,8 @@
 		}
 	}
 	d.evacuations.known.Store(true)
+	d.operators.record(u)
+	d.operatorsReadAt.Store(int64(d.clock.Now()))
 	if changed {
 		d.targets.Publish(storage.Version{})
 	}
@@ -285,7 +180,7 @@
 		if len(u.Changes) > 0 || first {
 			d.targets.Publish(u.Version)
 		}
-		d.recordListVersions(u)
+		d.list.record(u)
 		if first {
 			first = false
 			d.targetsRead.Store(true)
@@ -310,22 +205,6 @@
 	return out
 }
 
-// recordListVersions records the version up to which the list has been read, and the version of
-// its newest change.
-func (d *Daemon) recordListVersions(u platform.Update) {
-	for _, c := range u.Changes {
-		// A removal that was detected by reading the whole table has no version.
-		if !c.Removed || !u.Full {
-			newest := c.Version
-			if old := d.listNewest.Load(); old != nil {
-				newest = storage.Latest(*old, newest)
-			}
-			d.listNewest.Store(&newest)
-		}
-	}
-	d.listKnown.Store(&u.Version)
-}
-
 func (d *Daemon) applyTarget(c platform.Change, first bool, now time.Time) {
 	e, err := platform.DecodeTarget(c.Key, c.Value)
 	if err != nil {
--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -42,6 +42,9 @@
 	}
 	d.settings.Store(next)
 	d.store.SetAddress(next.Store.Address)
+	if next.Store.Address != old.Store.Address {
+		d.refreshWatchers() // their pending polls are at the old address
+	}
 	d.log.Info().Str("store", next.Store.Address).Msg("settings reloaded")
 	if next.VM != old.VM || next.Listen != old.Listen {
 		d.log.Warn().Msg("changed VM identity or listen addresses take effect at the next start")
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -61,6 +61,12 @@
 	// KnownSinceEra is the era since which it had followed the store at the last heartbeat, itself or by the
 	// word of others. It is 0 also if unknown.
 	KnownSinceEra int64
+	// OperatorsVersion is the version of the newest change of the operators' table that it knew at the
+	// last heartbeat.
+	OperatorsVersion storage.Version
+	// PollsBriefly is set if its polls of the operators' table were short and answered at the last
+	// heartbeat.
+	PollsBriefly bool
 	// CutOff is set if it reached no target itself at the last heartbeat. Without it, a peer may still
 	// connect through others because it has lost its links repeatedly.
 	CutOff bool
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -231,6 +231,8 @@
 		StoreEra:      p.StoreEra,
 		KnownSinceEra: p.KnownSinceEra,
 
+		OperatorsEra: p.OperatorsVersion.Era, OperatorsVersion: p.OperatorsVersion.Number, PollsBriefly: p.PollsBriefly,
+
 		CutOff: p.CutOff, CarriesTunnels: p.CarriesTunnels,
 	}
 	if !p.CarriesUntil.IsZero() {
@@ -269,6 +271,8 @@
 		StoreEra:      i.GetStoreEra(),
 		KnownSinceEra: i.GetKnownSinceEra(),
 
+		OperatorsVersion: storage.Version{Era: i.GetOperatorsEra(), Number: i.GetOperatorsVersion()}, PollsBriefly: i.GetPollsBriefly(),
+
 		CutOff: i.GetCutOff(), CarriesTunnels: i.GetCarriesTunnels(),
 	}
 	if i.GetLeaving() {
