edge: a VM that has read nothing knows of no earlier era

Heartbeats tell since which era of the store a VM has followed it; VMs that start after a restore ask those that have done so for longer. The field was 0 until the store had been read, which reads as 'since the first era': VMs that start together could take each other for ones that know more, pass that on, and stop asking before the one that does know was asked.

TestStartingVMTellsNoEarlyEra failed before.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -152,7 +153,8 @@
 	recalled chan struct{}
 	recallMu sync.Mutex
 	recall   recalledState // guarded by recallMu
-	// knownSinceEra is the era since which this VM has followed the store, itself or by the word of others.
+	// knownSinceEra is the era since which this VM has followed the store, itself or by the word of others;
+	// the largest number until it has read the store.
 	knownSinceEra atomic.Int64
 	// settledEra is the newest era of the store in which, as far as this VM knows, the store lacks
 	// nothing that the fleet knows.
@@ -171,6 +173,7 @@
 		loop: control.NewLoop(), roster: newRoster(s.VM.ID), loaded: make(chan struct{}),
 		listenerErrors: make(chan error, maxListeners), evacuations: newEvacuations(), recalled: make(chan struct{}),
 	}
+	d.knownSinceEra.Store(math.MaxInt64)
 	d.conns = conntrack.NewTracker(d.metrics)
 	d.settings.Store(s)
 	d.regions, d.domains = regionNames(s.FailureDomains), domainsOf(s.VM.Region, s.FailureDomains)
