--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -93,9 +93,10 @@
 	return deadline
 }
 
-// awaitQuiet waits until no request runs and none has arrived for quietPeriod, or until no
-// request has run, of this VM's callers or through a tunnel, for maxQuietPeriods such periods. It is needed because closing the
-// listener resets the connections that it has not accepted yet.
+// awaitQuiet waits until no request runs and none has arrived for quietPeriod. If requests keep arriving
+// and being refused, it waits until none has run for maxQuietPeriods such periods. Connections through this
+// VM count as running requests. It is needed because closing the listener resets the connections that it
+// has not accepted yet.
 func (d *Daemon) awaitQuiet(ctx context.Context) {
 	const pollsPerPeriod = 10
 	ticker := time.NewTicker(quietPeriod / pollsPerPeriod)
