daemon: the quick start ends when its terminal is closed

'crocusrampd dev' went on after SIGHUP, since: internal/hangup catches the signal as the process is initialized, for every command, and only serve and edge read it.

The other commands restore the default action, also for a signal that has arrived already; serve and edge are unchanged. TestDevEndsOnHangup fails without the call (the command ends by itself after 10 s).

--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -18,3 +18,11 @@
 // Signals returns a channel of the SIGHUPs since the start of the process. Those that arrive while one is
 // pending are merged into it.
 func Signals() <-chan os.Signal { return signals }
+
+// Release restores the default action of SIGHUP, which ends the process, also for one that has arrived.
+func Release() {
+	signal.Stop(signals)
+	if len(signals) > 0 {
+		_ = syscall.Kill(syscall.Getpid(), syscall.SIGHUP) // cannot fail for the own process
+	}
+}
--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -75,6 +75,9 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
+	if c.Serve == nil && c.Edge == nil {
+		hangup.Release()
+	}
 	switch {
 	case c.Serve != nil:
 		err = serveFile(ctx, c.Serve.Config, stderr)
