edge: one rank among live VMs; what peers tell is applied once

Behaviour stays the same but for a rank: liveBefore repeated liveRank, which leaves out VMs that miss heartbeats; the turns in which an era is recorded as settled do so, too. recallFrom applies configurations and evacuations as they arrive, so the first read of the operators' table applied them a second time without effect, and all answers were kept and cleared for it. Only states of targets are kept now, for targets that the first read of the list brings.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -152,7 +152,9 @@
 	// recalled is closed once this VM knows whether its peers know later changes than the store.
 	recalled chan struct{}
 	recallMu sync.Mutex
-	recall   recalledState // guarded by recallMu
+	// recalledTargets are the states that peers told, for targets that the first read of the list brings.
+	// Guarded by recallMu.
+	recalledTargets []target.State
 	// knownSinceEra is the era since which this VM has followed the store, itself or by the word of others;
 	// the largest number until it has read the store.
 	knownSinceEra atomic.Int64
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -44,9 +44,7 @@
 	now := time.Now()
 	changed, first := false, !d.evacuations.known.Load()
 	if first {
-		recalled := d.awaitRecall()
-		changed = d.applyRecalledConfigs(recalled.configs)
-		d.applyRecalledEvacuations(recalled.evacuated, now)
+		d.awaitRecall()
 	}
 	if u.Restored {
 		d.evacuations.extend(now)
@@ -175,7 +173,10 @@
 			d.removeTargets(ctx, removed, afterOutage, now)
 		}
 		if first {
-			d.applyRecalledTargets(d.awaitRecall().targets, now)
+			d.awaitRecall()
+			d.recallMu.Lock()
+			d.applyRecalledTargets(d.recalledTargets, now)
+			d.recallMu.Unlock()
 		}
 		if len(u.Changes) > 0 || first {
 			d.targets.Publish(u.Version)
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -116,11 +116,6 @@
 			cancel()
 		}
 	})
-	if d.targetsRead.Load() && d.evacuations.known.Load() {
-		d.recallMu.Lock()
-		defer d.recallMu.Unlock()
-		d.recall = recalledState{} // no longer needed
-	}
 }
 
 // recallFrom asks peers what they know, applies it, and returns those that answered in time and had read
@@ -128,7 +123,7 @@
 func (d *Daemon) recallFrom(ctx context.Context, timeout time.Duration, peers []member.Peer) (answered []member.Peer) {
 	state, answered := d.askPeers(ctx, timeout, peers)
 	d.recallMu.Lock()
-	d.recall.merge(state)
+	d.recalledTargets = append(d.recalledTargets, state.targets...)
 	d.recallMu.Unlock()
 	changed := d.applyRecalledConfigs(state.configs)
 	changed = d.applyRecalledEvacuations(state.evacuated, time.Now()) || changed
@@ -178,27 +173,17 @@
 	}
 }
 
-// merge adds the answers of other peers.
-func (s *recalledState) merge(other recalledState) {
-	s.configs = append(s.configs, other.configs...)
-	s.evacuated = append(s.evacuated, other.evacuated...)
-	s.targets = append(s.targets, other.targets...)
-}
-
-// awaitRecall waits until this VM knows whether its peers know later changes than the store, and
-// returns them. It does not wait if the store was never restored.
-func (d *Daemon) awaitRecall() recalledState {
+// awaitRecall waits until this VM knows whether its peers know later changes than the store. It does not
+// wait if the store was never restored.
+func (d *Daemon) awaitRecall() {
 	if d.store.Era() == 0 {
-		return recalledState{}
+		return
 	}
 	select {
 	case <-d.recalled:
 	case <-time.After(recallWait):
 		d.log.Warn().Msg("could not ask other VMs for later changes than those in the restored store; going by the store")
 	}
-	d.recallMu.Lock()
-	defer d.recallMu.Unlock()
-	return d.recall
 }
 
 // applyRecalledConfigs puts the newest configuration that peers know in force if the store has an
--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -309,23 +309,13 @@
 			if d.store.Era() != era || d.leaving.Load() || d.settledEra.Load() >= era {
 				return
 			}
-			if liveBefore(d.members.View()) <= turn && d.settleEra(ctx, era) {
+			if liveRank(d.members.View()) <= turn && d.settleEra(ctx, era) {
 				return
 			}
 		}
 	})
 }
 
-// liveBefore returns the number of live peers with lower IDs than this VM's.
-func liveBefore(view *member.View) (n int) {
-	for i := range view.Peers {
-		if p := &view.Peers[i]; p.State == member.Live && p.ID < view.Self.ID {
-			n++
-		}
-	}
-	return n
-}
-
 // settleEra records the era as settled. It reports whether it did. The write is conditional because a
 // delayed one must not replace the row that this VM writes when it stops.
 func (d *Daemon) settleEra(ctx context.Context, era int64) bool {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -59,7 +59,8 @@
 	// store was restored from a copy.
 	StoreEra int64
 	// KnownSinceEra is the era since which it had followed the store at the last heartbeat, itself or by the
-	// word of others. It is 0 also if unknown.
+	// word of others. It is 0 also for builds that do not tell, and the largest number until it has read
+	// the store.
 	KnownSinceEra int64
 	// OperatorsVersion is the version of the newest change of the operators' table that it knew at the
 	// last heartbeat.
