--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -244,7 +245,8 @@
 // Route is a route of the configuration.
 type Route struct {
 	Prefix, Kind, Service string
-	Timeout               float64
+	// Timeout and Latency (0.3 by default) are in seconds.
+	Timeout, Latency float64
 }
 
 // Configure writes a configuration.
@@ -255,7 +257,7 @@
 		services[r.Service] = true
 		out = append(out, map[string]any{
 			"name": fmt.Sprint("r-", i), "host": Host, "prefix": r.Prefix, "kind": r.Kind, "timeout_s": r.Timeout,
-			"target_latency_s": 0.3, "priority": 1, "service": r.Service, "max_attempts": 2, "allow_anonymous": false, "sticky": true,
+			"target_latency_s": cmp.Or(r.Latency, 0.3), "priority": 1, "service": r.Service, "max_attempts": 2, "allow_anonymous": false, "sticky": true,
 			"allowed_regions": []string{},
 		})
 	}
@@ -391,11 +393,11 @@
 			return w.reply(c, id, 400, "X-Not-Executed: 1\r\n", "")
 		}
 	}
-	if !w.acquire() {
+	if !w.Acquire() {
 		w.d.Record.Line("worker %s is full and rejects %s %s %s", w.ID, r.Method, r.RequestURI, id)
 		return w.reply(c, id, 503, w.Rejection(), "")
 	}
-	defer func() { <-w.slots }()
+	defer w.Release()
 	if r.URL.Path == "/health" {
 		return w.reply(c, id, 200, "X-Instance-Id: "+w.ID+"\r\n"+w.load(), "")
 	}
@@ -418,7 +420,11 @@
 	return fmt.Sprintf("X-Server-Load: %d,%d,%d\r\n", running, waiting, w.Slots)
 }
 
-func (w *Worker) acquire() bool {
+// Release frees a slot.
+func (w *Worker) Release() { <-w.slots }
+
+// Acquire takes a slot, or waits for one in the queue. It returns false if the queue is full.
+func (w *Worker) Acquire() bool {
 	select {
 	case w.slots <- struct{}{}:
 		return true
