--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -401,15 +402,21 @@
 	if r.URL.Path == "/health" {
 		return w.reply(c, id, 200, "X-Instance-Id: "+w.ID+"\r\n"+w.load(), "")
 	}
+	w.Run(r)
+	ms := 5
+	fmt.Sscanf(r.URL.Query().Get("ms"), "%d", &ms)
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+	return w.reply(c, id, 200, "X-Response-Seal: seal-"+w.ID+"\r\n"+w.load(), "done "+id)
+}
+
+// Run records that the worker runs a request.
+func (w *Worker) Run(r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
 	w.mu.Lock()
 	w.runs[id]++
 	n := w.runs[id]
 	w.mu.Unlock()
 	w.d.Record.Line("worker %s runs %s %s %s, its run number %d here", w.ID, r.Method, r.RequestURI, id, n)
-	ms := 5
-	fmt.Sscanf(r.URL.Query().Get("ms"), "%d", &ms)
-	time.Sleep(time.Duration(ms) * time.Millisecond)
-	return w.reply(c, id, 200, "X-Response-Seal: seal-"+w.ID+"\r\n"+w.load(), "done "+id)
 }
 
 // Rejection returns the headers of a rejection by a full worker.
@@ -455,52 +462,57 @@
 // Result is how a request ended for its client.
 type Result struct {
 	ID     string
-	Status int // 0 if there was no complete response
+	Status int // 0 if there was no answer
 	Sealed bool
 	Body   string
-	Err    error
+	// Err is set if the answer was not whole.
+	Err error
 }
 
 var ids atomic.Int64
 
 // Send sends one request on a new connection to a VM and waits for the answer.
 func (d *Deployment) Send(v *VM, method, path, object string, deadline time.Duration) Result {
-	id := fmt.Sprintf("a%06d", ids.Add(1))
-	return d.SendID(v, id, method, path, object, deadline)
+	return d.SendLimited(v, method, path, object, deadline, 1<<30)
 }
 
-// SendID is Send with a given ID.
-func (d *Deployment) SendID(v *VM, id, method, path, object string, deadline time.Duration) Result {
-	res := Result{ID: id}
+// ErrTooLong tells that a client has closed the connection because the answer was too long.
+var ErrTooLong = errors.New("the answer is too long")
+
+// SendLimited is Send with a limit to the bytes that are read of the answer's body.
+func (d *Deployment) SendLimited(v *VM, method, path, object string, deadline time.Duration, limit int64) Result {
+	res := Result{ID: fmt.Sprintf("a%06d", ids.Add(1))}
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader("stamp " + id)
+		body = strings.NewReader("stamp " + res.ID)
 	}
 	req, err := http.NewRequest(method, "http://"+v.Front+path, body)
 	if err != nil {
 		Fail("%v", err)
 	}
 	req.Host = Host
-	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Attempt-Id", res.ID)
 	req.Header.Set("X-Request-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+Key)
 	req.Header.Set("Cookie", "X-Affinity-Key="+object)
-	d.Record.Line("client sends %s %s %s to %s", method, path, id, v.ID)
+	d.Record.Line("client sends %s %s %s to %s", method, path, res.ID, v.ID)
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	resp, err := (&http.Client{Transport: t, Timeout: deadline + time.Second}).Do(req)
 	if err != nil {
 		res.Err = err
-		d.Record.Line("client gets no answer to %s: %v", id, err)
+		d.Record.Line("client gets no answer to %s: %v", res.ID, err)
 		return res
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(text)) > limit {
+		err = ErrTooLong
+	}
+	res.Status, res.Sealed, res.Body, res.Err = resp.StatusCode, resp.Header.Get("X-Response-Seal") != "", string(text), err
+	how := "whole"
 	if err != nil {
-		res.Err = err
-		d.Record.Line("client gets an incomplete answer to %s: %d, %v", id, resp.StatusCode, err)
-		return res
+		how = err.Error()
 	}
-	res.Status, res.Sealed, res.Body = resp.StatusCode, resp.Header.Get("X-Response-Seal") != "", string(text)
-	d.Record.Line("client gets %d for %s, id in the answer %q, seal %q, %d bytes", res.Status, id, resp.Header.Get("X-Attempt-Id"), resp.Header.Get("X-Response-Seal"), len(text))
+	d.Record.Line("client gets %d for %s, id in the answer %q, seal %q, %d bytes, %s", res.Status, res.ID, resp.Header.Get("X-Attempt-Id"), resp.Header.Get("X-Response-Seal"), len(text), how)
 	return res
 }
