--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -50,6 +50,7 @@
 	dir       string
 	storeAddr string
 	vms       []*VM
+	mu        sync.Mutex // guards listeners
 	listeners []net.Listener
 }
 
@@ -103,7 +104,9 @@
 	if err != nil {
 		Fail("%v", err)
 	}
+	d.mu.Lock()
 	d.listeners = append(d.listeners, l)
+	d.mu.Unlock()
 	return l
 }
 
@@ -220,6 +223,17 @@
 	<-v.ended
 }
 
+// RSS returns the resident memory of the VM's process in bytes, 0 if it has ended.
+func (v *VM) RSS() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", v.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	fmt.Sscan(string(text), &size, &resident)
+	return resident * os.Getpagesize()
+}
+
 // AwaitReady waits until the VM is ready.
 func (v *VM) AwaitReady() {
 	c := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -306,14 +320,28 @@
 
 // AddWorker starts a worker and registers it in the store.
 func (d *Deployment) AddWorker(id, service, zone string, slots, queue int) *Worker {
+	w := d.NewWorker(id, service, zone, slots, queue)
+	w.Start()
+	return w
+}
+
+// NewWorker returns a worker that has not started.
+func (d *Deployment) NewWorker(id, service, zone string, slots, queue int) *Worker {
 	w := &Worker{ID: id, Service: service, Zone: zone, Slots: slots, Queue: queue, Born: time.Now().UnixMilli(), d: d, slots: make(chan struct{}, slots), runs: map[string]int{}}
 	w.listener = d.Listen("127.0.0.1")
 	w.Address = w.listener.Addr().String()
+	return w
+}
+
+// Start accepts connections and registers the worker.
+func (w *Worker) Start() {
 	go w.serve()
 	w.Register("ready")
-	return w
 }
 
+// Close stops listening.
+func (w *Worker) Close() { w.listener.Close() }
+
 // Register writes the worker's entry.
 func (w *Worker) Register(state string) {
 	w.mu.Lock()
