--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -316,6 +316,8 @@
 	R *bufio.Reader
 	// Late holds bytes that are sent when the next request has been read.
 	Late []byte
+	// Began is when the first byte of the request arrived that is being served.
+	Began time.Time
 }
 
 // AddWorker starts a worker and registers it in the store.
@@ -374,6 +376,10 @@
 
 // serveOne reads and answers one request.
 func (w *Worker) serveOne(c *Conn) error {
+	if _, err := c.R.Peek(1); err != nil {
+		return err
+	}
+	c.Began = time.Now()
 	r, err := http.ReadRequest(c.R)
 	if err != nil {
 		return err
