--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -295,6 +295,8 @@
 	Born                       int64
 	// OnConn, if set, is called with each new connection.
 	OnConn func(c *Conn)
+	// OnHead, if set, is called when the head of a request has come. An error closes the connection.
+	OnHead func(r *http.Request) error
 
 	d        *Deployment
 	listener net.Listener
@@ -316,8 +318,6 @@
 	R *bufio.Reader
 	// Late holds bytes that are sent when the next request has been read.
 	Late []byte
-	// Began is when the first byte of the request arrived that is being served.
-	Began time.Time
 }
 
 // AddWorker starts a worker and registers it in the store.
@@ -376,14 +376,15 @@
 
 // serveOne reads and answers one request.
 func (w *Worker) serveOne(c *Conn) error {
-	if _, err := c.R.Peek(1); err != nil {
-		return err
-	}
-	c.Began = time.Now()
 	r, err := http.ReadRequest(c.R)
 	if err != nil {
 		return err
 	}
+	if w.OnHead != nil {
+		if err := w.OnHead(r); err != nil {
+			return err
+		}
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return err
