--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,14 +1,12 @@
-// A long upload crashes each worker that begins to run it, while its body is still arriving. The VMs never find out, and
-// send it as often as it comes. See claim.txt.
+// Case 2: a worker runs an unsafe request and fails with a 503 that does not say "not executed" and whose body
+// is long or has no end. The client is told 503, which promises that the request has not run. See claim.txt.
 package main
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
-	"sync"
+	"strings"
 	"time"
 
 	"crocusramp.dev/crocusramp/review/harness"
@@ -17,22 +15,14 @@
 const (
 	service  = "huvo11a"
 	unsafe   = "/pufi791/"
+	requests = 400
+	// One of the workers is faulty and fails one in failEach of the requests that it runs.
 	workers  = 8
-	slots    = 9
-	deadline = 2500 * time.Millisecond
-	playTime = 40 * time.Second
-	// The client's link carries pieceBytes each roundTrip.
-	bodyBytes  = 200_000
-	pieceBytes = 14_600
-	roundTrip  = 30 * time.Millisecond
-	// crashAfter is how long a worker lives after it has begun to run the request.
-	crashAfter = 50 * time.Millisecond
-	every      = 2 * time.Second
-	// stableWindow is stable_window_s, allowed the retries that the rule allows after it.
-	stableWindow = 3 * time.Second
-	allowed      = 3
-	backAfter    = 3 * time.Second // a worker that has crashed
-	poison       = "/pufi791/scan"
+	failEach = 5
+	longBody = 3 << 20
+	piece    = 32 << 10
+	// A client reads no more than this of a refusal.
+	maxRefusal = 4 << 20
 )
 
 func main() {
@@ -42,157 +32,75 @@
 	os.Exit(code)
 }
 
-// fleet holds the workers and counts the runs of the request.
-type fleet struct {
-	d      *harness.Deployment
-	mu     sync.Mutex
-	n      int
-	runsAt []time.Time
-}
-
-func (f *fleet) add() {
-	f.mu.Lock()
-	f.n++
-	id := fmt.Sprint("i-", f.n)
-	f.mu.Unlock()
-	w := f.d.NewWorker(id, service, "ploiesti-a", slots, 3*slots)
-	var mu sync.Mutex
-	conns := map[net.Conn]bool{}
-	w.OnConn = func(c *harness.Conn) {
-		mu.Lock()
-		defer mu.Unlock()
-		conns[c] = true
+func play(d *harness.Deployment) int {
+	d.Configure(7, harness.Route{Prefix: unsafe, Kind: "unsafe", Service: service, Timeout: 2})
+	faulty := d.AddWorker("i-faulty", service, "ploiesti-a", 9, 27)
+	all := []*harness.Worker{faulty}
+	for i := range workers - 1 {
+		all = append(all, d.AddWorker(fmt.Sprint("i-sound-", i+1), service, "ploiesti-a", 9, 27))
 	}
-	w.OnHead = func(r *http.Request) error {
-		if r.URL.Path != poison || r.Header.Get("X-Expect-Instance") != w.ID {
-			return nil
+	ran, failed := 0, 0 // requests come one at a time
+	faulty.Hook = func(c *harness.Conn, r *http.Request, body []byte) (bool, error) {
+		if !harness.Trouble() || r.URL.Path == "/health" || r.Header.Get("X-Expect-Instance") != faulty.ID {
+			return false, nil
 		}
-		f.mu.Lock()
-		f.runsAt = append(f.runsAt, time.Now())
-		f.mu.Unlock()
-		if !harness.Trouble() {
-			return nil
+		if ran++; ran%failEach != 0 {
+			return false, nil
 		}
-		w.Run(r)
-		time.Sleep(crashAfter)
-		f.d.Record.Line("worker %s crashes", w.ID)
-		w.Close()
-		mu.Lock()
-		for c := range conns {
-			c.Close()
+		failed++
+		id := r.Header.Get("X-Attempt-Id")
+		faulty.Run(r)
+		time.Sleep(20 * time.Millisecond)
+		endless := failed%2 == 0
+		d.Record.Line("worker %s fails %s with 503, without X-Not-Executed; its body has no end: %v", faulty.ID, id, endless)
+		if !endless {
+			_, err := c.Write(harness.Bytes(id, 503, "", strings.Repeat("x", longBody)))
+			return true, err
 		}
-		mu.Unlock()
-		time.AfterFunc(backAfter, func() {
-			f.d.Store.Remove("servers", w.ID)
-			f.add()
-		})
-		return io.EOF
-	}
-	w.Start()
-}
-
-func play(d *harness.Deployment) int {
-	d.Configure(7, harness.Route{Prefix: unsafe, Kind: "unsafe", Service: service, Timeout: deadline.Seconds(), Latency: 0.3})
-	f := &fleet{d: d}
-	for range workers {
-		f.add()
-	}
-	var vms []*harness.VM
-	for zone := range harness.Zones {
-		vms = append(vms, d.AddVM(zone, ""))
-	}
-	for _, v := range vms {
-		v.AwaitReady()
-	}
-	time.Sleep(4 * time.Second) // no worker is cold any more, and the VMs are in touch
-
-	// "Such a request comes again, with the same path, caller and body, at any machine."
-	sent, refused := 0, 0
-	for end := time.Now().Add(playTime); time.Now().Before(end); sent++ {
-		if status := send(d, vms[sent%len(vms)], sent); status == http.StatusServiceUnavailable {
-			refused++
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id); err != nil {
+			return true, err
 		}
-		time.Sleep(every)
-	}
-	runs, late := f.count(), f.late()
-	if !harness.Trouble() {
-		d.Record.Say("the request came %d times and ran %d times; no worker crashed", sent, runs)
-		if runs < sent {
-			return harness.NotRun
+		for { // until the caller closes
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", piece, strings.Repeat("x", piece)); err != nil {
+				d.Record.Line("worker %s: the caller has closed the connection of %s", faulty.ID, id)
+				return true, err
+			}
+			time.Sleep(time.Millisecond)
 		}
-		return harness.Held
 	}
-	d.Record.Say("the request came %d times, was refused %d times and crashed %d workers; %d times later than %v after it had crashed the third (%d are allowed)",
-		sent, refused, runs, late, stableWindow, allowed)
-	switch {
-	case runs == 0:
-		return harness.NotRun
-	case late > allowed:
-		return harness.Broken
-	}
-	return harness.Held
-}
-
-func (f *fleet) count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.runsAt)
-}
+	vm := d.AddVM("ploiesti-a", "")
+	d.AddVM("cluj-a", "").AwaitReady()
+	d.AddVM("iasi-a", "").AwaitReady()
+	vm.AwaitReady()
+	time.Sleep(4 * time.Second) // no worker is cold any more
 
-// late counts the runs later than stableWindow after the third.
-func (f *fleet) late() (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !harness.Trouble() {
-		return 0
-	}
-	for i, at := range f.runsAt {
-		if i > 2 && at.Sub(f.runsAt[2]) > stableWindow {
-			n++
+	whole, cut, other, began := 0, 0, 0, time.Now()
+	for i := range requests {
+		r := d.SendLimited(vm, http.MethodPost, unsafe+"stamp?ms=5", fmt.Sprint(i%40), 2500*time.Millisecond, maxRefusal)
+		runs := 0
+		for _, w := range all {
+			runs += w.Runs(r.ID)
 		}
+		switch {
+		case runs == 0 || r.Status != http.StatusServiceUnavailable && r.Status != http.StatusTooManyRequests:
+			if r.Status != http.StatusOK {
+				other++
+			}
+			continue
+		case r.Err == nil:
+			whole++
+		default:
+			cut++
+		}
+		d.Record.Say("REFUSED: unsafe request %s was answered %d and has run (%d times, %d of them at %s)", r.ID, r.Status, runs, faulty.Runs(r.ID), faulty.ID)
 	}
-	return n
-}
-
-// slowBody is a body that comes over a slow link, if SLOW is not 0.
-type slowBody struct{ left int }
-
-func (b *slowBody) Read(p []byte) (int, error) {
-	if b.left == 0 {
-		return 0, io.EOF
-	}
-	n := min(len(p), b.left, pieceBytes)
-	for i := range n {
-		p[i] = 'x'
-	}
-	if b.left < bodyBytes && os.Getenv("SLOW") != "0" {
-		time.Sleep(roundTrip)
-	}
-	b.left -= n
-	return n, nil
-}
-
-// send sends the request and returns the status, 0 without an answer.
-func send(d *harness.Deployment, v *harness.VM, n int) int {
-	id := fmt.Sprintf("p%05d", n)
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.Front+poison+"?ms=5", &slowBody{bodyBytes})
-	if err != nil {
-		harness.Fail("%v", err)
+	d.Record.Say("%d unsafe requests; the faulty worker ran %d and failed %d; of those %d were answered 503 with a whole body and %d with one that was cut off or too long; %d requests ended with another failure; all in %.1f s",
+		requests, ran, failed, whole, cut, other, time.Since(began).Seconds())
+	if whole+cut > 0 {
+		return harness.Broken
 	}
-	req.ContentLength = bodyBytes
-	req.Host = harness.Host
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Request-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+harness.Key)
-	d.Record.Line("client sends %s to %s, %d bytes", id, v.ID, bodyBytes)
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	resp, err := (&http.Client{Transport: t, Timeout: deadline + time.Second}).Do(req)
-	if err != nil {
-		d.Record.Line("client gets no answer to %s: %v", id, err)
-		return 0
+	if harness.Trouble() && failed == 0 {
+		return harness.NotRun
 	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	d.Record.Line("client gets %d for %s: %q", resp.StatusCode, id, text)
-	return resp.StatusCode
+	return harness.Held
 }
