ingress: a status that promises "not run" is decided in one place, whatever the length of the response

A caller that relies on the promise sends it again.

Cause: readResponse replaced 408, 429 and 503 at the end of the path of buffered responses. Responses that are streamed return before it. By the test, the boundary is 1 byte over the buffer with a length, and the buffer itself in chunks and until the close; every shorter response was replaced. The VM's own answers were decided at four other places, each by its own look at mayHaveRun.

Change: withholdPromise is the only place that decides about such a status. Every answer, own or a target's, passes through it before its first byte. finalAnswer, giveUp and refuseQuarantined no longer choose between two statuses.

--- a/pkg/ingress/poison.go
+++ b/pkg/ingress/poison.go
@@ -134,9 +134,6 @@
 func (c *call) refuseQuarantined(retryAfter time.Duration) *answer {
 	c.suspectFingerprint = c.fingerprint().String()
 	c.s.counters.quarantined.Inc(1)
-	if c.mayHaveRun {
-		return refuse(http.StatusBadGateway, outcome.ReasonQuarantined, 0, "targets died while they ran this request; it may have run")
-	}
 	return refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, retryAfter, "targets died while they ran this request; it was not sent again")
 }
 
--- /dev/null
+++ b/pkg/ingress/promise.go
@@ -0,0 +1,25 @@
+package ingress
+
+import (
+	"net/http"
+
+	"crocusramp.dev/crocusramp/pkg/outcome"
+)
+
+// withholdPromise replaces the status of an answer that promises "not run" unless that is known. All answers
+// to callers pass through it before their first byte is sent.
+func (c *call) withholdPromise(a *answer) {
+	switch {
+	case !outcome.PromisesNotRun(a.status):
+	case !a.local: // a target's response is delivered only if the target may have run the request
+		a.status = http.StatusBadGateway
+		c.s.cfg.Wire.RemoveSeal(a.header)
+	case c.mayHaveRun && a.reason == outcome.ReasonDeadline:
+		*a = *refuse(http.StatusGatewayTimeout, a.reason, 0, "the target did not answer in time")
+	case c.mayHaveRun:
+		if a.reason == outcome.ReasonNoCapacity {
+			a.reason = outcome.ReasonTargetFailed
+		}
+		*a = *refuse(http.StatusBadGateway, a.reason, 0, a.detail+"; the request may have run")
+	}
+}
--- /dev/null
+++ b/pkg/ingress/promise_test.go
@@ -0,0 +1,127 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"testing"
+)
+
+// framing is how the end of a response's body shows.
+type framing string
+
+const (
+	withLength framing = "Content-Length"
+	inChunks   framing = "chunks"
+	untilClose framing = "close"
+)
+
+// failWith handles a connection by responding to each request with a status and a body of size bytes,
+// or without end if size is negative.
+func failWith(status, size int, f framing) func(net.Conn) {
+	return func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\n", status, hID, r.Header.Get(hID), hSeal)
+			if writeResponse(c, head, size, f) != nil || f == untilClose {
+				return
+			}
+		}
+	}
+}
+
+// writeResponse writes a response's head and a body of size bytes, or without end if size is negative.
+func writeResponse(c net.Conn, head string, size int, f framing) error {
+	body := io.Reader(endless{})
+	if size >= 0 {
+		body = io.LimitReader(body, int64(size))
+	}
+	var err error
+	switch f {
+	case withLength:
+		_, err = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", head, size)
+	case inChunks:
+		_, err = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n")
+	case untilClose:
+		_, err = io.WriteString(c, head+"Connection: close\r\n\r\n")
+	}
+	if err != nil || f != inChunks {
+		if err == nil {
+			_, err = io.Copy(c, body)
+		}
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(c)
+	if _, err = io.Copy(chunks, body); err == nil {
+		err = chunks.Close()
+	}
+	if err == nil {
+		_, err = io.WriteString(c, "\r\n")
+	}
+	return err
+}
+
+// endless reads as zeros without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestFailureOfAnyLengthPromisesNothing guards against a status that tells callers "not run" although
+// its target ran the request: the status was replaced only if the response fitted into the buffer.
+func TestFailureOfAnyLengthPromisesNothing(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, f := range []framing{withLength, inChunks, untilClose} {
+			for _, size := range []int{0, maxBufferedResponse, maxBufferedResponse + 1, 3 * maxBufferedResponse} {
+				t.Run(fmt.Sprint(status, " ", f, " ", size), func(t *testing.T) {
+					w := newFixture(t)
+					w.addRaw("i-1", "fd-e", failWith(status, size, f))
+					resp, body, err := w.send(http.MethodPost, "/once/x", "stamp")
+					if err != nil || resp.StatusCode != http.StatusBadGateway || len(body) != size {
+						t.Fatalf("%v, %v, %d bytes; want 502 and the target's whole body", resp, err, len(body))
+					}
+					if seal := resp.Header.Get(hSeal); seal != "" {
+						t.Errorf("seal %q with a status that the target did not send", seal)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestEndlessFailurePromisesNothing is the same for a body without end, of which the caller reads the head.
+func TestEndlessFailurePromisesNothing(t *testing.T) {
+	for _, f := range []framing{inChunks, untilClose} {
+		t.Run(string(f), func(t *testing.T) {
+			w := newFixture(t)
+			w.addRaw("i-1", "fd-e", failWith(http.StatusServiceUnavailable, -1, f))
+			r, err := http.NewRequest(http.MethodPost, w.front.URL+"/once/x", strings.NewReader("stamp"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Host = "host.example"
+			r.Header.Set(hID, newID())
+			r.Header.Set(hKey, testKey)
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(hSeal) != "" {
+				t.Errorf("status %d, seal %q; want 502 without a seal", resp.StatusCode, resp.Header.Get(hSeal))
+			}
+		})
+	}
+}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -57,7 +57,7 @@
 			if a := c.finalAnswer(ctx); a != nil {
 				return a
 			}
-			return c.giveUp("no target has room")
+			return c.refuseWithRetry(outcome.ReasonNoCapacity, "no target has room")
 		}
 		if c.callerGone() {
 			c.cancel(errCallerLeft)
@@ -84,7 +84,7 @@
 			return a
 		}
 		if len(c.tried) >= maxAttempts || !c.mayRetry(t) {
-			return c.giveUp("the targets refused the request; it has not run")
+			return c.refuseWithRetry(outcome.ReasonNoCapacity, "the targets refused the request")
 		}
 		c.s.counters.retries.Inc(1)
 	}
@@ -139,30 +139,17 @@
 	switch {
 	case cause == nil:
 		return nil
-	case errors.Is(cause, errStopping) && !c.mayHaveRun:
-		return c.refuseStopping()
 	case errors.Is(cause, errStopping):
-		return refuse(http.StatusBadGateway, outcome.ReasonStopping, 0, "this VM stops; the request may have run")
+		return c.refuseStopping()
 	case errors.Is(cause, errCallerLeft):
 		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, local: true, drop: true, detail: errCallerLeft.Error()}
-	case !c.mayHaveRun:
-		return c.refuseWithRetry(outcome.ReasonDeadline, "the time is over and the request has not run")
 	}
-	return refuse(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the target did not answer in time")
+	return c.refuseWithRetry(outcome.ReasonDeadline, "the time is over")
 }
 
 // reasonCallerLeft is the logged reason of requests whose caller closed its connection.
 const reasonCallerLeft outcome.Reason = "caller_left"
 
-// giveUp returns the answer to a request that is not sent again. notRun is the detail if no target
-// has run it.
-func (c *call) giveUp(notRun string) *answer {
-	if c.mayHaveRun {
-		return refuse(http.StatusBadGateway, outcome.ReasonTargetFailed, 0, "the target failed; the request may have run")
-	}
-	return c.refuseWithRetry(outcome.ReasonNoCapacity, notRun)
-}
-
 // refuseWithRetry returns a refusal that contains the time after which the caller may retry. The
 // time is random within a range so that callers do not return together.
 func (c *call) refuseWithRetry(reason outcome.Reason, detail string) *answer {
@@ -401,20 +388,9 @@
 	c.s.demand.recordDuration(c.demandKey(), l.RecordServiceTime(time.Since(c.sentAt), c.load))
 	c.reportAnswer()
 	a.body = body.Bytes()
-	c.replaceNotRunStatus(a)
 	return &attempt{answer: a}
 }
 
-// replaceNotRunStatus replaces a status that callers would interpret as "the request has not run" by
-// 502, because the target has not reported that.
-func (c *call) replaceNotRunStatus(a *answer) {
-	switch a.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
-		a.status = http.StatusBadGateway
-		c.s.cfg.Wire.RemoveSeal(a.header)
-	}
-}
-
 // streamedResponse is a response that is still arriving.
 type streamedResponse struct {
 	*forward.Response
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -229,6 +229,7 @@
 	s.inflight.add(c)
 	defer s.inflight.remove(c)
 	a := s.serve(ctx, c)
+	c.withholdPromise(a)
 	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
 	c.deliver(ctx, a)
 	s.cfg.Latency(time.Since(c.arrived))
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -30,6 +31,16 @@
 	}
 }
 
+// PromisesNotRun reports whether callers take an HTTP status for a promise that the request has not run and
+// never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Reason is a stable, machine-readable cause of a refusal.
 type Reason string
 
