ingress: a target's Retry-After does not reach the caller with a replaced status

Callers saw: a target that ran a request and failed it with 503 and Retry-After gets its status replaced by 502, but the retry time stayed. Callers of idempotent requests waited for it, although it tells this VM only how long the target wants nothing from it; other targets are free.

Cause: the replacement removed the signature alone.

TestReplacedFailureHasNoRetryAfter fails before for a short and for a long response ("3s"), and passes.

--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -74,7 +74,10 @@
 	}
 }
 
-func (fakeWire) RemoveSeal(h http.Header) { h.Del(hSeal) }
+func (fakeWire) RemoveClaims(h http.Header) {
+	h.Del(hSeal)
+	h.Del(hRetryAfter)
+}
 
 func (fakeWire) SetRetryAfter(h http.Header, d time.Duration) { h.Set(hRetryAfter, d.String()) }
 
--- a/pkg/ingress/promise.go
+++ b/pkg/ingress/promise.go
@@ -13,7 +13,7 @@
 	case !outcome.PromisesNotRun(a.status):
 	case !a.local: // a target's response is delivered only if the target may have run the request
 		a.status = http.StatusBadGateway
-		c.s.cfg.Wire.RemoveSeal(a.header)
+		c.s.cfg.Wire.RemoveClaims(a.header)
 	case c.mayHaveRun && a.reason == outcome.ReasonDeadline:
 		*a = *refuse(http.StatusGatewayTimeout, a.reason, 0, "the target did not answer in time")
 	case c.mayHaveRun:
--- a/pkg/ingress/promise_test.go
+++ b/pkg/ingress/promise_test.go
@@ -21,8 +21,8 @@
 )
 
 // failWith handles a connection by responding to each request with a status and a body of size bytes,
-// or without end if size is negative.
-func failWith(status, size int, f framing) func(net.Conn) {
+// or without end if size is negative. extra holds further header lines.
+func failWith(status, size int, f framing, extra string) func(net.Conn) {
 	return func(c net.Conn) {
 		defer c.Close()
 		in := bufio.NewReader(c)
@@ -32,7 +32,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
-			head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\n", status, hID, r.Header.Get(hID), hSeal)
+			head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\n%s", status, hID, r.Header.Get(hID), hSeal, extra)
 			if writeResponse(c, head, size, f) != nil || f == untilClose {
 				return
 			}
@@ -87,7 +87,7 @@
 			for _, size := range []int{0, maxBufferedResponse, maxBufferedResponse + 1, 3 * maxBufferedResponse} {
 				t.Run(fmt.Sprint(status, " ", f, " ", size), func(t *testing.T) {
 					w := newFixture(t)
-					w.addRaw("i-1", "fd-e", failWith(status, size, f))
+					w.addRaw("i-1", "fd-e", failWith(status, size, f, ""))
 					resp, body, err := w.send(http.MethodPost, "/once/x", "stamp")
 					if err != nil || resp.StatusCode != http.StatusBadGateway || len(body) != size {
 						t.Fatalf("%v, %v, %d bytes; want 502 and the target's whole body", resp, err, len(body))
@@ -106,7 +106,7 @@
 	for _, f := range []framing{inChunks, untilClose} {
 		t.Run(string(f), func(t *testing.T) {
 			w := newFixture(t)
-			w.addRaw("i-1", "fd-e", failWith(http.StatusServiceUnavailable, -1, f))
+			w.addRaw("i-1", "fd-e", failWith(http.StatusServiceUnavailable, -1, f, ""))
 			r, err := http.NewRequest(http.MethodPost, w.front.URL+"/once/x", strings.NewReader("stamp"))
 			if err != nil {
 				t.Fatal(err)
@@ -125,3 +125,16 @@
 		})
 	}
 }
+
+// TestReplacedFailureHasNoRetryAfter guards against callers that wait because of a retry time that the target
+// meant for this VM.
+func TestReplacedFailureHasNoRetryAfter(t *testing.T) {
+	for _, size := range []int{0, 2 * maxBufferedResponse} {
+		w := newFixture(t)
+		w.addRaw("i-1", "fd-e", failWith(http.StatusServiceUnavailable, size, withLength, hRetryAfter+": 3s\r\n"))
+		resp, _ := w.expect(http.StatusBadGateway, http.MethodPost, "/once/x")
+		if after := resp.Header.Get(hRetryAfter); after != "" {
+			t.Errorf("body of %d bytes: retry time %q", size, after)
+		}
+	}
+}
--- a/pkg/ingress/wire.go
+++ b/pkg/ingress/wire.go
@@ -62,8 +62,9 @@
 	// SetTimeout sets how long the target may take, for a request whose header is otherwise complete.
 	SetTimeout(h http.Header, d time.Duration)
 	FromTarget(status int, h http.Header) ResponseInfo
-	// RemoveSeal removes the target's signature from a response that this VM has changed.
-	RemoveSeal(h http.Header)
+	// RemoveClaims removes the target's signature and retry time from a response whose status this VM has
+	// replaced.
+	RemoveClaims(h http.Header)
 	SetRetryAfter(h http.Header, after time.Duration)
 	// SetRequestID sets the caller's request ID on an answer that this VM generated.
 	SetRequestID(h http.Header, id string)
