ingress: "not run" is believed only of a refusal that arrives whole

Callers saw: a refusal (X-Not-Executed) that breaks off, or that has no end, counted as soon as its head had come: the unsafe request went to another target, or was answered 503. A success that bears the target's signature and also says "not run" was sent on to another target, too, and so could run twice.

Cause: handleNotRun read up to 64 KB of the body and dropped the error; handleResponse took the mark for true beside any status.

Change: classify decides what a response's head proves, as an outcome. A refusal is then read whole, up to the size of a buffered response, by the same check as other responses; otherwise the target counts as failed and the request as one that may have run.

--- a/pkg/ingress/promise.go
+++ b/pkg/ingress/promise.go
@@ -6,6 +6,19 @@
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
 
+// classify returns what the head of a target's response proves about the request: NotRun if the target
+// refused it, Done if the response may be delivered. A success that lacks the target's signature or also
+// reports "not run" proves nothing.
+func classify(status int, info ResponseInfo) outcome.Outcome {
+	switch {
+	case info.NotRun && status >= http.StatusBadRequest:
+		return outcome.NotRun
+	case success(status) && (info.NotRun || !info.Sealed):
+		return outcome.Unknown
+	}
+	return outcome.Done
+}
+
 // withholdPromise replaces the status of an answer that promises "not run" unless that is known. All answers
 // to callers pass through it before their first byte is sent.
 func (c *call) withholdPromise(a *answer) {
--- a/pkg/ingress/promise_test.go
+++ b/pkg/ingress/promise_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // framing is how the end of a response's body shows.
@@ -138,3 +140,41 @@
 		}
 	}
 }
+
+// TestOnlyWholeRefusalIsBelieved guards against a promise that is made before the target's refusal has
+// arrived whole: the request is answered 503 or sent to another target, although the bytes that follow show
+// that the target is faulty.
+func TestOnlyWholeRefusalIsBelieved(t *testing.T) {
+	const notRun = hNotRun + ": 1\r\n"
+	id := hID + ": %s\r\n"
+	for _, tt := range []struct {
+		name   string
+		handle func(net.Conn)
+		// want is the status if there is another target.
+		want int
+	}{
+		{"whole", failWith(http.StatusServiceUnavailable, 1000, withLength, notRun), http.StatusOK},
+		{"whole, in chunks", failWith(http.StatusServiceUnavailable, 1000, inChunks, notRun), http.StatusOK},
+		{"whole, longer than a buffered request", failWith(http.StatusServiceUnavailable, 2*maxBufferedBody, inChunks, notRun), http.StatusOK},
+		{"until the close", failWith(http.StatusTooManyRequests, 1000, untilClose, notRun), http.StatusOK},
+		{"cut off", fixedResponse("HTTP/1.1 503 X\r\n" + id + notRun + "Content-Length: 100\r\n\r\ncut here"), http.StatusBadGateway},
+		{"chunks cut off", fixedResponse("HTTP/1.1 503 X\r\n" + id + notRun + "Transfer-Encoding: chunked\r\n\r\n8\r\ncut here\r\n"), http.StatusBadGateway},
+		{"without end", failWith(http.StatusServiceUnavailable, -1, inChunks, notRun), http.StatusBadGateway},
+		{"until a close that never comes", failWith(http.StatusServiceUnavailable, -1, untilClose, notRun), http.StatusBadGateway},
+		{"a success", fixedResponse("HTTP/1.1 200 OK\r\n" + id + notRun + hSeal + ": s\r\nContent-Length: 2\r\n\r\nok"), http.StatusBadGateway},
+		{"a redirection", fixedResponse("HTTP/1.1 302 X\r\n" + id + notRun + "Content-Length: 0\r\n\r\n"), http.StatusFound},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newFixture(t)
+			w.addRaw("i-1", "fd-e", tt.handle)
+			other := w.add("i-2", "fd-w", respondOK)
+			w.expect(tt.want, http.MethodPost, "/once/x", func(r *http.Request) {
+				r.Header.Set(hObject, objectIn(w, "east"))
+				r.Header.Set(hTimeout, strconv.Itoa(int(time.Second/time.Millisecond)))
+			})
+			if tt.want != http.StatusOK && other.requests() != 0 {
+				t.Error("the request was sent to another target")
+			}
+		})
+	}
+}
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -272,13 +272,13 @@
 	if info.authentic(l, resp.StatusCode) {
 		c.recordAvailability(l, info, now)
 	}
-	switch {
-	case info.NotRun:
-		return c.handleNotRun(l, resp, info)
-	case success(resp.StatusCode) && !info.Sealed:
+	switch classify(resp.StatusCode, info) {
+	case outcome.NotRun:
+		return c.handleNotRun(ctx, l, resp, info)
+	case outcome.Unknown:
 		l.EndRequest()
 		resp.Close()
-		return &attempt{mayHaveArrived: true, err: fmt.Errorf("target %s: status %d without the target's signature", l.ID, resp.StatusCode)}
+		return &attempt{mayHaveArrived: true, err: fmt.Errorf("target %s: status %d without the target's signature or with a contradiction", l.ID, resp.StatusCode)}
 	}
 	return c.readResponse(ctx, l, resp)
 }
@@ -329,11 +329,18 @@
 
 func success(status int) bool { return status >= 200 && status < 300 }
 
-// handleNotRun handles a response which reports that the target did not run the request.
-func (c *call) handleNotRun(l *target.Live, resp *forward.Response, info ResponseInfo) *attempt {
-	defer l.EndRequest()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBody))
+// handleNotRun handles a response which reports that the target did not run the request. A response that
+// does not arrive whole proves nothing.
+func (c *call) handleNotRun(ctx context.Context, l *target.Live, resp *forward.Response, info ResponseInfo) *attempt {
+	_, err := io.Copy(io.Discard, io.LimitReader(resp, maxBufferedResponse))
+	if err == nil {
+		err = expectEnd(resp)
+	}
+	l.EndRequest()
 	resp.Close()
+	if err != nil {
+		return c.handleIncomplete(ctx, l, err)
+	}
 	t := &attempt{notRun: true, mayHaveArrived: true, err: fmt.Errorf("target %s did not run the request: status %d", l.ID, resp.StatusCode)}
 	if info.OtherInstance {
 		l.SetReplaced()
@@ -370,20 +377,13 @@
 		a.stream = &streamedResponse{Response: resp, target: l}
 		return &attempt{answer: a}
 	}
-	// The end of a body of known length shows only when a further read returns no bytes.
-	if err == nil && !resp.Complete() {
-		var one [1]byte
-		if n, e := resp.Read(one[:]); n > 0 || (e != nil && e != io.EOF) {
-			err = errors.Join(errors.New("expected the end of the body"), e)
-		}
+	if err == nil {
+		err = expectEnd(resp)
 	}
 	l.EndRequest()
 	resp.Close()
 	if err != nil {
-		if context.Cause(ctx) == nil { // otherwise the request was cancelled while the response arrived
-			l.RecordFailure(false)
-		}
-		return &attempt{mayHaveArrived: true, err: fmt.Errorf("target %s: incomplete response: %w", l.ID, err)}
+		return c.handleIncomplete(ctx, l, err)
 	}
 	c.s.demand.recordDuration(c.demandKey(), l.RecordServiceTime(time.Since(c.sentAt), c.load))
 	c.reportAnswer()
@@ -391,6 +391,27 @@
 	return &attempt{answer: a}
 }
 
+// expectEnd returns an error unless the body has been read to its end. The end of a body of known length
+// shows only when a further read returns no bytes.
+func expectEnd(resp *forward.Response) error {
+	if resp.Complete() {
+		return nil
+	}
+	var one [1]byte
+	if n, err := resp.Read(one[:]); n > 0 || (err != nil && err != io.EOF) {
+		return errors.Join(errors.New("expected the end of the body"), err)
+	}
+	return nil
+}
+
+// handleIncomplete handles a response that did not arrive whole.
+func (c *call) handleIncomplete(ctx context.Context, l *target.Live, err error) *attempt {
+	if context.Cause(ctx) == nil { // otherwise the request was cancelled while the response arrived
+		l.RecordFailure(false)
+	}
+	return &attempt{mayHaveArrived: true, err: fmt.Errorf("target %s: incomplete response: %w", l.ID, err)}
+}
+
 // streamedResponse is a response that is still arriving.
 type streamedResponse struct {
 	*forward.Response
