forward: a discarded response must end before the next one is read

Callers saw (by the test): when a late response to another request was longer than the 1 MB that are discarded, the client read on inside its body. Bytes there that look like a response to the present request were delivered as its answer.

Cause: io.Copy from a LimitReader returns no error at the limit.

TestDiscardedResponseEndsWhereItSays got "forged" before; now the exchange fails with ErrRequestIDMismatch.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -150,7 +150,7 @@
 		if resp.Close || closeDelimited(resp) { // nothing can follow
 			return resp, err
 		}
-		if _, discardErr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes)); discardErr != nil {
+		if n, discardErr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes+1)); n > maxDiscardedBytes || discardErr != nil {
 			return resp, err
 		}
 		x.mismatched = true
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -285,3 +285,19 @@
 		t.Error("a dial timeout counts as a refusal")
 	}
 }
+
+// TestDiscardedResponseEndsWhereItSays guards against a long response to another request whose body is read
+// as the response that follows it.
+func TestDiscardedResponseEndsWhereItSays(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get(headerRequestID)
+		inBody := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 6\r\n\r\nforged", headerRequestID, id)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: %d\r\n\r\n%s%s", headerRequestID, maxDiscardedBytes+len(inBody), strings.Repeat("x", maxDiscardedBytes), inBody)
+		return false
+	})
+	c := NewClient(Config{SkipMismatched: true})
+	defer c.Close()
+	if body, err := fetch(t, c, address, "a", Options{RequireEcho: true}); !errors.Is(err, ErrRequestIDMismatch) {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
