forward: a request without an ID has a connection of its own

Cause: the client kept connections for reuse after exchanges whose next bytes it cannot tell apart.

Change: an exchange without an ID opens a connection and closes it.

TestRequestWithoutIDHasItsOwnConnection fails before (1 connection for 4 requests, 3 wanted). The requests of pkg/reach's tests have IDs now, as those of callers do: two of these tests are about kept connections.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -184,10 +184,13 @@
 	}
 }
 
-// get returns an idle connection for the request with the given ID, or dials a new one.
+// get returns an idle connection for the request with the given ID, or dials a new one. A request without
+// an ID has a connection of its own, because nothing else identifies its response.
 func (c *Client) get(ctx context.Context, o Options, id string) (cn *conn, reused bool, err error) {
-	if cn := c.reuse(o.Pool, id, c.idleLimit(o.AtMostOnce)); cn != nil {
-		return cn, true, nil
+	if id != "" {
+		if cn := c.reuse(o.Pool, id, c.idleLimit(o.AtMostOnce)); cn != nil {
+			return cn, true, nil
+		}
 	}
 	netConn, err := o.Dial(ctx)
 	if err != nil {
@@ -217,8 +220,7 @@
 		if cn.keepAlive > 0 {
 			limit = min(limit, cn.keepAlive)
 		}
-		sameRequest := id != "" && cn.lastRequestID == id
-		if !sameRequest && time.Since(cn.idleSince) <= limit && cn.reusable() {
+		if cn.lastRequestID != id && time.Since(cn.idleSince) <= limit && cn.reusable() {
 			return cn
 		}
 		cn.Close()
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -280,7 +280,8 @@
 		x.conn.Close()
 		x.waitSent()
 	}
-	if attached && restored && sent && r.eof && !r.Response.Close && !x.mismatched && x.conn.reader.Buffered() == 0 {
+	identified := x.conn.lastRequestID != ""
+	if attached && restored && sent && identified && r.eof && !r.Response.Close && !x.mismatched && x.conn.reader.Buffered() == 0 {
 		x.client.put(x.pool, x.conn)
 		return
 	}
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -301,3 +301,22 @@
 		t.Errorf("got %q, %v", body, err)
 	}
 }
+
+// TestRequestWithoutIDHasItsOwnConnection guards against late responses that cannot be told apart, as nothing in
+// them names the request that they belong to.
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		respond(c, r, "ok")
+		return true
+	})
+	c := NewClient(Config{})
+	defer c.Close()
+	for i, id := range []string{"a", "", "", "b"} {
+		if _, err := fetch(t, c, address, id, Options{}); err != nil {
+			t.Fatal(err)
+		}
+		if want := []int64{1, 2, 3, 3}[i]; int64(connections.Load()) != want {
+			t.Errorf("request %d: %d connections, want %d", i, connections.Load(), want)
+		}
+	}
+}
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -77,11 +77,12 @@
 
 // world is a VM with its targets and peers. It implements Tunnels.
 type world struct {
-	t       *testing.T
-	client  *Client
-	targets *target.Registry
-	servers map[string]*httptest.Server // by target ID
-	byHost  map[string]string           // target ID by address
+	requests atomic.Int64
+	t        *testing.T
+	client   *Client
+	targets  *target.Registry
+	servers  map[string]*httptest.Server // by target ID
+	byHost   map[string]string           // target ID by address
 	// direct is the state of the VM's links; unreachable holds targets that it does not reach.
 	direct      atomic.Int32
 	mu          sync.Mutex
@@ -182,6 +183,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	req.Header.Set("X-Request-Id", fmt.Sprint("r-", w.requests.Add(1))) // requests without an ID share no connections
 	resp, via, failure := w.client.Do(w.t.Context(), req, l, o)
 	if failure != nil {
 		return "", via, failure
