entry: "serve" does not pass on a target's status that promises "not run"

Callers saw: on serve, a target's 408, 421, 429 or 503 without X-Shed reached the caller as it was, with the target's Retry-After. docs/API.md said so, but the same four statuses of the VM itself mean "not run", and HTTP clients send a request again after them.

Cause: entry knew the promise only as the outcome in a refusal's body.

Change: withholdPromise, by the statuses that pkg/outcome names for both paths, before an answer's first byte: a target's, a peer's or a recorded one.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -100,6 +100,7 @@
 		s.refuse(c.w, c.r, c.responseID, a.refusal)
 		return
 	}
+	withholdPromise(a)
 	h := c.w.Header()
 	maps.Copy(h, a.header)
 	h.Set(headerRequestID, c.responseID)
@@ -116,6 +117,15 @@
 	s.deliverStream(c, a)
 }
 
+// withholdPromise replaces the status of a target's response that promises "not run", because the target may
+// have run the request.
+func withholdPromise(a *answer) {
+	if outcome.PromisesNotRun(a.status) {
+		a.status = http.StatusBadGateway
+		a.header.Del(headerRetryAfter)
+	}
+}
+
 func (s *Server) deliverBuffered(c *call, a *answer) {
 	if bodyAllowed(c.r.Method, a.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.head)))
--- a/pkg/entry/header.go
+++ b/pkg/entry/header.go
@@ -17,6 +17,7 @@
 	headerIdempotencyKey  = "Idempotency-Key"
 	headerShed            = "X-Shed"
 	shedNotRun            = "not-run"
+	headerRetryAfter      = "Retry-After"
 	// headerInternal is the prefix of the headers that VMs send each other.
 	headerInternal   = "X-Crocusramp-"
 	headerHandOver   = headerInternal + "Hand-Over"
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -46,7 +46,7 @@
 	h.Set(headerRequestID, requestID)
 	h.Set(headerOutcome, refusal.Outcome.String())
 	if refusal.RetryAfter > 0 {
-		h.Set("Retry-After", retrySeconds(refusal.RetryAfter))
+		h.Set(headerRetryAfter, retrySeconds(refusal.RetryAfter))
 	}
 	if refusal.Reason == outcome.ReasonStopping {
 		h.Set("Connection", "close")
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -133,7 +133,7 @@
 
 func shedAnswer(a *answer) *answer {
 	retryAfter := targetFailedRetryAfter
-	if seconds, err := strconv.Atoi(a.header.Get("Retry-After")); err == nil && seconds > 0 {
+	if seconds, err := strconv.Atoi(a.header.Get(headerRetryAfter)); err == nil && seconds > 0 {
 		retryAfter = time.Duration(seconds) * time.Second
 	}
 	return &answer{transient: true, shed: true, refusal: outcome.Refuse(http.StatusServiceUnavailable,
