entry: a shed counts only if it names the request and is whole

Callers saw (serve, by the test): "X-Shed: not-run" was believed of a response without the request's ID, which may be a late one to another request, and of one that was longer than the buffer and had not arrived whole. An at-most-once request was then sent to another target.

Cause: isShed looked at status and header only.

TestShedRequestIsRetriedElsewhere: its targets echo the ID now, as the stand-in target does; docs/API.md asks it of targets that shed.

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -101,7 +101,8 @@
 // a target refuses it before running it, and is refused as "not_run" if there is none.
 func TestShedRequestIsRetriedElsewhere(t *testing.T) {
 	v := startVM(t, "vm-1", nil)
-	shedding := func(w http.ResponseWriter, _ *http.Request) {
+	shedding := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.Header().Set(headerShed, shedNotRun)
 		w.Header().Set("Retry-After", "7")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/entry/promise_test.go
+++ b/pkg/entry/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -36,3 +37,27 @@
 		}
 	}
 }
+
+// TestUnprovenShedIsNotBelieved guards against "not run" by a response that may belong to another request, or
+// that does not arrive whole.
+func TestUnprovenShedIsNotBelieved(t *testing.T) {
+	const shed = "HTTP/1.1 503 X\r\nX-Shed: not-run\r\n"
+	for name, response := range map[string]string{
+		"no request ID": shed + "Content-Length: 2\r\n\r\nno",
+		"too long":      shed + "X-Request-Id: %s\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000),
+		"cut off":       shed + "X-Request-Id: %s\r\nContent-Length: 10\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := startVM(t, "vm-1", nil)
+			v.addRawTarget(t, "t1", func(c net.Conn) {
+				if r := readRequest(t, c); r != nil {
+					io.WriteString(c, strings.ReplaceAll(response, "%s", r.Header.Get(headerRequestID)))
+				}
+			})
+			v.addTarget(t, "t2", echoTarget("t2"))
+			if got := v.send(t, "POST", "/filing/x", "body", headerIdempotencyKey, ""); got.status != http.StatusBadGateway {
+				t.Errorf("status %d %.40q, want 502", got.status, got.body)
+			}
+		})
+	}
+}
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -42,9 +42,8 @@
 		return a
 	}
 	a.outcome, a.deathID = "", "" // only peers may set these headers
-	if isShed(a) {
+	if isShed(a, c.id) {
 		c.triedTargets = append(c.triedTargets, g.Target.ID)
-		a.closeStream()
 		a = shedAnswer(a)
 	}
 	s.releaseGrant(g, a, started, a.shed)
@@ -125,10 +124,11 @@
 }
 
 // isShed reports whether the target refused the request before running it. Targets
-// signal this by status 429 or 503 together with the header "X-Shed: not-run".
-func isShed(a *answer) bool {
+// signal this by status 429 or 503 together with the header "X-Shed: not-run". The
+// response must name the request and be whole.
+func isShed(a *answer, requestID string) bool {
 	return (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) &&
-		strings.EqualFold(a.header.Get(headerShed), shedNotRun)
+		strings.EqualFold(a.header.Get(headerShed), shedNotRun) && a.header.Get(headerRequestID) == requestID && a.stream == nil
 }
 
 func shedAnswer(a *answer) *answer {
