tunnel, forward: a write that fails in a TLS record through a peer counts as written

Callers would see: a request that a peer carries over TLS, and whose first record was sent although its write failed, was answered "not run" or sent to another target.

Cause: forward recognises *tls.Conn only, and the end of a tunnel wraps it.

TestFailedWriteThroughTLS: Wrote is false before, true after, and stays false over TCP.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -54,13 +54,22 @@
 		c.writeErr = err
 	}
 	c.written.Add(int64(n))
-	if _, ok := c.Conn.(*tls.Conn); ok && err != nil && n == 0 {
-		// A TLS record may have been sent although its write failed.
+	if err != nil && n == 0 && writesRecords(c.Conn) {
 		c.written.Add(1)
 	}
 	return n, err
 }
 
+// writesRecords reports whether a connection writes TLS records. A record may have been sent although its
+// write failed.
+func writesRecords(c net.Conn) bool {
+	if wrapper, ok := c.(interface{ WritesRecords() bool }); ok {
+		return wrapper.WritesRecords()
+	}
+	_, ok := c.(*tls.Conn)
+	return ok
+}
+
 // failureBeforeEOF closes a connection on which a read returned io.EOF. If the connection had failed and the
 // target had not ended it, it returns the error. The kernel reports a failure once: if a concurrent write got
 // the error, reads see a clean end, also with TLS. That write gets EPIPE if the target's end came before the
--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -43,6 +43,9 @@
 	return n, err
 }
 
+// WritesRecords reports whether the peer is connected with TLS.
+func (c *conn) WritesRecords() bool { return c.Conn != net.Conn(c.tcp) }
+
 // Close implements net.Conn. It resets the connection: the peer takes a clean end for CloseWrite.
 func (c *conn) Close() error {
 	c.dialer.remove(c)
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -521,3 +521,25 @@
 		t.Errorf("connections through %d peers are left", len(f.dialer.open))
 	}
 }
+
+// TestFailedWriteThroughTLS guards against a request that counts as not sent although a TLS record with its
+// beginning may have reached the peer that carries it.
+func TestFailedWriteThroughTLS(t *testing.T) {
+	address := httpTarget(t)
+	for name, tt := range map[string]struct {
+		f     *fixture
+		wrote bool
+	}{"TCP": {newFixture(t, address, nil), false}, "TLS": {newTLSFixture(t, address), true}} {
+		c := tt.f.dial(t)
+		client := forward.NewClient(forward.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+			return c, c.SetWriteDeadline(time.Unix(1, 0))
+		}})
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		var failure *forward.Error
+		if err := exchange(ctx, client, address, "r-1"); !errors.As(err, &failure) || failure.Wrote != tt.wrote {
+			t.Errorf("%s: %v; want Wrote %v", name, err, tt.wrote)
+		}
+	}
+}
