ingress: a long answer whose caller leaves in its buffered part is closed

Cause: deliver wrote the buffered part by itself and returned when that failed; only copyStream closed the response. The write had no deadline either, so a caller that read nothing more held its target.

Change: copyStream owns the response from the first byte on, and writes the buffered part under the same limits.

TestCallerLeavesInHeadOfLongAnswer: the target stays connected, and its request counted, for the 8 s of the test before; both cases pass after.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -340,12 +340,12 @@
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
 	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil {
-		c.s.cfg.Log.Info().Str("request", c.info.ID).Err(err).Object("connection", c.connection()).Msg("the answer could not be written")
+	if a.stream != nil {
+		c.copyStream(ctx, a.body, a.stream)
 		return
 	}
-	if a.stream != nil {
-		c.copyStream(ctx, a.stream)
+	if _, err := c.w.Write(a.body); err != nil {
+		c.s.cfg.Log.Info().Str("request", c.info.ID).Err(err).Object("connection", c.connection()).Msg("the answer could not be written")
 	}
 }
 
@@ -361,9 +361,9 @@
 // caller's timeout. A response that has reached this size by then is treated as endless.
 const endlessResponseBytes = 16 << 20
 
-// copyStream forwards a response that is too long to be buffered. If the response breaks off, the
-// caller must be able to detect that.
-func (c *call) copyStream(ctx context.Context, stream *streamedResponse) {
+// copyStream forwards a response that is too long to be buffered, of which head has arrived, and closes it. If
+// the response breaks off, the caller must be able to detect that.
+func (c *call) copyStream(ctx context.Context, head []byte, stream *streamedResponse) {
 	defer stream.Close()
 	// Once its answer has begun, a caller keeps waiting beyond the route's timeout.
 	timeout := maxTimeout
@@ -373,7 +373,11 @@
 	c.timer.Reset(time.Until(c.arrived.Add(timeout)))
 	// A caller that does not read must not occupy the target for longer.
 	stop := context.AfterFunc(ctx, func() { _ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0)) })
-	n, err := io.Copy(c.w, stream)
+	var n int64 // streamed bytes
+	_, err := c.w.Write(head)
+	if err == nil {
+		n, err = io.Copy(c.w, stream)
+	}
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -308,6 +309,46 @@
 	}
 }
 
+// TestCallerLeavesInHeadOfLongAnswer guards against a target that stays occupied for good because its caller
+// left while the buffered part of a long answer was being written, or reads nothing more.
+func TestCallerLeavesInHeadOfLongAnswer(t *testing.T) {
+	for name, closes := range map[string]bool{"closes": true, "reads nothing more": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			left := make(chan struct{})
+			w.addRaw("i-1", "fd-e", func(c net.Conn) {
+				defer close(left)
+				failWith(http.StatusOK, 64*maxBufferedResponse, withLength, "")(c)
+			})
+			c, err := (&net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+				return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+			}}).Dial("tcp", w.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n%s: %s\r\n%s: %s\r\n%s: 1000\r\n\r\n", hID, newID(), hKey, testKey, hTimeout)
+			if _, err := c.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if closes {
+				c.Close()
+			}
+			select {
+			case <-left:
+			case <-time.After(4 * time.Second):
+				t.Error("the target is still connected")
+			}
+			l := w.targets.Snapshot().Pools[testPool]["east"][0]
+			for deadline := time.Now().Add(4 * time.Second); l.Running() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("%d requests count as running", l.Running())
+				}
+			}
+		})
+	}
+}
+
 // TestCallerThatLeftIsNotServed guards against requests that are sent to a target after their
 // caller has closed its connection, because the process has not yet read the close.
 func TestCallerThatLeftIsNotServed(t *testing.T) {
