--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -47,10 +47,7 @@
 	lab                           *Lab
 	cmd                           *exec.Cmd
 	exited                        chan struct{}
-	starts                        int
-	Incarnations                  int
 	settings                      string
-	FailureDomains                map[string]string
 }
 
 // Open starts a run. It records in record.txt in the folder folder.
@@ -122,9 +119,14 @@
 // Zones of the small deployment.
 var Zones = map[string]string{"zone-a": "east", "zone-b": "east", "zone-c": "west", "zone-d": "west"}
 
-// StartVM starts a VM on a loopback host of its own.
+// StartVM starts a VM on a loopback host of its own, when the whole system starts for the first time.
 func (l *Lab) StartVM(id, zone, host string) (*VM, error) {
-	v := &VM{ID: id, Zone: zone, Region: Zones[zone], lab: l, StoreAddress: l.storeAt}
+	return l.StartVMWith(id, zone, host, l.storeAt, true)
+}
+
+// StartVMWith starts a VM that reaches the store at an address. first is false for a machine that is added later.
+func (l *Lab) StartVMWith(id, zone, host, storeAddress string, first bool) (*VM, error) {
+	v := &VM{ID: id, Zone: zone, Region: Zones[zone], lab: l, StoreAddress: storeAddress}
 	for _, address := range []*string{&v.Callers, &v.Locate, &v.Ready, &v.Peers, &v.Metrics} {
 		var err error
 		if *address, err = freeAddress(host); err != nil {
@@ -132,7 +134,7 @@
 		}
 	}
 	l.vms = append(l.vms, v)
-	return v, v.Start(true)
+	return v, v.Start(first)
 }
 
 // write writes the settings, as the template of the deploy file lays them out.
