--- a/review/7/main.go
+++ b/review/7/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,7 +34,8 @@
 	notice      = 3 * time.Second
 	fewConns    = 16
 	manyConns   = 360
-	shortLoops  = 12 // for each VM
+	closeOneIn  = 5
+	shortLoops  = 16 // for each VM
 	downloadGap = 300 * time.Millisecond
 )
 
@@ -140,19 +142,29 @@
 	<-watched
 	_ = c.SetReadDeadline(time.Time{})
 	left := err != nil || gone.Load() != 0
+	last := false // a worker closes a connection occasionally
 	if !left && r.URL.Path != "/files/whole" {
+		if last = rand.IntN(closeOneIn) == 0; last {
+			head += "Connection: close\r\n"
+		}
 		_, err = fmt.Fprintf(c, "%sContent-Length: 2\r\n\r\nok", head)
 	}
 	t.mu.Lock()
 	one.ended, one.brokenOff = time.Now(), left
 	t.mu.Unlock()
-	if left {
+	switch {
+	case left:
 		return errLeft
+	case last:
+		return errLast
 	}
 	return err
 }
 
-var errLeft = errors.New("the caller closed the connection")
+var (
+	errLeft = errors.New("the caller closed the connection")
+	errLast = errors.New("the response said that it is the last one")
+)
 
 // watch notices that the caller closes the connection while the target is at work. The caller sends nothing
 // before it has the answer. The watch ends with the read deadline.
