--- a/pkg/edge/reload.go
+++ b/pkg/edge/reload.go
@@ -46,8 +46,8 @@
 		d.refreshWatchers() // their pending polls are at the old address
 	}
 	d.log.Info().Str("store", next.Store.Address).Msg("settings reloaded")
-	if next.VM != old.VM || next.Listen != old.Listen {
-		d.log.Warn().Msg("changed VM identity or listen addresses take effect at the next start")
+	if next.VM != old.VM || next.Listen != old.Listen || next.Limits != old.Limits {
+		d.log.Warn().Msg("changed VM identity, listen addresses or limits take effect at the next start")
 	}
 	return ""
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -48,6 +48,7 @@
 
 // setDefaults sets the fields that the file omits to their defaults.
 func (s *Settings) setDefaults() {
+	s.Limits.setDefaults()
 	if s.Slots == 0 {
 		s.Slots = defaultSlots
 	}
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -17,6 +17,7 @@
 	FirstStart bool   `json:"first_start"`
 	Store      Store  `json:"store"`
 	Bounds     Bounds `json:"bounds"`
+	Limits     Limits `json:"limits,omitzero"`
 	Log        Log    `json:"log"`
 	Traces     Traces `json:"traces"`
 }
@@ -103,6 +104,7 @@
 
 // setDefaults sets the fields that the file omits to their defaults.
 func (s *Edge) setDefaults() {
+	s.Limits.setDefaults()
 	b := &s.Bounds
 	setDefault(&b.Drain, defaultDrain)
 	setDefault(&b.Grace, defaultEdgeGrace)
@@ -175,7 +177,7 @@
 	if b.ColdFactor < 1 {
 		return invalid("bounds.cold_factor", "%v is less than 1", b.ColdFactor)
 	}
-	return nil
+	return s.Limits.check()
 }
 
 // isLoopback reports whether the host:port has a loopback IP address.
--- a/pkg/settings/edge_test.go
+++ b/pkg/settings/edge_test.go
@@ -63,7 +63,7 @@
 		"{{ip}}", "10.0.0.1", "{{internal_port_range.0}}", "7560", "{{internal_port_range.1}}", "7561",
 		"{{zones|json}}", `{"fd-a":"east"}`, "{{bootstrap|json}}", "true",
 		"{{platform.address|json}}", `"10.9.9.9:90"`, "{{platform.reads_per_s|json}}", "2000", "{{platform.writes_per_s|json}}", "400",
-		"{{bounds.drain_s}}", "2", "{{bounds.grace_s}}", "6", "{{bounds.ttl_max_s}}", "5", "{{bounds.retry_budget_ratio|json}}", "0.2",
+		"{{limits.memory_mb|json}}", "284", "{{limits.max_fds|json}}", "4100", "{{bounds.drain_s}}", "2", "{{bounds.grace_s}}", "6", "{{bounds.ttl_max_s}}", "5", "{{bounds.retry_budget_ratio|json}}", "0.2",
 		"{{bounds.budget_min_retries|json}}", "60", "{{bounds.budget_window_s}}", "10", "{{bounds.cold_over|json}}", "1.5", "{{bounds.quota_window_s}}", "5", "{{bounds.quota_overage|json}}", "0.1", "{{bounds.quota_slack|json}}", "20", "{{bounds.cold_slack|json}}", "5",
 	).Replace(string(text))
 	if strings.Contains(filled, "{{") {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -72,6 +72,7 @@
 	Log          Log           `json:"log"`
 	Traces       Traces        `json:"traces"`
 	Stop         Stop          `json:"stop"`
+	Limits       Limits        `json:"limits,omitzero"`
 }
 
 // VM identifies the VM that this daemon runs on and its location.
