conntrack, edge: callers' connections leave descriptors for others

What callers saw: 800 idle connections, or as many with half a request line, held 819 to 828 descriptors of a VM that has 700 (TestConnections). accept fails then, and so do dials of targets, peers and the store.

Cause: nothing bounded the connections of callers.

Change: a tracker has a largest number of connections and takes two sockets, the caller's and one for a target, from a budget that tunnels share. From 15/16 of the number on it closes others to make room: first those on which no request was read yet, then idle ones, then those whose body or response makes no progress; the oldest of a kind first. One with a request in flight is never closed. If none can be closed, the new one is. The connection is closed by the reader of the next request, so a request that was read meanwhile is answered (TestEvictedRequestIsAnsweredOrUnread).

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -32,6 +32,8 @@
 	EndVM End = "closed_by_vm"
 	// EndIdle: this VM closed the connection because it was idle for too long.
 	EndIdle End = "closed_idle"
+	// EndEvicted: this VM closed the connection to make room for others.
+	EndEvicted End = "evicted"
 	// EndFailed: reading failed for another reason.
 	EndFailed End = "failed"
 )
@@ -45,13 +47,16 @@
 const (
 	stateNew state = iota // no request has arrived yet
 	stateIdle
-	stateReading // the next request is being read
-	stateActive  // a request is being served
+	stateReading    // the next request is being read
+	stateActive     // a request is being served
+	stateReceiving  // the body of the request is being read
+	stateDelivering // the response is being written
 )
 
 // Conn is the connection of a caller.
 type Conn struct {
 	*net.TCPConn
+	tracker  *Tracker
 	accepted time.Time
 
 	mu        sync.Mutex
@@ -59,11 +64,17 @@
 	idleSince time.Time
 	// readingSince is when the first bytes of the request that is being read arrived.
 	readingSince time.Time
-	idleFor      time.Duration // before the current request
-	keepFor      time.Duration // the idle timeout on which the caller relies
-	expired      bool          // the read deadline was set because of the idle timeout
-	requests     int
-	end          End
+	// receivingSince is when reading of the body began, deliveringSince when writing of the response did.
+	receivingSince, deliveringSince time.Time
+	// evicted is set if the connection must be closed to make room for others.
+	evicted bool
+	// untracked is set once the connection no longer counts.
+	untracked bool
+	idleFor   time.Duration // before the current request
+	keepFor   time.Duration // the idle timeout on which the caller relies
+	expired   bool          // the read deadline was set because of the idle timeout
+	requests  int
+	end       End
 }
 
 // KeepFor records that the caller relies on an idle timeout of d after the response. The connection is not
@@ -78,11 +89,25 @@
 // reading ended.
 func (c *Conn) Read(b []byte) (int, error) {
 	for {
+		if c.mustClose() {
+			return 0, os.ErrDeadlineExceeded
+		}
 		n, err := c.TCPConn.Read(b)
-		if !c.mayContinue(n, err) {
-			return n, err
+		if c.mayContinue(n, err) {
+			continue
 		}
+		return n, err
+	}
+}
+
+// mustClose reports whether the connection was evicted before its request was read.
+func (c *Conn) mustClose() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		c.setEnd(EndEvicted)
 	}
+	return c.evicted
 }
 
 // mayContinue records the result of a read. It reports whether the read must be repeated because a
@@ -90,6 +115,9 @@
 func (c *Conn) mayContinue(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return false
+	}
 	if c.expired && (n > 0 || peek.Look(c.TCPConn) == peek.Readable) {
 		c.expired = false
 		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection, which ends the read
@@ -146,9 +174,13 @@
 	c.mu.Lock()
 	c.setEnd(EndVM)
 	c.mu.Unlock()
+	c.tracker.remove(c)
 	return c.TCPConn.Close()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.TCPConn }
+
 // setEnd records the first end. The caller holds mu.
 func (c *Conn) setEnd(e End) {
 	if c.end == EndNone {
@@ -195,3 +227,9 @@
 	c, _ := ctx.Value(connKey{}).(net.Conn)
 	return c
 }
+
+// Of returns the tracked connection of a request, or nil.
+func Of(ctx context.Context) *Conn {
+	c, _ := FromContext(ctx).(*Conn)
+	return c
+}
--- a/pkg/conntrack/tracker.go
+++ b/pkg/conntrack/tracker.go
@@ -8,59 +8,102 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/capacity"
 )
 
-// Tracker tracks the connections of one http.Server.
+// Config holds the settings of a Tracker. Bounds that are zero or nil are absent.
+type Config struct {
+	// Name is the first part of the names of the metrics.
+	Name string
+	// MaxConns is the largest number of connections.
+	MaxConns int
+	// Sockets is the budget of which each connection takes SocketsPerConn.
+	Sockets        *capacity.Budget
+	SocketsPerConn int64
+	Metrics        metrics.Registry
+	Log            zerolog.Logger
+}
+
+// Tracker tracks the connections of one http.Server, and bounds them.
 type Tracker struct {
-	// expired counts the connections that were closed because they were idle for too long.
-	expired metrics.Counter
+	config   Config
+	counters counters
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+	loggedAt time.Time
 }
 
-// NewTracker returns a Tracker that registers its counters in r.
-func NewTracker(r metrics.Registry) *Tracker {
-	return &Tracker{conns: map[*Conn]struct{}{}, expired: metrics.GetOrRegisterCounter("callers.connections_expired", r)}
+// counters count the connections that a Tracker closes: because they were idle for too long, to make room for
+// others, and at once because there is no room.
+type counters struct{ expired, evicted, refused metrics.Counter }
+
+// NewTracker returns a Tracker that registers its metrics.
+func NewTracker(c Config) *Tracker {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(c.Name+"."+name, c.Metrics) }
+	return &Tracker{config: c, conns: map[*Conn]struct{}{}, counters: counters{
+		expired: counter("connections_expired"), evicted: counter("connections_evicted"),
+		refused: counter("connections_refused"),
+	}}
 }
 
 // Listener returns a listener whose connections are tracked. l must be a TCP listener.
-func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
+func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l, t} }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
 
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		_ = c.Close()
-		return nil, fmt.Errorf("accepted a %T, want a TCP connection", c)
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			_ = nc.Close()
+			return nil, fmt.Errorf("accepted a %T, want a TCP connection", nc)
+		}
+		c := &Conn{TCPConn: tcp, tracker: l.tracker, accepted: time.Now()}
+		if l.tracker.add(c) {
+			return c, nil
+		}
+		_ = tcp.Close() // nothing was read or written
 	}
-	return &Conn{TCPConn: tcp, accepted: time.Now()}, nil
 }
 
 // ConnState is the http.Server.ConnState hook.
 func (t *Tracker) ConnState(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*Conn)
+	c, ok := unwrap(nc)
 	if !ok {
 		return
 	}
 	switch s {
-	case http.StateNew:
-		t.mu.Lock()
-		t.conns[c] = struct{}{}
-		t.mu.Unlock()
 	case http.StateActive:
 		c.begin(time.Now())
 	case http.StateIdle:
 		c.rest(time.Now())
 	case http.StateClosed, http.StateHijacked:
-		t.mu.Lock()
-		delete(t.conns, c)
-		t.mu.Unlock()
+		t.remove(c)
+	}
+}
+
+// unwrap returns the tracked connection below others, such as those of TLS.
+func unwrap(nc net.Conn) (*Conn, bool) {
+	for {
+		if c, ok := nc.(*Conn); ok {
+			return c, true
+		}
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		nc = wrapper.NetConn()
 	}
 }
 
@@ -74,8 +117,8 @@
 	}
 	c.state = stateActive
 	c.requests++
-	if c.expired {
-		c.expired = false
+	if c.expired || c.evicted {
+		c.expired, c.evicted = false, false
 		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
 }
@@ -133,7 +176,7 @@
 func (t *Tracker) CloseExpired(limit time.Duration, now time.Time) {
 	for _, c := range t.list() {
 		if c.expire(limit, now) {
-			t.expired.Inc(1)
+			t.counters.expired.Inc(1)
 		}
 	}
 }
--- a/pkg/conntrack/tracker_test.go
+++ b/pkg/conntrack/tracker_test.go
@@ -19,7 +19,7 @@
 // serve starts an HTTP server whose connections are tracked.
 func serve(t *testing.T, h http.Handler) (tracker *Tracker, address string) {
 	t.Helper()
-	tracker = NewTracker(metrics.NewRegistry())
+	tracker = NewTracker(Config{Name: "callers", Metrics: metrics.NewRegistry()})
 	server := httptest.NewUnstartedServer(h)
 	server.Config.ConnState, server.Config.ConnContext = tracker.ConnState, ConnContext
 	server.Listener = tracker.Listener(server.Listener)
@@ -191,7 +191,7 @@
 	for range rounds {
 		var mu sync.Mutex
 		handled := map[string]bool{}
-		tracker := NewTracker(metrics.NewRegistry())
+		tracker := NewTracker(Config{Name: "callers", Metrics: metrics.NewRegistry()})
 		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			mu.Lock()
 			handled[r.URL.Path] = true
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/conntrack"
@@ -62,9 +63,6 @@
 	targetDialTimeout = 350 * time.Millisecond
 	// tunnelDialTimeout allows two round trips to the most distant peer, and its connection to the target.
 	tunnelDialTimeout = 600 * time.Millisecond
-	// maxTunnels bounds the connections that are carried for other VMs at once. Each takes two
-	// descriptors and two buffers.
-	maxTunnels = 600
 	// targetAckTimeout is how long sent bytes may stay unacknowledged before the target
 	// counts as unreachable (TCP_USER_TIMEOUT). It does not hold for long bodies.
 	targetAckTimeout = 900 * time.Millisecond
@@ -99,6 +97,9 @@
 	latency  *telemetry.Histogram
 	clock    clock.Clock
 
+	// capacity is what clients may occupy of this VM.
+	capacity *capacity.Plan
+
 	loop    *control.Loop
 	dialer  *peer.Dialer
 	store   *platform.Store
@@ -175,8 +176,11 @@
 		listenerErrors: make(chan error, maxListeners), evacuations: newEvacuations(), recalled: make(chan struct{}),
 	}
 	d.knownSinceEra.Store(math.MaxInt64)
-	d.conns = conntrack.NewTracker(d.metrics)
 	d.settings.Store(s)
+	d.capacity = capacity.NewPlan(s.Limits.MemoryMB, s.Limits.Descriptors)
+	d.conns = d.newTracker("callers", conntrack.Config{
+		MaxConns: d.capacity.CallerConns, Sockets: d.capacity.Sockets, SocketsPerConn: capacity.SocketsPerConn,
+	})
 	d.regions, d.domains = regionNames(s.FailureDomains), domainsOf(s.VM.Region, s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
 		Endpoint: s.Traces.Endpoint, SamplePercent: s.Traces.SamplePercent, VM: s.VM.ID,
@@ -241,7 +245,7 @@
 		Address: d.tunnelAddress, Available: d.carriesTunnels, Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return d.reach.DialForPeer(ctx, address)
 		},
-		AckTimeout: targetAckTimeout, MaxConns: maxTunnels, Metrics: d.metrics, Log: d.log,
+		AckTimeout: targetAckTimeout, MaxConns: d.capacity.Tunnels, Sockets: d.capacity.Sockets, Metrics: d.metrics, Log: d.log,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
@@ -379,16 +383,13 @@
 	metricsMux.Handle("GET /metrics", telemetry.Handler(d.metrics, map[string]*telemetry.Histogram{"ingress.latency": d.latency}))
 	locateVMs := func(_, region, _ string) []string { return locate(d.members.View(), region) }
 	ttl := func() time.Duration { return min(locateTTL, d.settings.Load().Bounds.LocateTTL.Duration) }
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.Listen.Peers, d.tunnels.Handler(peerMux)},
-		{s.Listen.Locate, platform.ResolveHandler(locateVMs, ttl, d.log)},
-		{s.Listen.Ready, platform.ReadyHandler(d.ready)},
-		{s.Listen.Callers, d.ingress},
-		{s.Listen.Metrics, metricsMux},
-		{s.Listen.Operators, d.operatorsHandler()},
+	for _, l := range []listenerConfig{
+		{"peers", s.Listen.Peers, d.tunnels.Handler(peerMux)},
+		{"locate", s.Listen.Locate, platform.ResolveHandler(locateVMs, ttl, d.log)},
+		{"ready", s.Listen.Ready, platform.ReadyHandler(d.ready)},
+		{"callers", s.Listen.Callers, d.ingress},
+		{"metrics", s.Listen.Metrics, metricsMux},
+		{"operators", s.Listen.Operators, d.operatorsHandler()},
 	} {
 		if l.address == "" {
 			continue
@@ -397,16 +398,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: d.serverLog(l.address)}
-		if l.address == s.Listen.Callers {
-			server.ConnState, server.ConnContext = d.conns.ConnState, conntrack.ConnContext
-			listener, d.callers = d.conns.Listener(listener), server
-			server.IdleTimeout = 0 // closeIdle follows the configuration
-		} else {
-			d.servers = append(d.servers, server)
-		}
+		server, tracker := d.newServer(l)
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(tracker.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 				d.listenerErrors <- err
 			}
 		}()
@@ -414,6 +408,34 @@
 	return nil
 }
 
+// listenerConfig describes a listener.
+type listenerConfig struct {
+	name, address string
+	handler       http.Handler
+}
+
+// newServer returns the server for a listener, and the tracker of its connections.
+func (d *Daemon) newServer(l listenerConfig) (*http.Server, *conntrack.Tracker) {
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, ErrorLog: d.serverLog(l.address)}
+	tracker := d.conns
+	if l.handler == d.ingress { // closeIdle follows the configuration
+		server.ConnContext = conntrack.ConnContext
+		d.callers = server
+	} else {
+		tracker = d.newTracker(l.name, conntrack.Config{})
+		server.IdleTimeout = callerIdleTimeout
+		d.servers = append(d.servers, server)
+	}
+	server.ConnState = tracker.ConnState
+	return server, tracker
+}
+
+// newTracker returns a tracker of the connections of a listener.
+func (d *Daemon) newTracker(name string, c conntrack.Config) *conntrack.Tracker {
+	c.Name, c.Metrics, c.Log = name, d.metrics, d.log
+	return conntrack.NewTracker(c)
+}
+
 // serverLog returns a logger for the errors of an http.Server, among them panics of handlers, which close
 // the connection without an answer.
 func (d *Daemon) serverLog(address string) *log.Logger {
--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"crocusramp.dev/crocusramp/internal/hangup"
 	"crocusramp.dev/crocusramp/pkg/daemon"
@@ -34,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(d.capacity.MemoryBytes)
 	return d.Run(ctx, reload)
 }
 
--- a/pkg/ingress/fakes_test.go
+++ b/pkg/ingress/fakes_test.go
@@ -235,7 +235,7 @@
 	})
 	w.server.started = time.Now().Add(-startHold)
 	w.front = httptest.NewUnstartedServer(w.server)
-	w.callers = conntrack.NewTracker(metrics.NewRegistry())
+	w.callers = conntrack.NewTracker(conntrack.Config{Name: "callers", Metrics: metrics.NewRegistry()})
 	w.front.Config.ConnState, w.front.Config.ConnContext = w.callers.ConnState, conntrack.ConnContext
 	w.front.Listener = w.callers.Listener(w.front.Listener)
 	w.front.Start()
--- a/pkg/tunnel/server.go
+++ b/pkg/tunnel/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+
+	"crocusramp.dev/crocusramp/pkg/capacity"
 )
 
 const (
@@ -34,8 +36,10 @@
 	// MaxConns is the largest number of connections that are carried at once, including those that are
 	// being set up.
 	MaxConns int
-	Metrics  metrics.Registry
-	Log      zerolog.Logger
+	// Sockets, if set, is the budget of which each connection takes two.
+	Sockets *capacity.Budget
+	Metrics metrics.Registry
+	Log     zerolog.Logger
 }
 
 // Server carries connections to targets for other VMs.
@@ -193,7 +197,7 @@
 	if s.closed {
 		return false
 	}
-	if s.reserved < s.config.MaxConns {
+	if s.reserved < s.config.MaxConns && s.config.Sockets.Take(capacity.SocketsPerConn) {
 		s.reserved++
 		return true
 	}
@@ -220,5 +224,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reserved--
+	s.config.Sockets.Release(capacity.SocketsPerConn)
 	delete(s.carried, l)
 }
--- a/pkg/tunnel/socket.go
+++ b/pkg/tunnel/socket.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"crypto/tls"
 	"errors"
 	"net"
 	"time"
@@ -16,11 +15,16 @@
 
 // tcpConn returns the TCP connection below c.
 func tcpConn(c net.Conn) (*net.TCPConn, bool) {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
+	for {
+		if t, ok := c.(*net.TCPConn); ok {
+			return t, true
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn }) // such as *tls.Conn
+		if !ok {
+			return nil, false
+		}
+		c = wrapper.NetConn()
 	}
-	t, ok := c.(*net.TCPConn)
-	return t, ok
 }
 
 // setUp sets the socket options of a connection between VMs. They also make the kernel reset the
