conntrack, edge: a caller's header is bounded while it is read

What callers saw: headers of 900 KB, or without end, took 293 to 837 MiB of a VM that has 96 (TestHeaders, 100 to 200 connections); headers of 15 KB, within the limit, that consist of short lines and do not end took 225 MiB.

Cause: the server had net/http's limit of 1 MB; that of the configuration was compared once the whole header was there. A parsed header takes several times its bytes, a map entry a line.

Change: the connection counts the bytes and lines of the header that is being read. It is closed, with 431 if possible, once it exceeds the limit of the configuration, which may change meanwhile, by more than the 4 KiB that net/http reads ahead. All headers together have a budget; when it is used up, the connections whose headers have been arriving the longest are closed. A longer header that is whole by then is still refused with 431 as before.

--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -34,6 +34,8 @@
 	EndIdle End = "closed_idle"
 	// EndEvicted: this VM closed the connection to make room for others.
 	EndEvicted End = "evicted"
+	// EndHeader: this VM closed the connection because its header was too long.
+	EndHeader End = "header_too_long"
 	// EndFailed: reading failed for another reason.
 	EndFailed End = "failed"
 )
@@ -66,6 +68,10 @@
 	readingSince time.Time
 	// receivingSince is when reading of the body began, deliveringSince when writing of the response did.
 	receivingSince, deliveringSince time.Time
+	// header is the size of the current request's header, and headerTaken the part of the headers' budget that
+	// it takes while it is being read.
+	header      headerSize
+	headerTaken int64
 	// evicted is set if the connection must be closed to make room for others.
 	evicted bool
 	// untracked is set once the connection no longer counts.
@@ -96,6 +102,9 @@
 		if c.mayContinue(n, err) {
 			continue
 		}
+		if n > 0 && !c.countHeader(b[:n]) {
+			return 0, io.EOF
+		}
 		return n, err
 	}
 }
--- a/pkg/conntrack/evict.go
+++ b/pkg/conntrack/evict.go
@@ -42,6 +42,7 @@
 	c.mu.Lock()
 	first := !c.untracked
 	c.untracked = true
+	c.releaseHeader()
 	c.mu.Unlock()
 	if !first {
 		return
@@ -56,8 +57,9 @@
 type candidate struct {
 	conn *Conn
 	// rank orders the candidates by what their callers lose, and since those of one rank by age.
-	rank  int
-	since time.Time
+	rank   int
+	since  time.Time
+	header int64
 }
 
 // The ranks of candidates, the first to be evicted first.
@@ -77,15 +79,15 @@
 	}
 	switch c.state {
 	case stateNew:
-		return candidate{c, rankUnread, c.accepted}, true
+		return candidate{c, rankUnread, c.accepted, 0}, true
 	case stateReading:
-		return candidate{c, rankUnread, c.readingSince}, true
+		return candidate{c, rankUnread, c.readingSince, c.headerTaken}, true
 	case stateIdle:
-		return candidate{c, rankIdle, c.idleSince}, true
+		return candidate{c, rankIdle, c.idleSince, 0}, true
 	case stateReceiving:
-		return candidate{c, rankReceiving, c.receivingSince}, now.Sub(c.receivingSince) >= minTransferTime
+		return candidate{c, rankReceiving, c.receivingSince, 0}, now.Sub(c.receivingSince) >= minTransferTime
 	case stateDelivering:
-		return candidate{c, rankDelivering, c.deliveringSince}, now.Sub(c.deliveringSince) >= minTransferTime
+		return candidate{c, rankDelivering, c.deliveringSince, 0}, now.Sub(c.deliveringSince) >= minTransferTime
 	default:
 		return k, false
 	}
--- a/pkg/conntrack/tracker.go
+++ b/pkg/conntrack/tracker.go
@@ -22,8 +22,13 @@
 	// Sockets is the budget of which each connection takes SocketsPerConn.
 	Sockets        *capacity.Budget
 	SocketsPerConn int64
-	Metrics        metrics.Registry
-	Log            zerolog.Logger
+	// MaxHeaderBytes returns the largest size of a request's header. A connection is closed if its header
+	// exceeds the limit by more than a buffer.
+	MaxHeaderBytes func() int
+	// Headers is the budget for the memory of headers that are being read.
+	Headers *capacity.Budget
+	Metrics metrics.Registry
+	Log     zerolog.Logger
 }
 
 // Tracker tracks the connections of one http.Server, and bounds them.
@@ -37,15 +42,15 @@
 }
 
 // counters count the connections that a Tracker closes: because they were idle for too long, to make room for
-// others, and at once because there is no room.
-type counters struct{ expired, evicted, refused metrics.Counter }
+// others, at once because there is no room, and because of a header that is too long.
+type counters struct{ expired, evicted, refused, header metrics.Counter }
 
 // NewTracker returns a Tracker that registers its metrics.
 func NewTracker(c Config) *Tracker {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(c.Name+"."+name, c.Metrics) }
 	return &Tracker{config: c, conns: map[*Conn]struct{}{}, counters: counters{
 		expired: counter("connections_expired"), evicted: counter("connections_evicted"),
-		refused: counter("connections_refused"),
+		refused: counter("connections_refused"), header: counter("headers_too_long"),
 	}}
 }
 
@@ -111,6 +116,7 @@
 func (c *Conn) begin(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releaseHeader()
 	c.idleFor = 0
 	if !c.idleSince.IsZero() {
 		c.idleFor = now.Sub(c.idleSince)
@@ -127,7 +133,7 @@
 func (c *Conn) rest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.idleSince = stateIdle, now
+	c.state, c.idleSince, c.header = stateIdle, now, headerSize{}
 }
 
 // Drain closes the connections that are idle and returns the number of connections that carry a request,
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -82,6 +83,8 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout bounds how long a caller may take to send a request header.
 	headerTimeout = 10 * time.Second
+	// defaultMaxHeaderBytes bounds a caller's header if the configuration has no limit.
+	defaultMaxHeaderBytes = 64 << 10
 	// maxListeners is the largest number of listeners of a VM.
 	maxListeners = 6
 	// gcPercent trades CPU time for memory, which costs more.
@@ -179,7 +182,7 @@
 	d.settings.Store(s)
 	d.capacity = capacity.NewPlan(s.Limits.MemoryMB, s.Limits.Descriptors)
 	d.conns = d.newTracker("callers", conntrack.Config{
-		MaxConns: d.capacity.CallerConns, Sockets: d.capacity.Sockets, SocketsPerConn: capacity.SocketsPerConn,
+		MaxConns: d.capacity.CallerConns, Sockets: d.capacity.Sockets, SocketsPerConn: capacity.SocketsPerConn, MaxHeaderBytes: d.maxHeaderBytes,
 	})
 	d.regions, d.domains = regionNames(s.FailureDomains), domainsOf(s.VM.Region, s.FailureDomains)
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
@@ -418,7 +421,7 @@
 func (d *Daemon) newServer(l listenerConfig) (*http.Server, *conntrack.Tracker) {
 	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, ErrorLog: d.serverLog(l.address)}
 	tracker := d.conns
-	if l.handler == d.ingress { // closeIdle follows the configuration
+	if l.handler == d.ingress { // MaxHeaderBytes and closeIdle follow the configuration
 		server.ConnContext = conntrack.ConnContext
 		d.callers = server
 	} else {
@@ -432,10 +435,15 @@
 
 // newTracker returns a tracker of the connections of a listener.
 func (d *Daemon) newTracker(name string, c conntrack.Config) *conntrack.Tracker {
-	c.Name, c.Metrics, c.Log = name, d.metrics, d.log
+	c.Name, c.Headers, c.Metrics, c.Log = name, d.capacity.Headers, d.metrics, d.log
 	return conntrack.NewTracker(c)
 }
 
+// maxHeaderBytes returns the largest size of a caller's header.
+func (d *Daemon) maxHeaderBytes() int {
+	return cmp.Or(d.Snapshot().CallerLimits.MaxHeaderBytes, defaultMaxHeaderBytes)
+}
+
 // serverLog returns a logger for the errors of an http.Server, among them panics of handlers, which close
 // the connection without an answer.
 func (d *Daemon) serverLog(address string) *log.Logger {
