ingress: bodies that stall end at their deadline and make room for others

What callers saw: uploads of 65,000 bytes that stop at 63,000 took 209 to 230 MiB of a VM that has 96 (TestBodies, 1,500 connections), for as long as their callers liked. The refusal of an upload that nobody reads was held back until its body had come.

Cause: a body was read before the request's deadline began to count, without a bound over all requests; net/http reads the rest of a short body before it writes a refusal, without a deadline.

Headers and buffered bodies of all requests in flight have a budget. When it is used up, the requests whose bodies have been arriving the longest, for a second at least, are given up; a request that needs more than an eighth of what is left otherwise is refused. Both get 503 `overloaded` with Retry-After; no target has received them. The connection of a caller whose body is arriving may be closed to make room for others. The rest of a body that nobody needs has a second.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -252,7 +252,7 @@
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
 		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
-		TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.reach, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
+		Capacity: d.capacity, TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.reach, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
 	d.latency.RegisterQuantiles("ingress.latency", d.metrics)
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/forward"
@@ -44,6 +45,8 @@
 	pool       string
 	cachedHash uint64
 
+	memory *capacity.Use
+
 	body []byte // buffered body
 	// bodyStream is a body that is forwarded while it arrives, streamHead the part of it that was
 	// read before it was prepared for streaming, and streamHash the hash of what was forwarded.
@@ -201,18 +204,21 @@
 	if limit > 0 {
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
-	c.r.Body = eofRecorder{c.r.Body, &c.bodyComplete}
+	c.r.Body = bodyRecorder{c.r.Body, c.connection(), &c.bodyComplete}
 	if c.r.ContentLength > bufferLimit && bufferLimit == maxBufferedBody {
 		c.streamBody(nil)
 		return nil
 	}
 	stop := context.AfterFunc(ctx, c.abortBodyRead)
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, bufferLimit+1))
+	body, err := c.bufferBody(io.LimitReader(c.r.Body, bufferLimit+1))
 	stop()
+	if a := c.finalAnswer(ctx); a != nil && (err != nil || errors.Is(context.Cause(ctx), errStopping)) {
+		return a
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(context.Cause(ctx), errStopping):
-		return c.refuseStopping()
+	case errors.Is(err, errOverloaded), err != nil && c.connection().Evicted():
+		return c.refuseOverloaded()
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is longer than the limit")
 	case err != nil:
@@ -243,15 +249,19 @@
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
 }
 
-// eofRecorder records that a body was read to EOF.
-type eofRecorder struct {
+// bodyRecorder records when a body is being read and that it was read to EOF.
+type bodyRecorder struct {
 	io.ReadCloser
+	conn       *conntrack.Conn
 	reachedEOF *atomic.Bool
 }
 
-func (r eofRecorder) Read(p []byte) (int, error) {
+// Read implements io.Reader.
+func (r bodyRecorder) Read(p []byte) (int, error) {
+	r.conn.Receiving()
 	size, err := r.ReadCloser.Read(p)
 	if err == io.EOF {
+		r.conn.Received()
 		r.reachedEOF.Store(true)
 	}
 	return size, err
@@ -332,6 +342,7 @@
 		a.body = []byte(a.detail + "\n")
 	}
 	c.keepConnection()
+	c.boundDiscard()
 	c.log(a)
 	if a.drop {
 		panic(http.ErrAbortHandler)
--- a/pkg/ingress/inflight.go
+++ b/pkg/ingress/inflight.go
@@ -27,6 +27,8 @@
 	since  time.Time
 	target string // of the last attempt
 	reused bool   // the attempt uses a connection that has carried other requests
+	// givenUp is set if the request ends because others need its memory.
+	givenUp bool
 }
 
 // recordSend records that the request is being sent to its target.
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -140,6 +140,8 @@
 		return nil
 	case errors.Is(cause, errStopping):
 		return c.refuseStopping()
+	case errors.Is(cause, errOverloaded):
+		return c.refuseOverloaded()
 	case errors.Is(cause, errCallerLeft):
 		return &answer{status: http.StatusGatewayTimeout, reason: reasonCallerLeft, local: true, drop: true, detail: errCallerLeft.Error()}
 	}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/singleflight"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/limit"
@@ -109,6 +110,8 @@
 	// Shares returns where the requests to a pool run.
 	Shares  func(pool string) placement.Shares
 	Limiter limit.Limiter
+	// Capacity bounds the memory of requests and responses. If it is nil, they are not bounded.
+	Capacity *capacity.Plan
 	// TargetLimiter bounds the requests to targets that set a limit.
 	TargetLimiter TargetLimiter
 	Fleet         Fleet
@@ -161,6 +164,9 @@
 	// their target was found to be unreachable on another connection, or this VM to be cut off.
 	failures    map[evidence]metrics.Counter
 	interrupted metrics.Counter
+	// overloaded counts the requests that were refused because there was no memory for them, and evicted those of
+	// them that were given up while their body arrived.
+	overloaded, evicted metrics.Counter
 }
 
 // NewServer returns a Server.
@@ -187,6 +193,7 @@
 		targetExits: counter("target_ends"), quarantined: counter("quarantined"), trials: counter("trials"),
 		leaving: counter("targets_leaving"), backoffs: counter("target_backoffs"),
 		failures: failures, interrupted: counter("interrupted"),
+		overloaded: counter("overloaded"), evicted: counter("bodies_evicted"),
 	}}
 }
 
@@ -227,7 +234,7 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.counters.requests.Inc(1)
-	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header)}
+	c := &call{s: s, w: w, r: r, arrived: time.Now(), info: s.cfg.Wire.Caller(r.Header), memory: s.cfg.Capacity.NewUse()}
 	ctx, cancel := context.WithCancelCause(traceContext.Extract(context.WithoutCancel(r.Context()), propagation.HeaderCarrier(r.Header)))
 	defer cancel(nil)
 	c.cancel = cancel
@@ -237,6 +244,7 @@
 	c.progress.enter(stageAdmission, "")
 	s.inflight.add(c)
 	defer s.inflight.remove(c)
+	defer c.memory.Release()
 	a := s.serve(ctx, c)
 	c.withholdPromise(a)
 	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
@@ -255,8 +263,6 @@
 	if c.s.refuses() { // the body arrived too late for an answer before the stop
 		return c.refuseStopping()
 	}
-	deadline := c.arrived.Add(c.timeout())
-	c.timer = time.AfterFunc(time.Until(deadline), func() { c.cancel(context.DeadlineExceeded) })
 	return c.run(ctx)
 }
 
@@ -266,6 +272,9 @@
 	if c.s.refuses() {
 		return c.refuseStopping()
 	}
+	if !c.memory.TakeHeader(c.connection().HeaderMemory()) {
+		return c.refuseOverloaded()
+	}
 	c.state = c.awaitState(ctx)
 	if c.state == nil {
 		return refuse(http.StatusServiceUnavailable, outcome.ReasonNotReady, notReadyRetry, "no configuration is known yet")
@@ -283,6 +292,7 @@
 	if c.account == nil && !c.route.Open && len(c.state.Accounts) > 0 {
 		return refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0, "the key is missing or unknown")
 	}
+	c.startTimer()
 	c.pool = c.route.Pool
 	if split := c.state.splits[c.route.Name]; split != nil {
 		c.pool = split.choose(c.objectHash())
--- a/pkg/ingress/trouble_test.go
+++ b/pkg/ingress/trouble_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/peek"
@@ -383,7 +384,7 @@
 		}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		defer cancel(nil)
-		c := &call{s: w.server, r: r, arrived: time.Now(), cancel: cancel, state: w.state, route: w.state.Config.Routes["safe"], pool: testPool, info: CallerInfo{ID: fmt.Sprint("id-", leaves)}}
+		c := &call{s: w.server, r: r, memory: (*capacity.Plan)(nil).NewUse(), arrived: time.Now(), cancel: cancel, state: w.state, route: w.state.Config.Routes["safe"], pool: testPool, info: CallerInfo{ID: fmt.Sprint("id-", leaves)}}
 		c.bodyComplete.Store(true)
 		return c.run(ctx)
 	}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -70,6 +70,7 @@
 	ReasonStale           Reason = "configuration_stale"
 	ReasonNotReady        Reason = "not_ready"
 	ReasonStopping        Reason = "stopping"
+	ReasonOverloaded      Reason = "overloaded"
 	ReasonBadRequest      Reason = "bad_request"
 	ReasonTooLarge        Reason = "too_large"
 	ReasonDuplicate       Reason = "duplicate"
