ingress: responses that callers read slowly are bounded

What callers saw: 200 connections on which nobody reads and that asked for eight responses of 1 MB took 261 MiB of a VM that has 96, of 1.05 MB 557 MiB, and 1,000 of them 1,032 MiB (TestSlowReaders); 400 slow readers at a VM that reaches its targets through another one took 540 MiB (TestSlowReadersThroughPeer).

Cause: up to 1 MB of each response is buffered, so that the request can be sent again if the response breaks off, and kept until it is written; an answer that was buffered whole had no deadline for that.

Change: buffered responses of all requests have a budget. What does not fit is passed on while it arrives, with a buffer of 4 KiB; such a request is not sent again if its response breaks off, as with long responses before. The buffered part is released once it is written. Writing an answer has until the caller's deadline, ten seconds at least; after a second the connection may be closed to make room for others.

TestResponsesWithoutMemoryAreStreamed is new.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -342,7 +342,7 @@
 		a.body = []byte(a.detail + "\n")
 	}
 	c.keepConnection()
-	c.boundDiscard()
+	c.boundDelivery()
 	c.log(a)
 	if a.drop {
 		panic(http.ErrAbortHandler)
@@ -352,7 +352,9 @@
 	}
 	c.w.WriteHeader(a.status)
 	if a.stream != nil {
-		c.copyStream(ctx, a.body, a.stream)
+		head := a.body
+		a.body = nil
+		c.copyStream(ctx, head, a.stream)
 		return
 	}
 	if _, err := c.w.Write(a.body); err != nil {
@@ -386,8 +388,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0)) })
 	var n int64 // streamed bytes
 	_, err := c.w.Write(head)
+	c.memory.ReleaseResponse()
 	if err == nil {
-		n, err = io.Copy(c.w, stream)
+		n, err = io.CopyBuffer(struct{ io.Writer }{c.w}, stream, c.memory.CopyBuffer())
 	}
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -16,8 +16,12 @@
 const (
 	// minBodyBuffer is the first size of the buffer of a request's body, which doubles.
 	minBodyBuffer = 1 << 10
+	// minResponseBuffer is the first part of a response of unknown length that is buffered; it doubles.
+	minResponseBuffer = 64 << 10
 	// minReceiveTime is how long a body may arrive before the request is given up for others.
 	minReceiveTime = time.Second
+	// minDeliveryTime is the least time for the writing of an answer that is ready.
+	minDeliveryTime = 10 * time.Second
 	// maxDiscardTime bounds the wait for the rest of a body that nobody needs; net/http reads it before it
 	// writes the answer.
 	maxDiscardTime = time.Second
@@ -109,12 +113,24 @@
 	}
 }
 
-// boundDiscard bounds the time in which the rest of a body arrives that nobody needs.
-func (c *call) boundDiscard() {
+// boundDelivery bounds the time in which the answer is written, and that in which the rest of a body arrives that
+// nobody needs. From now on, the connection may be closed to make room for others.
+func (c *call) boundDelivery() {
+	control := http.NewResponseController(c.w)
+	timeout := maxTimeout
+	if c.info.Timeout > 0 {
+		timeout = min(timeout, c.info.Timeout)
+	}
+	now, deadline := time.Now(), c.arrived.Add(timeout)
+	if earliest := now.Add(minDeliveryTime); deadline.Before(earliest) {
+		deadline = earliest
+	}
+	// The deadlines can be set unless the connection is closed, which also ends reads and writes.
+	_ = control.SetWriteDeadline(deadline)
 	if c.r.ContentLength != 0 && !c.bodyComplete.Load() && !c.readAborted.Load() && !c.streamed {
-		// Fails only if the connection is closed, which also ends the read.
-		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(maxDiscardTime))
+		_ = control.SetReadDeadline(now.Add(maxDiscardTime))
 	}
+	c.connection().Delivering()
 }
 
 // startTimer cancels the request at its deadline.
--- a/pkg/ingress/memory_test.go
+++ b/pkg/ingress/memory_test.go
@@ -118,6 +118,37 @@
 	}
 }
 
+// TestResponsesWithoutMemoryAreStreamed checks that responses reach the caller whole although there is no memory to
+// buffer them.
+func TestResponsesWithoutMemoryAreStreamed(t *testing.T) {
+	const memory = 64 << 10
+	for _, size := range []int{0, 1, 4 << 10, 200 << 10, maxBufferedResponse - 1, maxBufferedResponse, maxBufferedResponse + 1, 3 * maxBufferedResponse} {
+		for _, declared := range []bool{true, false} {
+			for _, used := range []int64{0, memory} {
+				t.Run(fmt.Sprint(size, declared, used), func(t *testing.T) {
+					w := newFixture(t)
+					w.server.cfg.Capacity = &capacity.Plan{Responses: capacity.NewBudget(memory)}
+					w.server.cfg.Capacity.Responses.Overdraw(used)
+					w.add("i-1", "fd-e", func(rw http.ResponseWriter, _ *http.Request) {
+						rw.Header().Set(hSeal, "seal")
+						if declared {
+							rw.Header().Set("Content-Length", fmt.Sprint(size))
+						} else {
+							rw.(http.Flusher).Flush()
+						}
+						_, _ = io.WriteString(rw, strings.Repeat("x", size))
+					})
+					resp, body, err := w.send("GET", "/safe/x", "")
+					if err != nil || resp.StatusCode != http.StatusOK || len(body) != size {
+						t.Errorf("%d bytes, %v", len(body), err)
+					}
+					w.eventually("the memory is released", func() bool { return w.server.cfg.Capacity.Responses.Used() == used })
+				})
+			}
+		}
+	}
+}
+
 // TestLargeHeadersAreRefusedFirst checks that requests in flight with large headers leave room for ordinary ones.
 func TestLargeHeadersAreRefusedFirst(t *testing.T) {
 	const memory = 1 << 20
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -351,12 +351,7 @@
 // readResponse buffers the response's body. Long responses are forwarded while they arrive.
 func (c *call) readResponse(ctx context.Context, l *target.Live, resp *forward.Response) *attempt {
 	a := &answer{status: resp.StatusCode, header: endToEndHeaders(resp.Header)}
-	var body bytes.Buffer
-	if n := resp.ContentLength; n > 0 && n <= maxBufferedResponse {
-		body.Grow(int(n) + bytes.MinRead)
-	}
-	_, err := io.Copy(&body, io.LimitReader(resp, maxBufferedResponse))
-	long := err == nil && body.Len() == maxBufferedResponse && !resp.Complete()
+	body, long, err := c.bufferResponse(resp)
 	if long {
 		c.progress.enter(stageAnswer, "")
 		err = context.Cause(ctx) // from here on, Abandon does not cancel the request
@@ -365,7 +360,7 @@
 		if !c.streamed { // otherwise the request's body may still be in transit
 			c.reportAnswer()
 		}
-		a.body = body.Bytes()
+		a.body = body
 		a.stream = &streamedResponse{Response: resp, target: l}
 		return &attempt{answer: a}
 	}
@@ -379,10 +374,31 @@
 	}
 	c.s.demand.recordDuration(c.demandKey(), l.RecordServiceTime(time.Since(c.sentAt), c.load))
 	c.reportAnswer()
-	a.body = body.Bytes()
+	a.body = body
 	return &attempt{answer: a}
 }
 
+// bufferResponse reads a response's body, at most maxBufferedResponse of it and as much as there is memory for. long
+// is set if there may be more of it.
+func (c *call) bufferResponse(resp *forward.Response) (body []byte, long bool, _ error) {
+	size := minResponseBuffer
+	if n := resp.ContentLength; n >= 0 {
+		size = int(min(n, maxBufferedResponse))
+	}
+	var buffer bytes.Buffer
+	for ; size <= maxBufferedResponse; size *= 2 {
+		if !c.memory.TakeResponse(int64(size - buffer.Len())) {
+			return buffer.Bytes(), true, nil
+		}
+		buffer.Grow(size - buffer.Len() + bytes.MinRead)
+		_, err := io.Copy(&buffer, io.LimitReader(resp, int64(size-buffer.Len())))
+		if err != nil || buffer.Len() < size || resp.Complete() || resp.ContentLength == int64(size) {
+			return buffer.Bytes(), false, err
+		}
+	}
+	return buffer.Bytes(), true, nil
+}
+
 // expectEnd returns an error unless the body has been read to its end. The end of a body of known length
 // shows only when a further read returns no bytes.
 func expectEnd(resp *forward.Response) error {
