edge: the other listeners bound their clients too

What callers saw: headers of 900 KB or without end at the addresses for look-ups, readiness, peers, metrics and operators took 685 to 1,826 MiB of a VM that has 96, and 250 idle connections to each 1,270 descriptors of 700 (TestOtherListeners).

Cause: these servers had net/http's limit of 1 MB for a header, none for bodies and connections, and a deadline for the header alone.

Change: each has a limit of 16 KiB for a header, a share of the descriptors, the budget for headers, and ten seconds for a request to arrive and as much for its response. Bodies, which these handlers read whole, are bounded to 1 MiB and by the budget for requests.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -83,6 +83,12 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout bounds how long a caller may take to send a request header.
 	headerTimeout = 10 * time.Second
+	// callTimeout bounds how long a request to a listener other than the callers' may take to arrive, and
+	// how long its response may take to be written.
+	callTimeout = 10 * time.Second
+	// maxCallHeaderBytes and maxCallBodyBytes bound such a request.
+	maxCallHeaderBytes = 16 << 10
+	maxCallBodyBytes   = 1 << 20
 	// defaultMaxHeaderBytes bounds a caller's header if the configuration has no limit.
 	defaultMaxHeaderBytes = 64 << 10
 	// maxListeners is the largest number of listeners of a VM.
@@ -387,12 +393,12 @@
 	locateVMs := func(_, region, _ string) []string { return locate(d.members.View(), region) }
 	ttl := func() time.Duration { return min(locateTTL, d.settings.Load().Bounds.LocateTTL.Duration) }
 	for _, l := range []listenerConfig{
-		{"peers", s.Listen.Peers, d.tunnels.Handler(peerMux)},
-		{"locate", s.Listen.Locate, platform.ResolveHandler(locateVMs, ttl, d.log)},
-		{"ready", s.Listen.Ready, platform.ReadyHandler(d.ready)},
-		{"callers", s.Listen.Callers, d.ingress},
-		{"metrics", s.Listen.Metrics, metricsMux},
-		{"operators", s.Listen.Operators, d.operatorsHandler()},
+		{"peers", s.Listen.Peers, d.capacity.PeerConns, d.tunnels.Handler(peerMux)},
+		{"locate", s.Listen.Locate, d.capacity.LocateConns, platform.ResolveHandler(locateVMs, ttl, d.log)},
+		{"ready", s.Listen.Ready, d.capacity.OtherConns, platform.ReadyHandler(d.ready)},
+		{"callers", s.Listen.Callers, 0, d.ingress},
+		{"metrics", s.Listen.Metrics, d.capacity.OtherConns, metricsMux},
+		{"operators", s.Listen.Operators, d.capacity.OtherConns, d.operatorsHandler()},
 	} {
 		if l.address == "" {
 			continue
@@ -414,7 +420,9 @@
 // listenerConfig describes a listener.
 type listenerConfig struct {
 	name, address string
-	handler       http.Handler
+	// maxConns is the largest number of connections; that of the callers' is in Daemon.conns.
+	maxConns int
+	handler  http.Handler
 }
 
 // newServer returns the server for a listener, and the tracker of its connections.
@@ -425,8 +433,10 @@
 		server.ConnContext = conntrack.ConnContext
 		d.callers = server
 	} else {
-		tracker = d.newTracker(l.name, conntrack.Config{})
-		server.IdleTimeout = callerIdleTimeout
+		tracker = d.newTracker(l.name, conntrack.Config{MaxConns: l.maxConns, MaxHeaderBytes: func() int { return maxCallHeaderBytes }})
+		server.Handler = d.capacity.LimitBodies(l.handler, maxCallBodyBytes)
+		server.MaxHeaderBytes, server.IdleTimeout = maxCallHeaderBytes, callerIdleTimeout
+		server.ReadTimeout, server.WriteTimeout = callTimeout, callTimeout
 		d.servers = append(d.servers, server)
 	}
 	server.ConnState = tracker.ConnState
