daemon, entry: `serve` bounds its clients like `edge`

What callers saw: headers of 900 KB or without end at the three listeners of `serve` took 612 to 1,277 MiB of a VM that has 96, 300 idle connections to each 917 descriptors of 700, and uploads that stall 124 MiB (TestServe).

Cause: the peers' and operators' listeners had net/http's limits alone, no listener bounded its connections, and the kept part of a body and the buffered part of a response, 64 KiB each, had no bound over all requests.

Change: the trackers, budgets and deadlines of `edge`. A body of which no more can be kept is not sent again; a response that cannot be buffered is passed on while it arrives. A slow reader's response has a deadline, so its permit comes back.

Two cases stay red, for another reason than memory: uploads that stall and slow readers hold all permits of the targets until their route's timeout, so that ordinary requests of the same account find none.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,10 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/control"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/entry"
@@ -50,6 +53,14 @@
 	// slotWaitTimeout is how long a starting VM waits for its first slot and for
 	// heartbeats from its peers before it accepts callers without them.
 	slotWaitTimeout = 10 * time.Second
+	// operatorsTimeout bounds how long a request of an operator may take to arrive, and how long its response
+	// may take.
+	operatorsTimeout = 30 * time.Second
+	// maxOperatorHeaderBytes and maxCallBodyBytes bound the requests of operators and the calls of peers.
+	maxOperatorHeaderBytes = 16 << 10
+	maxCallBodyBytes       = 4 << 20
+	// handOverHeaderBytes is what a peer adds to the header of a request that it hands over.
+	handOverHeaderBytes = 16 << 10
 	// pollPeriod is the interval at which waits check their condition.
 	pollPeriod = 10 * time.Millisecond
 )
@@ -76,6 +87,8 @@
 	entry          *entry.Server
 	operators      *operator.Server
 
+	// capacity is what clients may occupy of this VM.
+	capacity  *capacity.Plan
 	listeners *listeners
 	servers   servers
 	// cancel ends the control loop at once.
@@ -99,6 +112,8 @@
 	if d.listeners, err = listen(s); err != nil {
 		return nil, err
 	}
+	d.capacity = capacity.NewPlan(s.Limits.MemoryMB, s.Limits.Descriptors)
+	d.trackConnections()
 	d.listeners.peers = countPeerBytes(d.listeners.peers, d.registry)
 	s.Advertise.Callers = advertised(s.Advertise.Callers, d.listeners.callers)
 	s.Advertise.Peers = advertised(s.Advertise.Peers, d.listeners.peers)
@@ -204,6 +219,7 @@
 			MaxHeaderBytes: s.Callers.MaxHeaderBytes, MaxBodyBytes: s.Callers.MaxBodyBytes,
 			MaxTimeout: s.Callers.MaxDeadline.Duration, LocateTTL: s.Callers.LocateTTL.Duration,
 		},
+		Capacity:    d.capacity,
 		RequireEcho: func(pool string) bool { return requireEcho[pool] },
 	})
 	d.operators = operator.NewServer(operator.Config{
@@ -220,8 +236,8 @@
 	if err != nil {
 		return err
 	}
-	d.servers.operators = &http.Server{ReadHeaderTimeout: s.Callers.HeaderTimeout.Duration, TLSConfig: operatorsTLS}
-	d.servers.peers = &http.Server{IdleTimeout: idleTimeout}
+	d.servers.operators.TLSConfig = operatorsTLS
+	d.servers.operators.ReadTimeout, d.servers.operators.WriteTimeout = operatorsTimeout, operatorsTimeout
 	if s.TLS.Peers.Enabled() {
 		d.servers.peers.TLSConfig, err = peer.Credentials(s.TLS.Peers).TLSConfig()
 		if err != nil {
@@ -229,14 +245,34 @@
 		}
 	}
 	d.dialer = peer.NewDialer(d.servers.peers.TLSConfig)
-	d.servers.callers = &http.Server{
-		ReadHeaderTimeout: s.Callers.HeaderTimeout.Duration,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    s.Callers.MaxHeaderBytes,
-	}
 	return nil
 }
 
+// trackConnections creates the servers and bounds the connections of their listeners.
+func (d *Daemon) trackConnections() {
+	callers, limits := d.settings.Callers, d.capacity
+	for _, l := range []struct {
+		server   **http.Server
+		listener *net.Listener
+		config   conntrack.Config
+		max      int // bytes of a header
+	}{
+		{&d.servers.callers, &d.listeners.callers, conntrack.Config{Name: "callers", MaxConns: limits.CallerConns, Sockets: limits.Sockets, SocketsPerConn: capacity.SocketsPerConn}, callers.MaxHeaderBytes},
+		{&d.servers.operators, &d.listeners.operators, conntrack.Config{Name: "operators", MaxConns: limits.OtherConns}, maxOperatorHeaderBytes},
+		{&d.servers.peers, &d.listeners.peers, conntrack.Config{Name: "peers", MaxConns: limits.PeerConns}, callers.MaxHeaderBytes + handOverHeaderBytes},
+	} {
+		c := l.config
+		c.MaxHeaderBytes = func() int { return l.max }
+		c.Headers, c.Metrics, c.Log = limits.Headers, d.registry, d.log
+		tracker := conntrack.NewTracker(c)
+		*l.listener = tracker.Listener(*l.listener)
+		*l.server = &http.Server{
+			ReadHeaderTimeout: callers.HeaderTimeout.Duration, IdleTimeout: idleTimeout, MaxHeaderBytes: l.max,
+			ConnState: tracker.ConnState, ConnContext: conntrack.ConnContext,
+		}
+	}
+}
+
 // describeSelf sets the fields of p that this VM reports about itself in
 // heartbeats.
 func (d *Daemon) describeSelf(p *member.Peer) {
@@ -275,17 +311,18 @@
 	e.GET("/healthz", echo.WrapHandler(http.HandlerFunc(healthz)))
 	e.GET("/readyz", echo.WrapHandler(http.HandlerFunc(d.readyz)))
 	e.GET("/metrics", echo.WrapHandler(telemetry.Handler(d.registry, map[string]*telemetry.Histogram{"entry.latency": d.latency})))
-	e.Any("/twirp/*", echo.WrapHandler(api))
+	e.Any("/twirp/*", echo.WrapHandler(d.capacity.LimitBodies(api, maxCallBodyBytes)))
 	return e
 }
 
 func (d *Daemon) peersHandler() http.Handler {
 	mux := http.NewServeMux()
 	for _, service := range []func() (string, http.Handler){
-		d.members.Handler, d.feed.Handler, d.limiter.Handler, d.entry.PeersHandler,
+		d.members.Handler, d.feed.Handler, d.limiter.Handler,
 	} {
 		prefix, handler := service()
-		mux.Handle(prefix, handler)
+		mux.Handle(prefix, d.capacity.LimitBodies(handler, maxCallBodyBytes))
 	}
+	mux.Handle(d.entry.PeersHandler())
 	return mux
 }
--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -134,5 +135,6 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(d.capacity.MemoryBytes)
 	return d.Run(ctx)
 }
--- a/pkg/daemon/traffic.go
+++ b/pkg/daemon/traffic.go
@@ -37,6 +37,9 @@
 	listener *byteCountingListener
 }
 
+// NetConn returns the connection that c wraps.
+func (c *byteCountingConn) NetConn() net.Conn { return c.Conn }
+
 func (c *byteCountingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.listener.received.Inc(int64(n))
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -8,7 +8,9 @@
 	"strconv"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/claim"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/forward"
 	"crocusramp.dev/crocusramp/pkg/outcome"
@@ -18,8 +20,10 @@
 	// maxBufferedBytes is the largest response body that is read completely before
 	// any of it is sent to the caller.
 	maxBufferedBytes = 64 << 10
-	// copyBufferBytes is the size of the copy buffer of a streamed response.
-	copyBufferBytes = 32 << 10
+	// scarceBufferedBytes is the same while there is little memory.
+	scarceBufferedBytes = 2 << 10
+	// minDeliveryTime is the least time for the writing of a response that is ready.
+	minDeliveryTime = 10 * time.Second
 )
 
 // answer is the result of one attempt: a refusal or a target's response.
@@ -56,7 +60,7 @@
 
 // readResponse reads a response: all of it if it is small, otherwise its first part. It
 // returns an error if the response ends too early.
-func readResponse(resp *forward.Response) (*answer, error) {
+func readResponse(resp *forward.Response, memory *capacity.Use) (*answer, error) {
 	a := &answer{status: resp.StatusCode, header: resp.Header}
 	a.outcome, a.deathID = a.header.Get(headerOutcome), a.header.Get(headerTargetDied)
 	removeHopByHop(a.header)
@@ -64,6 +68,9 @@
 	if n := resp.ContentLength; n >= 0 && n < int64(size) {
 		size = int(n) + 1
 	}
+	if size > scarceBufferedBytes && !memory.TakeResponse(int64(size)) {
+		size = scarceBufferedBytes
+	}
 	a.head = make([]byte, size)
 	n, err := io.ReadFull(resp, a.head)
 	a.head = a.head[:n]
@@ -88,6 +95,7 @@
 
 // deliver sends the answer to the caller.
 func (s *Server) deliver(c *call, a *answer) {
+	c.boundDelivery()
 	if c.body.partlyRead() {
 		c.w.Header().Set("Connection", "close")
 	} else if c.body.fullyRead() {
@@ -117,6 +125,18 @@
 	s.deliverStream(c, a)
 }
 
+// boundDelivery bounds the time in which the response is written. From now on, the caller's connection may be closed to
+// make room for others.
+func (c *call) boundDelivery() {
+	deadline := time.Now().Add(minDeliveryTime)
+	if c.deadline.After(deadline) {
+		deadline = c.deadline
+	}
+	// Fails only if the connection is closed.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline)
+	conntrack.Of(c.r.Context()).Delivering()
+}
+
 // withholdPromise replaces the status of a target's response that promises "not run", because the target may
 // have run the request.
 func withholdPromise(a *answer) {
@@ -175,7 +195,9 @@
 		return err
 	}
 	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
+	a.head = nil
+	c.memory.ReleaseResponse()
+	buffer := c.memory.CopyBuffer()
 	for {
 		if c.watch != nil {
 			if err := c.watch.check(); err != nil {
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -6,11 +6,20 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"crocusramp.dev/crocusramp/pkg/capacity"
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 )
 
 // maxReplayBytes is the largest part of a request's body that is kept for a retry.
 const maxReplayBytes = 64 << 10
 
+// peekBytes is the size of the buffer into which the beginning of a body is read.
+const peekBytes = 4 << 10
+
+// keptCost is the memory of the kept part, per byte: its buffer grows by copying.
+const keptCost = 2
+
 // errBodyAborted reports that the exchange stopped reading the caller's body.
 var errBodyAborted = errors.New("reading the request body was aborted")
 
@@ -20,6 +29,8 @@
 	source io.Reader
 	// control sets the read deadline that unblocks a read from the caller.
 	control *http.ResponseController
+	conn    *conntrack.Conn // nil if it is not tracked
+	memory  *capacity.Use
 
 	mu sync.Mutex
 	// check, if set, is called before each read from the caller. Its error fails the
@@ -33,11 +44,11 @@
 }
 
 // newBody returns the body of a request, or nil if it has none.
-func newBody(w http.ResponseWriter, r *http.Request, limit int64) *body {
+func newBody(w http.ResponseWriter, r *http.Request, limit int64, memory *capacity.Use) *body {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	return &body{source: http.MaxBytesReader(nil, r.Body, limit), control: http.NewResponseController(w)}
+	return &body{source: http.MaxBytesReader(nil, r.Body, limit), control: http.NewResponseController(w), conn: conntrack.Of(r.Context()), memory: memory}
 }
 
 // newReader returns a reader of the body from its start, for one exchange.
@@ -53,6 +64,7 @@
 		return
 	}
 	b.started = true
+	b.conn.Receiving()
 	// A target may answer before it has read the whole body. A server that does
 	// not support full duplex reads the rest of the body first.
 	_ = b.control.EnableFullDuplex()
@@ -97,6 +109,7 @@
 	if b == nil {
 		return nil
 	}
+	var piece []byte
 	for {
 		b.mu.Lock()
 		b.startLocked()
@@ -105,9 +118,11 @@
 		if stop || len(kept) >= n {
 			return kept
 		}
-		p := make([]byte, n-len(kept))
-		m, err := b.source.Read(p)
-		b.recordRead(p[:m], err)
+		if piece == nil {
+			piece = make([]byte, min(n, peekBytes))
+		}
+		m, err := b.source.Read(piece[:min(n-len(kept), len(piece))])
+		b.recordRead(piece[:m], err)
 	}
 }
 
@@ -172,13 +187,14 @@
 func (b *body) recordRead(p []byte, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.read == int64(len(b.kept)) && len(b.kept)+len(p) <= maxReplayBytes {
+	if b.read == int64(len(b.kept)) && len(b.kept)+len(p) <= maxReplayBytes && b.memory.TakeRequest(int64(len(p))*keptCost) {
 		b.kept = append(b.kept, p...)
 	}
 	b.read += int64(len(p))
 	switch {
 	case err == io.EOF:
 		b.complete = true
+		b.conn.Received()
 	case err != nil && b.err == nil:
 		b.err = err
 	}
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/config"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 )
@@ -38,6 +39,8 @@
 	// header is sent to targets.
 	header http.Header
 	body   *body
+	// memory is what the request has taken of the VM's memory.
+	memory *capacity.Use
 	w      http.ResponseWriter
 	r      *http.Request
 }
--- a/pkg/entry/handover.go
+++ b/pkg/entry/handover.go
@@ -28,6 +28,8 @@
 	peerPrefix = "/requests/"
 	runPrefix  = peerPrefix + "run"
 	rpcPrefix  = peerPrefix + "rpc"
+	// maxReportBytes bounds a report of targets that died.
+	maxReportBytes = 1 << 20
 )
 
 // sendToPeer hands the call over to the granted peer, which dispatches it.
@@ -126,7 +128,8 @@
 func (s *Server) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(runPrefix+"/", s.serveHandedOver)
-	mux.Handle(s.deathReports.Handler())
+	prefix, reports := s.deathReports.Handler()
+	mux.Handle(prefix, s.config.Capacity.LimitBodies(reports, maxReportBytes))
 	return mux
 }
 
@@ -154,6 +157,7 @@
 		return
 	}
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	defer c.memory.Release()
 	ctx, span := s.config.Tracer.Start(ctx, "peer.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	s.runAndDeliver(ctx, c)
@@ -196,8 +200,9 @@
 		w:            w,
 		r:            &request,
 		header:       r.Header.Clone(),
-		body:         newBody(w, r, s.config.Limits.MaxBodyBytes),
+		memory:       s.config.Capacity.NewUse(),
 	}
+	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes, c.memory)
 	removeHopByHop(c.header)
 	return c, nil
 }
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -79,6 +79,14 @@
 		stoppingRetryAfter, "This VM has not started up yet.")
 }
 
+// overloadedRetryAfter is the retry time of callers whose request there is no memory for.
+const overloadedRetryAfter = time.Second
+
+func overloadedRefusal() *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded,
+		overloadedRetryAfter, "This VM has too little memory for the request.")
+}
+
 func badRequest(detail string) *outcome.Refusal {
 	return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, detail)
 }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"crocusramp.dev/crocusramp/pkg/conntrack"
 	"crocusramp.dev/crocusramp/pkg/dispatch"
 	"crocusramp.dev/crocusramp/pkg/outcome"
 	"crocusramp.dev/crocusramp/pkg/retry"
@@ -41,13 +42,19 @@
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.config.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	c.memory = s.config.Capacity.NewUse()
+	defer c.memory.Release()
+	if !c.memory.TakeHeader(conntrack.Of(r.Context()).HeaderMemory()) {
+		s.refuse(w, r, c.responseID, overloadedRefusal())
+		return
+	}
 	if refusal := s.prepare(ctx, c, arrived); refusal != nil {
 		refusal = s.correctOutcome(c, refusal)
 		s.refuse(w, r, c.responseID, refusal)
 		return
 	}
 	span.SetAttributes(attribute.String("request.id", c.id), attribute.String("route", c.route.Name))
-	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes)
+	c.body = newBody(w, r, s.config.Limits.MaxBodyBytes, c.memory)
 	if c.body != nil && c.watch != nil {
 		c.body.check = c.watch.check
 	}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"crocusramp.dev/crocusramp/pkg/capacity"
 	"crocusramp.dev/crocusramp/pkg/claim"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/config"
@@ -84,6 +85,8 @@
 	// RequireEcho reports whether the targets of a pool must echo the request
 	// ID. Nil means that none must.
 	RequireEcho func(pool string) bool
+	// Capacity bounds the memory of requests and responses. If it is nil, they are not bounded.
+	Capacity *capacity.Plan
 	// Forward holds the settings of the connections to targets.
 	Forward forward.Config
 	// Retry limits the retries.
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -61,7 +61,7 @@
 	if doErr != nil {
 		return nil, doErr
 	}
-	a, err := readResponse(resp)
+	a, err := readResponse(resp, c.memory)
 	if err != nil {
 		ctxErr := ctx.Err()
 		resp.Close()
