--- a/pkg/conntrack/conn.go
+++ b/pkg/conntrack/conn.go
@@ -125,6 +125,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evicted {
+		if err != nil {
+			c.setEnd(EndEvicted)
+		}
 		return false
 	}
 	if c.expired && (n > 0 || peek.Look(c.TCPConn) == peek.Readable) {
--- a/pkg/conntrack/evict_test.go
+++ b/pkg/conntrack/evict_test.go
@@ -204,7 +204,9 @@
 		if r.Method == http.MethodPost {
 			conn.Receiving()
 			_, err := io.ReadAll(r.Body)
-			ended <- fmt.Sprintf("receiving %t %t", err != nil, conn.Evicted())
+			conn.mu.Lock()
+			defer conn.mu.Unlock()
+			ended <- fmt.Sprintf("receiving %t %t %s", err != nil, conn.evicted, conn.end)
 			return
 		}
 		conn.Delivering()
@@ -223,7 +225,7 @@
 	eventually(t, "both are evicted", func() bool { tracker.evict(2); return tracker.counters.evicted.Count() == 2 })
 	got := []string{<-ended, <-ended}
 	slices.Sort(got)
-	if diff := cmp.Diff([]string{"delivering true true", "receiving true true"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"delivering true true", "receiving true true evicted"}, got); diff != "" {
 		t.Error(diff)
 	}
 }
