--- a/pkg/capacity/plan.go
+++ b/pkg/capacity/plan.go
@@ -20,7 +20,7 @@
 // SocketsPerConn is the number of sockets of a caller's connection with a request in flight, and of a tunnel.
 const SocketsPerConn = 2
 
-// Plan is what clients may occupy of a VM. All uses that it shares are safe for concurrent use.
+// Plan is what clients may occupy of a VM. Its budgets are safe for concurrent use.
 type Plan struct {
 	// MemoryBytes is the soft limit for the memory of the Go runtime.
 	MemoryBytes int64
