--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -157,7 +157,7 @@
 	n := len(d.vms) + 1
 	d.mu.Unlock()
 	host := fmt.Sprintf("127.0.91.%d", n)
-	handler := d.Store.Handler()
+	handler := withParts(d.Store.Handler())
 	if view != nil {
 		handler = view(handler)
 	}
--- a/review/lab3/link.go
+++ b/review/lab3/link.go
@@ -86,25 +86,26 @@
 	for _, l := range links {
 		byID[l.worker.ID] = l.addr
 	}
-	return func(next http.Handler) http.Handler {
-		return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			recorder := httptest.NewRecorder()
-			next.ServeHTTP(recorder, r)
-			body := replaceAddresses(recorder.Body.Bytes(), byID)
-			maps.Copy(rw.Header(), recorder.Header())
-			rw.Header().Del("Content-Length")
-			rw.WriteHeader(recorder.Code)
-			_, _ = rw.Write(body) // the VM may have closed the connection
-		})
-	}
+	return ViewOf(byID)
+}
+
+// rewriting returns a handler that replaces the workers' addresses in the responses of next.
+func rewriting(next http.Handler, addresses map[string]string) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		next.ServeHTTP(recorder, r)
+		body := replaceAddresses(recorder.Body.Bytes(), addresses)
+		maps.Copy(rw.Header(), recorder.Header())
+		rw.Header().Del("Content-Length")
+		rw.WriteHeader(recorder.Code)
+		_, _ = rw.Write(body) // the VM may have closed the connection
+	})
 }
 
 // replaceAddresses replaces the workers' addresses in a response of the store.
 func replaceAddresses(body []byte, byID map[string]string) []byte {
-	var page map[string]any
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.UseNumber()
-	if decoder.Decode(&page) != nil {
+	page, ok := decodePage(body)
+	if !ok {
 		return body
 	}
 	rows, _ := page["rows"].([]any)
@@ -117,10 +118,8 @@
 		if fields["table"] != "servers" || !known || err != nil {
 			continue
 		}
-		var entry map[string]any
-		decoder := json.NewDecoder(bytes.NewReader(value))
-		decoder.UseNumber()
-		if decoder.Decode(&entry) != nil {
+		entry, ok := decodePage(value)
+		if !ok {
 			continue
 		}
 		entry["address"] = address
@@ -133,3 +132,16 @@
 	}
 	return body
 }
+
+// ViewOf returns the store as a VM sees it that knows the workers with the given IDs at other addresses.
+func ViewOf(addresses map[string]string) StoreView {
+	return func(next http.Handler) http.Handler { return rewriting(next, addresses) }
+}
+
+// decodePage decodes a JSON object and keeps its numbers as they are.
+func decodePage(text []byte) (page map[string]any, ok bool) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	err := decoder.Decode(&page)
+	return page, err == nil
+}
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -22,6 +22,8 @@
 	// Via names the link over which it came; empty for the worker's own address.
 	Via        string
 	ID, Tenant string
+	// Target is the path and query as they arrived.
+	Target string
 	// Status is the status of the answer; 0 if the connection ended before.
 	Status int
 }
@@ -163,7 +165,7 @@
 	}
 	w.mu.Lock()
 	n := len(w.arrivals)
-	w.arrivals = append(w.arrivals, Arrival{At: w.d.Now(), Via: via, ID: id, Tenant: r.Header.Get("X-Tenant")})
+	w.arrivals = append(w.arrivals, Arrival{At: w.d.Now(), Via: via, ID: id, Tenant: r.Header.Get("X-Tenant"), Target: r.RequestURI})
 	if w.state == "draining" {
 		h.Set("Server-Leaving", "1")
 	}
