--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -53,6 +53,8 @@
 	arrivals []Arrival
 	stop     chan struct{}
 	servers  []*http.Server
+	// leaving is set when its answers say that it leaves, ended when it writes no more entries.
+	leaving, ended bool
 }
 
 // StartWorker starts a worker that writes its entry to the store.
@@ -86,9 +88,28 @@
 	w.d.onClose(func() { _ = s.Close() })
 }
 
+// Leave takes the worker out of the list. It serves on.
+func (w *Worker) Leave() {
+	w.endBeats()
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.d.Store.Remove("servers", w.ID)
+}
+
+// endBeats ends the heartbeats.
+func (w *Worker) endBeats() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.ended = true
+		close(w.stop)
+	}
+}
+
 // Exit ends the worker with all its connections. Its entry stays until the platform removes it.
 func (w *Worker) Exit() {
-	close(w.stop)
+	w.endBeats()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.servers {
@@ -166,7 +187,7 @@
 	w.mu.Lock()
 	n := len(w.arrivals)
 	w.arrivals = append(w.arrivals, Arrival{At: w.d.Now(), Via: via, ID: id, Tenant: r.Header.Get("X-Tenant"), Target: r.RequestURI})
-	if w.state == "draining" {
+	if w.leaving || w.state == "draining" {
 		h.Set("Server-Leaving", "1")
 	}
 	w.mu.Unlock()
