--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -45,6 +46,13 @@
 		return NotRun
 	}
 	defer d.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		d.close()
+		os.Exit(NotRun)
+	}()
 	held, err := play(d, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
