edge: order a target's entries by its own numbers

A target reports that it drains; seconds later the store performs an older heartbeat that had got no answer.

Cause: the order of arrival was taken for the order of writing, in each way in. Upsert applied whatever the list brought; the order by start time and sequence was used only for the first read after a restore. A removed incarnation came back whatever its number. lastChanges kept the last row of a key in an answer, valid or not, older or not. A VM that starts sees the late row alone.

Change: - Registry.Upsert ignores an entry that its target wrote before the known state, listed or removed. One order for the feed, the whole table and a restore, where an entry as new as the known one is ignored too. - An entry that returns after its removal, and by its number may be news (a VM isn't told of heartbeats that change only the number), awaits a health check, unless it may have expired during an outage of the list. - An ignored entry that stays listed for 5 s, longer than the platform lists a silent target, is accepted after a health check: a target that wrote nothing but a new number since would never be used again. - The changes of an answer are applied in order, each removal after the entries before it. Invalid entries hide no removal, nor in a read of the whole table. - Heartbeat responses name what a VM has read of targets whose entry in the list is older, for VMs that start or re-read the list. - A line per ignored entry with both numbers; targets_entries_outdated.

Excluded: a restarted target under its id (later start, numbers from 1) is used at once, before and after.

--- a/api/peer/v1/recall.twirp.go
+++ b/api/peer/v1/recall.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *recallServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *recallServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "crocusramp.peer.v1", "Recall")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 322 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x3f, 0x4f, 0xc3, 0x30,
 	0x10, 0xc5, 0x95, 0xa4, 0xb4, 0xcd, 0x15, 0x0a, 0x58, 0x08, 0x59, 0x15, 0x88, 0x90, 0x29, 0x12,
--- a/api/peer/v1/request.twirp.go
+++ b/api/peer/v1/request.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *requestServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *requestServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "crocusramp.peer.v1", "Request")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 449 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x53, 0xcf, 0x6f, 0xd3, 0x30,
 	0x18, 0x55, 0xda, 0x25, 0x69, 0xbf, 0x55, 0x1c, 0xcc, 0x36, 0xcc, 0x2f, 0x51, 0x72, 0xa1, 0x07,
--- a/pkg/edge/compare.go
+++ b/pkg/edge/compare.go
@@ -34,6 +34,8 @@
 	shortPoll = time.Second
 	// maxPollAge is how old the last response may be for a VM to tell that its polls are short.
 	maxPollAge = 2500 * time.Millisecond
+	// maxReportedOutdated is the most targets with an outdated entry that a heartbeat response reports.
+	maxReportedOutdated = 16
 )
 
 // tableState is what this VM knows of a table of the store.
@@ -135,6 +137,9 @@
 		wasBrief := brief
 		for i := range view.Peers {
 			d.fleet.hear(view.Peers[i].Share)
+			if states := view.Peers[i].OutdatedTargets; d.targetsRead.Load() && d.applyRecalledTargets(states, now) {
+				d.targets.Publish(storage.Version{})
+			}
 		}
 		brief = pollsBriefly(view)
 		for i, t := range d.tables() {
@@ -235,6 +240,7 @@
 	p.StoreEra, p.KnownSinceEra, p.StoreSilenceEnd = d.store.Era(), d.knownSinceEra.Load(), d.store.SilenceEnd()
 	p.OperatorsVersion, p.ListVersion, p.FleetVersion = d.operators.newestChange(), d.list.newestChange(), d.fleetRows.newestChange()
 	p.Share = d.fleet.report()
+	p.OutdatedTargets = d.targets.Outdated(maxReportedOutdated)
 	p.PollsBriefly = pollsBriefly(d.members.View())
 	for _, t := range d.tables() {
 		p.PollsBriefly = p.PollsBriefly && t.polledWithin(maxPollAge, d.clock.Now())
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -175,6 +175,8 @@
 	// only peers told of it. Guarded by configMu.
 	configRow     storage.Version
 	rowsRewritten metrics.Counter
+	// entriesOutdated counts the target entries that were older than what was known of their targets.
+	entriesOutdated metrics.Counter
 }
 
 // New builds a Daemon from the settings that were loaded from path. Run starts it.
@@ -212,6 +214,7 @@
 func (d *Daemon) buildControl() {
 	s := d.settings.Load()
 	d.rowsRewritten = metrics.GetOrRegisterCounter("store.rows_rewritten", d.metrics)
+	d.entriesOutdated = metrics.GetOrRegisterCounter("targets.entries_outdated", d.metrics)
 	d.store = platform.NewStore(platform.StoreConfig{
 		Address: s.Store.Address, ReadsPerSecond: s.Store.ReadsPerSecond / storeRateDivisor,
 		WritesPerSecond: s.Store.WritesPerSecond / storeRateDivisor, Metrics: d.metrics, Log: d.log,
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -158,21 +158,15 @@
 	first := true
 	return func(u platform.Update) {
 		now := time.Now()
-		var removed []string
-		afterOutage := u.Restored
-		for _, c := range lastChanges(u.Changes) {
-			switch {
-			case c.Removed:
-				removed = append(removed, c.Key)
-				afterOutage = afterOutage || c.AfterOutage
-			case u.Restored:
-				d.applyRestoredTarget(c, now)
-			default:
-				d.applyTarget(c, first, now)
-			}
+		c := d.targetChanges(u)
+		outdated := d.applyEntries(c.entries, u.Restored, first, now)
+		if len(c.removed) > 0 {
+			d.removeTargets(ctx, c.removed, c.afterOutage, now)
 		}
-		if len(removed) > 0 {
-			d.removeTargets(ctx, removed, afterOutage, now)
+		outdated += d.applyEntries(c.returned, u.Restored, first, now)
+		if outdated > 0 {
+			d.entriesOutdated.Inc(int64(outdated))
+			time.AfterFunc(target.OutdatedHold, func() { d.acceptOutdated(ctx) })
 		}
 		if first {
 			d.awaitRecall()
@@ -191,43 +185,99 @@
 	}
 }
 
-// lastChanges returns the last change of each key. An entry that expired and was written again
-// while the store was unreachable arrives as two changes in one response.
-func lastChanges(changes []platform.Change) []platform.Change {
-	last := map[string]int{}
-	for i, c := range changes {
-		last[c.Key] = i
+// targetChanges are the changes of an update of the targets' table in the order in which they are applied:
+// entries, the IDs of removed ones, and the entries that followed the removal of their predecessor.
+type targetChanges struct {
+	entries, returned []targetEntry
+	removed           []string
+	// afterOutage is set if removed entries may have expired while this VM could not read the store.
+	afterOutage bool
+}
+
+// targetEntry is a valid entry of the targets' table.
+type targetEntry struct {
+	target.Entry
+	row storage.Version
+}
+
+// targetChanges decodes an update of the targets' table. Invalid entries name no target: they change nothing,
+// except that a read of the whole table cannot tell them from the removal of the entry before.
+func (d *Daemon) targetChanges(u platform.Update) targetChanges {
+	out := targetChanges{afterOutage: u.Restored}
+	lastRemoval := map[string]int{} // by ID
+	for i, c := range u.Changes {
+		if c.Removed {
+			lastRemoval[c.Key] = i
+			out.afterOutage = out.afterOutage || c.AfterOutage
+		}
+	}
+	expired := map[string]bool{} // entries that were written again after an outage
+	for i, c := range u.Changes {
+		if c.Removed {
+			continue
+		}
+		e, err := platform.DecodeTarget(c.Key, c.Value)
+		if err != nil {
+			d.log.Warn().Err(err).Str("target", c.Key).Stringer("row", c.Version).Msg("ignoring an invalid target entry")
+			if u.Full {
+				lastRemoval[c.Key] = i
+			}
+			continue
+		}
+		removal, removed := lastRemoval[c.Key]
+		switch {
+		case !removed || i < removal:
+			out.entries = append(out.entries, targetEntry{e, c.Version})
+		default:
+			out.returned = append(out.returned, targetEntry{e, c.Version})
+			expired[c.Key] = u.Changes[removal].AfterOutage
+		}
 	}
-	out := make([]platform.Change, 0, len(last))
-	for i, c := range changes {
-		if last[c.Key] == i {
-			out = append(out, c)
+	for id := range lastRemoval {
+		if !expired[id] {
+			out.removed = append(out.removed, id)
 		}
 	}
 	return out
 }
 
-func (d *Daemon) applyTarget(c platform.Change, first bool, now time.Time) {
-	e, err := platform.DecodeTarget(c.Key, c.Value)
-	if err != nil {
-		d.log.Warn().Err(err).Str("target", c.Key).Stringer("row", c.Version).Msg("ignoring an invalid target entry")
-		return
+// applyEntries applies entries of the targets' table. restored is true if they were read after the store had been
+// restored from a copy, firstRead if this VM has never read the table before. applyEntries returns the number of
+// outdated entries.
+func (d *Daemon) applyEntries(entries []targetEntry, restored, firstRead bool, now time.Time) (outdated int) {
+	for _, e := range entries {
+		var l *target.Live
+		var change target.Change
+		if restored {
+			l, change = d.targets.UpsertRestored(e.Entry, now)
+		} else {
+			l, change = d.targets.Upsert(e.Entry, firstRead, now)
+		}
+		line := d.log.Info().Str("target", e.ID).Str("pool", e.Pool).Str("address", e.Address).Bool("draining", e.Draining).
+			Int64("started_at", e.StartedAt).Int64("sequence", e.Sequence).Stringer("change", change).Bool("restored", restored).Stringer("row", e.row)
+		if change == target.Outdated {
+			outdated++
+			known := d.targets.State(e.ID)
+			line = line.Int64("known_started_at", known.StartedAt).Int64("known_sequence", known.Sequence).Bool("known_draining", known.Draining).Bool("known_removed", known.Removed)
+		}
+		line.Bool("suspect", l.Suspect()).Bool("cold", l.Cold(now)).Dur("cold_for_ms", e.ColdFor).Msg("target entry")
 	}
-	l, added := d.targets.Upsert(e, first, now)
-	d.log.Info().Str("target", e.ID).Str("pool", e.Pool).Str("address", e.Address).Bool("draining", e.Draining).
-		Bool("new", added).Bool("cold", l.Cold(now)).Dur("cold_for_ms", e.ColdFor).Stringer("row", c.Version).Msg("target added or updated")
+	return outdated
 }
 
-// applyRestoredTarget applies an entry that was read after the store had been restored from a copy.
-func (d *Daemon) applyRestoredTarget(c platform.Change, now time.Time) {
-	e, err := platform.DecodeTarget(c.Key, c.Value)
-	if err != nil {
-		d.log.Warn().Err(err).Str("target", c.Key).Stringer("row", c.Version).Msg("ignoring an invalid target entry")
+// acceptOutdated applies the outdated entries that are still listed after target.OutdatedHold.
+func (d *Daemon) acceptOutdated(ctx context.Context) {
+	if ctx.Err() != nil {
 		return
 	}
-	l, applied := d.targets.UpsertRestored(e, now)
-	d.log.Info().Str("target", l.ID).Bool("draining", e.Draining).Int64("started_at", e.StartedAt).Int64("sequence", e.Sequence).
-		Bool("applied", applied).Stringer("row", c.Version).Msg("target entry of the restored store")
+	accepted := d.targets.AcceptOutdated(time.Now())
+	for _, l := range accepted {
+		d.log.Warn().Str("target", l.ID).Int64("started_at", l.StartedAt).Dur("after_ms", target.OutdatedHold).
+			Msg("an outdated target entry is still listed; using it once the target passes a health check")
+	}
+	if len(accepted) > 0 {
+		d.targets.Publish(storage.Version{})
+	}
 }
 
 func (d *Daemon) removeTargets(ctx context.Context, ids []string, afterOutage bool, now time.Time) {
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -51,7 +51,7 @@
 		out.Config = *c
 	}
 	for _, t := range s.d.targets.States() {
-		out.Targets = append(out.Targets, &peerpb.TargetState{Id: t.ID, StartedAt: t.StartedAt, Sequence: t.Sequence, Draining: t.Draining, Removed: t.Removed})
+		out.Targets = append(out.Targets, member.TargetStateToProto(t))
 	}
 	return out, nil
 }
@@ -169,7 +169,7 @@
 	}
 	s.evacuated = append(s.evacuated, r.GetEvacuated()...)
 	for _, t := range r.GetTargets() {
-		s.targets = append(s.targets, target.State{ID: t.GetId(), StartedAt: t.GetStartedAt(), Sequence: t.GetSequence(), Draining: t.GetDraining(), Removed: t.GetRemoved()})
+		s.targets = append(s.targets, member.TargetStateFromProto(t))
 	}
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -9,6 +9,7 @@
 	"crocusramp.dev/crocusramp/pkg/quarantine"
 	"crocusramp.dev/crocusramp/pkg/share"
 	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/pkg/target"
 )
 
 // State is the state of a peer as seen by this VM.
@@ -87,6 +88,9 @@
 	Pools []PoolLoad
 	// Limits are the limits of targets that it had observed at the last heartbeat.
 	Limits []TargetLimit
+	// OutdatedTargets is what it had read at the last heartbeat of targets whose entry in the platform's list is
+	// older.
+	OutdatedTargets []target.State
 	// Suspects are the requests during which, as it knew at the last heartbeat, a target
 	// died recently or several targets died. The ages of the deaths are as of then.
 	Suspects []quarantine.Case
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -18,6 +18,7 @@
 	"crocusramp.dev/crocusramp/pkg/quarantine/codec"
 	"crocusramp.dev/crocusramp/pkg/share"
 	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/pkg/target"
 )
 
 // Default timings.
@@ -282,6 +283,9 @@
 	for _, c := range p.Suspects {
 		info.Suspects = append(info.Suspects, codec.Encode(c))
 	}
+	for _, t := range p.OutdatedTargets {
+		info.OutdatedTargets = append(info.OutdatedTargets, TargetStateToProto(t))
+	}
 	return info
 }
 
@@ -334,5 +338,18 @@
 			p.Suspects = append(p.Suspects, c)
 		}
 	}
+	for _, t := range i.GetOutdatedTargets() {
+		p.OutdatedTargets = append(p.OutdatedTargets, TargetStateFromProto(t))
+	}
 	return p
 }
+
+// TargetStateToProto encodes the state of a target for the peer protocol.
+func TargetStateToProto(t target.State) *peerpb.TargetState {
+	return &peerpb.TargetState{Id: t.ID, StartedAt: t.StartedAt, Sequence: t.Sequence, Draining: t.Draining, Removed: t.Removed}
+}
+
+// TargetStateFromProto decodes the state of a target.
+func TargetStateFromProto(t *peerpb.TargetState) target.State {
+	return target.State{ID: t.GetId(), StartedAt: t.GetStartedAt(), Sequence: t.GetSequence(), Draining: t.GetDraining(), Removed: t.GetRemoved()}
+}
--- a/pkg/target/live.go
+++ b/pkg/target/live.go
@@ -196,6 +196,9 @@
 	return l.UnreachableContext()
 }
 
+// SetSuspect makes the target suspect.
+func (l *Live) SetSuspect() { l.suspect.Store(true) }
+
 // RecordIncompleteStream records a streamed response that broke off or did not end. It reports
 // whether the target became suspect because of it. A target that passes its health check
 // afterwards becomes suspect again with the next such response, until a streamed response
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -21,6 +21,10 @@
 	// tombstoneTTL is how long the incarnation of a removed entry is remembered: an
 	// entry that returns unchanged is the same process and has not restarted.
 	tombstoneTTL = 30 * time.Second
+	// OutdatedHold is how long a listed entry that is older than what is known of its target is ignored. The
+	// platform no longer lists it by then if its target is silent, and a target that has published since may
+	// have changed nothing but the sequence number, which this VM is not told.
+	OutdatedHold = 5 * time.Second
 	// massRemovalFraction is the fraction of all targets above which a removal at once may be
 	// entries that expired in the list, rather than targets that ended.
 	massRemovalFraction = 0.25
@@ -73,7 +77,10 @@
 type tombstone struct {
 	live      *Live
 	sequence  int64
+	draining  bool
 	removedAt time.Time
+	// expired is set if the entry may have expired, in which case the target may still serve.
+	expired bool
 }
 
 // Registry builds snapshots from the platform's list of targets. It does no I/O and
@@ -84,7 +91,9 @@
 	processStart time.Time
 	records      map[string]*record
 	tombstones   map[string]tombstone
-	services     map[string]*config.Service
+	// outdated holds the listed entries that are older than what is known of their targets, by ID.
+	outdated map[string]outdatedEntry
+	services map[string]*config.Service
 	// evacuated holds the failure domains that get no requests.
 	evacuated map[string]bool
 	version   storage.Version
@@ -96,7 +105,7 @@
 // NewRegistry returns an empty registry. regions maps each failure domain to its
 // region; processStart is the start of this process.
 func NewRegistry(regions map[string]string, processStart time.Time) *Registry {
-	r := &Registry{regions: regions, processStart: processStart, records: map[string]*record{}, tombstones: map[string]tombstone{}, evacuated: map[string]bool{}}
+	r := &Registry{regions: regions, processStart: processStart, records: map[string]*record{}, tombstones: map[string]tombstone{}, outdated: map[string]outdatedEntry{}, evacuated: map[string]bool{}}
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
@@ -109,58 +118,124 @@
 // Snapshot returns the latest snapshot. It is never nil.
 func (r *Registry) Snapshot() *Snapshot { return r.snapshot.Load() }
 
+// Change is what an entry of the list has changed.
+type Change uint8
+
+const (
+	// Updated is an entry of a target that is in the list already.
+	Updated Change = iota
+	// Added is the first entry of an incarnation.
+	Added
+	// Returned is an entry of an incarnation whose entry had been removed from the list.
+	Returned
+	// Outdated is an entry that was written before the known state of the target. It changes nothing.
+	Outdated
+)
+
+// String returns the change's name in the log.
+func (c Change) String() string {
+	switch c {
+	case Updated:
+		return "updated"
+	case Added:
+		return "added"
+	case Returned:
+		return "returned"
+	default:
+		return "outdated"
+	}
+}
+
 // Upsert adds or updates an entry. firstRead is true for entries that were listed when
 // this VM read the list for the first time; how long ago those targets started is
-// unknown. Upsert returns the incarnation and whether it is new.
-func (r *Registry) Upsert(e Entry, firstRead bool, now time.Time) (live *Live, isNew bool) {
+// unknown. An entry that its target wrote before the known state changes nothing: the
+// list's store may apply a write seconds after later ones.
+func (r *Registry) Upsert(e Entry, firstRead bool, now time.Time) (*Live, Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upsert(e, firstRead, now)
+	return r.upsert(e, e.olderThan, firstRead, now)
 }
 
-func (r *Registry) upsert(e Entry, firstRead bool, now time.Time) (live *Live, isNew bool) {
-	rec := r.records[e.ID]
-	if rec == nil || !rec.live.matches(&e) {
-		rec, isNew = r.addRecord(e)
-		rec.sequence = e.Sequence
-		if !isNew {
-			rec.live.SetCold(e.ColdFor, now)
-			rec.draining = e.Draining
-			return rec.live, false
+func (r *Registry) upsert(e Entry, isOutdated func(startedAt, sequence int64) bool, firstRead bool, now time.Time) (*Live, Change) {
+	delete(r.outdated, e.ID)
+	if known, live := r.latest(e.ID); live != nil && isOutdated(known.StartedAt, known.Sequence) {
+		if !known.Removed && known.StartedAt == e.StartedAt && known.Sequence == e.Sequence {
+			return live, Updated
 		}
-		if s := r.services[e.Pool]; s != nil && !firstRead {
+		r.outdated[e.ID] = outdatedEntry{Entry: e, readAt: now}
+		return live, Outdated
+	}
+	return r.apply(e, firstRead, now)
+}
+
+// apply applies an entry whatever is known of its target.
+func (r *Registry) apply(e Entry, firstRead bool, now time.Time) (*Live, Change) {
+	rec, change := r.records[e.ID], Updated
+	if rec == nil || !rec.live.matches(&e) {
+		rec, change = r.addRecord(e)
+		if s := r.services[e.Pool]; change == Added && s != nil && !firstRead {
 			rec.live.SetCold(s.ColdStart, now)
 		}
 	}
 	rec.draining, rec.sequence = e.Draining, e.Sequence
 	rec.removedAt = time.Time{}
 	rec.live.SetCold(e.ColdFor, now)
-	return rec.live, isNew
+	return rec.live, change
+}
+
+// latest returns the latest known state of a target that is listed or was removed recently. live is nil if there
+// is none.
+func (r *Registry) latest(id string) (State, *Live) {
+	if rec := r.records[id]; rec != nil {
+		return rec.state(id), rec.live
+	}
+	if t, ok := r.tombstones[id]; ok {
+		return t.state(id), t.live
+	}
+	return State{}, nil
 }
 
-// addRecord adds the record of an entry. isNew is false for an incarnation whose removed
-// entry has returned.
-func (r *Registry) addRecord(e Entry) (rec *record, isNew bool) {
+// olderThan reports whether the target wrote e before the entry with the given incarnation and sequence
+// number. It returns false if their order is unknown.
+func (e *Entry) olderThan(startedAt, sequence int64) bool {
+	switch {
+	case startedAt == 0 || e.StartedAt == 0:
+		return false
+	case startedAt != e.StartedAt:
+		return e.StartedAt < startedAt
+	default:
+		return e.Sequence != 0 && e.Sequence < sequence
+	}
+}
+
+// addRecord adds the record of an entry.
+func (r *Registry) addRecord(e Entry) (*record, Change) {
 	previous := r.records[e.ID]
-	rec = &record{}
+	rec := &record{}
 	r.records[e.ID] = rec
 	if t, ok := r.tombstones[e.ID]; ok && t.live.matches(&e) && e.StartedAt != 0 {
 		delete(r.tombstones, e.ID)
 		rec.live = t.live
-		return rec, false
+		if !t.expired {
+			// A write that was applied late lists a target that has left.
+			rec.live.SetSuspect()
+		}
+		return rec, Returned
 	}
 	rec.live = r.newLive(e)
 	if previous != nil && previous.live.StartedAt == e.StartedAt {
 		rec.live.copyAnnouncements(previous.live)
 	}
-	return rec, true
+	return rec, Added
 }
 
-// deleteRecord deletes a record and remembers its incarnation for tombstoneTTL.
-func (r *Registry) deleteRecord(id string, now time.Time) *Live {
+// deleteRecord deletes a record and remembers its incarnation for tombstoneTTL. expired is true if the
+// entry may have expired.
+func (r *Registry) deleteRecord(id string, expired bool, now time.Time) *Live {
 	rec := r.records[id]
 	delete(r.records, id)
-	r.tombstones[id] = tombstone{rec.live, rec.sequence, now}
+	delete(r.outdated, id)
+	r.tombstones[id] = tombstone{rec.live, rec.sequence, rec.draining, now, expired}
 	return rec.live
 }
 
@@ -207,12 +282,13 @@
 	}
 	out := Removal{HeldUntil: now.Add(hold)}
 	for _, id := range ids {
+		delete(r.outdated, id)
 		rec := r.records[id]
 		if rec == nil {
 			continue
 		}
 		if hold <= 0 || rec.draining {
-			out.Removed = append(out.Removed, r.deleteRecord(id, now))
+			out.Removed = append(out.Removed, r.deleteRecord(id, hold > 0 && !rec.draining, now))
 			continue
 		}
 		rec.removedAt, rec.hold = now, hold
@@ -228,7 +304,7 @@
 	var gone []*Live
 	for id, rec := range r.records {
 		if !rec.removedAt.IsZero() && now.Sub(rec.removedAt) >= rec.hold {
-			gone = append(gone, r.deleteRecord(id, now))
+			gone = append(gone, r.deleteRecord(id, true, now))
 		}
 	}
 	for id, t := range r.tombstones {
--- a/pkg/target/restore.go
+++ b/pkg/target/restore.go
@@ -16,31 +16,32 @@
 }
 
 // UpsertRestored adds or updates an entry that was read after the list had gone back to an earlier
-// state. It returns false, and changes nothing, if a later state of the target is known: a later
-// incarnation, or a later entry of the same one. That entry stays in force until the target publishes
-// again.
-func (r *Registry) UpsertRestored(e Entry, now time.Time) (live *Live, applied bool) {
+// state. Unlike for Upsert, the latest known entry is also outdated, because it may have been removed since.
+// What is known stays in force until the target publishes again.
+func (r *Registry) UpsertRestored(e Entry, now time.Time) (*Live, Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if rec := r.records[e.ID]; rec != nil {
-		if supersedes(rec.live.StartedAt, rec.sequence, &e) {
-			return rec.live, false
-		}
-	} else if t, ok := r.tombstones[e.ID]; ok && supersedes(t.live.StartedAt, t.sequence, &e) {
-		return t.live, false
-	}
-	l, _ := r.upsert(e, false, now)
-	return l, true
+	return r.upsert(e, e.notNewerThan, false, now)
 }
 
-// supersedes reports whether a known entry is at least as new as e.
-func supersedes(startedAt, sequence int64, e *Entry) bool {
+// notNewerThan reports whether an entry with the given incarnation and sequence number is at least as new
+// as e.
+func (e *Entry) notNewerThan(startedAt, sequence int64) bool {
 	if startedAt != e.StartedAt {
 		return startedAt > e.StartedAt
 	}
 	return sequence >= e.Sequence
 }
 
+// State returns the latest known state of a target that is listed or was removed recently. It is zero if there is
+// none.
+func (r *Registry) State(id string) State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state, _ := r.latest(id)
+	return state
+}
+
 // States returns the known states of all targets that are listed or were removed recently.
 func (r *Registry) States() []State {
 	r.mu.Lock()
@@ -48,15 +49,23 @@
 	out := make([]State, 0, len(r.records)+len(r.tombstones))
 	for id, t := range r.tombstones {
 		if r.records[id] == nil {
-			out = append(out, State{ID: id, StartedAt: t.live.StartedAt, Sequence: t.sequence, Removed: true})
+			out = append(out, t.state(id))
 		}
 	}
 	for id, rec := range r.records {
-		out = append(out, State{ID: id, StartedAt: rec.live.StartedAt, Sequence: rec.sequence, Draining: rec.draining})
+		out = append(out, rec.state(id))
 	}
 	return out
 }
 
+func (t *tombstone) state(id string) State {
+	return State{ID: id, StartedAt: t.live.StartedAt, Sequence: t.sequence, Draining: t.draining, Removed: true}
+}
+
+func (rec *record) state(id string) State {
+	return State{ID: id, StartedAt: rec.live.StartedAt, Sequence: rec.sequence, Draining: rec.draining}
+}
+
 // ApplyStates applies what another VM knows to the listed targets, where it is newer. It returns the
 // incarnations that it removed.
 func (r *Registry) ApplyStates(states []State, now time.Time) (removed []*Live) {
@@ -68,8 +77,10 @@
 			continue
 		}
 		if s.Removed || s.StartedAt > rec.live.StartedAt {
+			listed := rec.entry()
 			rec.sequence = max(rec.sequence, s.Sequence)
-			removed = append(removed, r.deleteRecord(s.ID, now))
+			removed = append(removed, r.deleteRecord(s.ID, false, now))
+			r.outdated[s.ID] = outdatedEntry{Entry: listed, readAt: now, byPeer: true}
 			continue
 		}
 		rec.sequence, rec.draining = s.Sequence, rec.draining || s.Draining
