edge: a late row of a VM's earlier process does not retire the later one

A VM that stops marks its registration as left without a condition. If the store applies such a write after the next process of the VM has joined, all VMs took the running process for one that had left and its incarnation for retired: the row that it writes again was ignored, and the VM stayed outside the division of the limits for good.

One that says that an earlier process has left is outdated after a later one has joined; the VM writes its own again, the others do so in their turn.

The other rows that a VM reads: configurations are ordered by their versions (and within one by the row); rows of suspects, trials, settled eras, swept and rewritten registrations are written under a condition on the row's version, which a later write ends; a row of an evacuation bears no number of its operator, so only the store's order tells.

Evidence: TestLateRowOfEarlierProcess; its first case fails before the change.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -343,12 +343,13 @@
 			}
 			d.beginRecall(ctx, rows, u.Version.Era)
 		}
+		rewrite := false
 		if u.Restored {
 			d.restoreRegistrations(ctx, rows, u.Version)
 		} else {
-			d.setRegistrations(ctx, rows)
+			rewrite = d.setRegistrations(ctx, rows)
 		}
-		if !d.roster.vms[d.fleet.self.ID].equal(d.fleet.self) && !d.leaving.Load() {
+		if (rewrite || !d.roster.vms[d.fleet.self.ID].equal(d.fleet.self)) && !d.leaving.Load() {
 			d.register(ctx, u.Clock)
 		}
 		d.fleet.setRows(sorted(d.roster.vms), d.clock.Now())
--- a/pkg/edge/restore.go
+++ b/pkg/edge/restore.go
@@ -164,6 +164,12 @@
 // and reports that it must be written again.
 func (r *roster) set(v Registration) (outdated bool) {
 	old := r.vms[v.ID]
+	if v.leftBefore(&old) {
+		r.retired[v.Incarnation] = true
+		old.version = v.version
+		r.vms[v.ID] = old
+		return true
+	}
 	if !v.Left && r.retired[v.Incarnation] {
 		outdated = true
 		if old.Incarnation != "" && !r.retired[old.Incarnation] {
@@ -186,6 +192,12 @@
 	return outdated
 }
 
+// leftBefore reports whether v says that an earlier process of the VM than that of w has left. The store may apply
+// that row after w.
+func (v *Registration) leftBefore(w *Registration) bool {
+	return v.Left && !w.Left && v.Incarnation != w.Incarnation && v.RegisteredAt < w.RegisteredAt
+}
+
 // restore replaces the registrations by those of a restored store, except for what is known to be
 // later. It returns the registrations of other VMs that must be written again, each with the version
 // of the row that it replaces. This VM's own registration is not kept if it was lost.
@@ -216,15 +228,21 @@
 	return lost
 }
 
-// setRegistrations applies changed registrations.
-func (d *Daemon) setRegistrations(ctx context.Context, rows []Registration) {
+// setRegistrations applies changed registrations. It reports whether this VM must write its own again.
+func (d *Daemon) setRegistrations(ctx context.Context, rows []Registration) (own bool) {
 	var outdated []Registration
 	for _, v := range rows {
-		if d.roster.set(v) {
-			outdated = append(outdated, d.roster.vms[v.ID])
+		if !d.roster.set(v) {
+			continue
 		}
+		known := d.roster.vms[v.ID]
+		d.log.Warn().Str("vm", v.ID).Str("incarnation", v.Incarnation).Bool("left", v.Left).Str("known_incarnation", known.Incarnation).Bool("known_left", known.Left).
+			Stringer("row", v.version).Msg("ignoring an outdated registration")
+		outdated = append(outdated, known)
+		own = own || (v.Left && v.ID == d.fleet.self.ID)
 	}
 	d.rewriteLater(ctx, outdated)
+	return own
 }
 
 // restoreRegistrations applies the registrations of a restored store and has the lost ones written
--- a/pkg/edge/restore_test.go
+++ b/pkg/edge/restore_test.go
@@ -59,6 +59,42 @@
 	}
 }
 
+// TestLateRowOfEarlierProcess guards against a row of a VM's earlier process that the store applies after that of the
+// later one: the VMs took the running process for one that had left, and never shared the limits with it again (QUOTA).
+func TestLateRowOfEarlierProcess(t *testing.T) {
+	joined := func(incarnation string, at float64, left bool) Registration {
+		v := registration("a", incarnation, left)
+		v.RegisteredAt = at
+		return v
+	}
+	for _, tt := range []struct {
+		name     string
+		rows     []Registration
+		outdated bool // the last one
+		wantLeft bool
+	}{
+		{"left, after the next process has joined", []Registration{joined("1", 10, false), joined("1", 10, true), joined("2", 20, false), joined("1", 10, true)}, true, false},
+		{"left", []Registration{joined("1", 10, false), joined("2", 20, false), joined("2", 20, true)}, false, true},
+		{"left, the next process has not written", []Registration{joined("1", 10, false), joined("1", 10, true)}, false, true},
+		{"joined, after it has left", []Registration{joined("1", 10, false), joined("1", 10, true), joined("1", 10, false)}, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoster("self")
+			outdated := false
+			for _, v := range tt.rows {
+				outdated = r.set(v)
+			}
+			if got := r.vms["a"]; outdated != tt.outdated || got.Left != tt.wantLeft {
+				t.Errorf("outdated %v, registration %+v", outdated, got)
+			}
+			r.set(joined("3", 30, false))
+			if got := r.vms["a"]; got.Left || got.Incarnation != "3" {
+				t.Errorf("registration %+v after the next process has joined", got)
+			}
+		})
+	}
+}
+
 // TestHeldEvacuations checks that a restored store ends or begins an evacuation only after the time in
 // which operators write lost rows again, and not if they do.
 func TestHeldEvacuations(t *testing.T) {
