target: peers tell a VM that starts of entries that have returned

A target that never reports that it drains is removed from the list; a heartbeat applied late lists it anew. VMs that saw the removal check its health first. One that starts meanwhile reads an ordinary entry and would use it until the platform drops it.

Change: heartbeat responses also name the targets whose entry has returned and whose health is not confirmed. A VM that has the entry from its first read of the list makes the target await a health check, once; VMs that have followed the list go by what they have seen.

--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -346,10 +346,10 @@
 
 // TargetStateToProto encodes the state of a target for the peer protocol.
 func TargetStateToProto(t target.State) *peerpb.TargetState {
-	return &peerpb.TargetState{Id: t.ID, StartedAt: t.StartedAt, Sequence: t.Sequence, Draining: t.Draining, Removed: t.Removed}
+	return &peerpb.TargetState{Id: t.ID, StartedAt: t.StartedAt, Sequence: t.Sequence, Draining: t.Draining, Removed: t.Removed, Unconfirmed: t.Unconfirmed}
 }
 
 // TargetStateFromProto decodes the state of a target.
 func TargetStateFromProto(t *peerpb.TargetState) target.State {
-	return target.State{ID: t.GetId(), StartedAt: t.GetStartedAt(), Sequence: t.GetSequence(), Draining: t.GetDraining(), Removed: t.GetRemoved()}
+	return target.State{ID: t.GetId(), StartedAt: t.GetStartedAt(), Sequence: t.GetSequence(), Draining: t.GetDraining(), Removed: t.GetRemoved(), Unconfirmed: t.GetUnconfirmed()}
 }
--- a/pkg/target/outdated.go
+++ b/pkg/target/outdated.go
@@ -14,21 +14,37 @@
 	byPeer bool
 }
 
-// Outdated returns what this VM has read itself of the targets whose entry in the list is older, at most limit
-// states. A VM that starts reads only that entry.
+// Outdated returns what this VM has read itself of the targets whose entry in the list is older or has returned and
+// awaits a health check, at most limit states. A VM that starts reads only that entry.
 func (r *Registry) Outdated(limit int) []State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []State
 	for id, o := range r.outdated {
-		if len(out) == limit {
-			break
-		}
 		if state, live := r.latest(id); live != nil && !o.byPeer {
 			out = append(out, state)
 		}
 	}
-	return out
+	for id := range r.returned {
+		rec := r.records[id]
+		if rec == nil || !rec.live.Suspect() {
+			delete(r.returned, id)
+			continue
+		}
+		state := rec.state(id)
+		state.Unconfirmed = true
+		out = append(out, state)
+	}
+	return out[:min(len(out), limit)]
+}
+
+// confirmLater makes a target await a health check whose entry has returned according to another VM. One that has
+// followed the list itself has seen the return.
+func (rec *record) confirmLater() {
+	if rec.firstRead {
+		rec.firstRead = false
+		rec.live.SetSuspect()
+	}
 }
 
 // AcceptOutdated applies the entries of removed targets and of earlier incarnations that were outdated when they
--- a/pkg/target/outdated_test.go
+++ b/pkg/target/outdated_test.go
@@ -166,6 +166,32 @@
 	}
 }
 
+// TestPeersTellOfReturnedEntries guards against a VM that starts after the entry of a target that has left was listed
+// anew, and uses the target while the others check its health (DRAIN).
+func TestPeersTellOfReturnedEntries(t *testing.T) {
+	follows, starts := NewRegistry(regions, t0), NewRegistry(regions, t0)
+	follows.Upsert(published(5, 1, false), true, t0)
+	follows.Remove([]string{"a"}, false, drainTime, t0)
+	l, _ := follows.Upsert(published(5, 8, false), false, t0)
+	starts.Upsert(published(5, 8, false), true, t0)
+	for range 2 {
+		starts.ApplyStates(follows.Outdated(16), t0)
+		if uses(starts) {
+			t.Fatal("the target is used before it has passed a health check")
+		}
+	}
+	own := starts.All()[0]
+	own.ClearSuspicion(0, t0)
+	starts.ApplyStates(follows.Outdated(16), t0)
+	if !uses(starts) {
+		t.Error("a peer undoes a health check")
+	}
+	l.ClearSuspicion(0, t0)
+	if states := follows.Outdated(16); len(states) != 0 {
+		t.Errorf("%+v is reported although the target has passed a health check", states)
+	}
+}
+
 // TestEntriesInAnyOrder checks that whatever the order in which the store applies the writes of a target, the
 // latest one of those that were read stays in force.
 func TestEntriesInAnyOrder(t *testing.T) {
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -71,6 +71,9 @@
 	removedAt time.Time
 	// hold is how long after removedAt the entry is kept.
 	hold time.Duration
+	// firstRead is set if the entry was listed when this VM read the list for the first time, and no peer has told
+	// of its return since.
+	firstRead bool
 }
 
 // tombstone is the remembered incarnation of a removed entry.
@@ -93,6 +96,8 @@
 	tombstones   map[string]tombstone
 	// outdated holds the listed entries that are older than what is known of their targets, by ID.
 	outdated map[string]outdatedEntry
+	// returned holds the IDs of the targets that await a health check since their entry returned.
+	returned map[string]bool
 	services map[string]*config.Service
 	// evacuated holds the failure domains that get no requests.
 	evacuated map[string]bool
@@ -105,7 +110,7 @@
 // NewRegistry returns an empty registry. regions maps each failure domain to its
 // region; processStart is the start of this process.
 func NewRegistry(regions map[string]string, processStart time.Time) *Registry {
-	r := &Registry{regions: regions, processStart: processStart, records: map[string]*record{}, tombstones: map[string]tombstone{}, outdated: map[string]outdatedEntry{}, evacuated: map[string]bool{}}
+	r := &Registry{regions: regions, processStart: processStart, records: map[string]*record{}, tombstones: map[string]tombstone{}, outdated: map[string]outdatedEntry{}, returned: map[string]bool{}, evacuated: map[string]bool{}}
 	r.snapshot.Store(&Snapshot{})
 	return r
 }
@@ -173,6 +178,7 @@
 	rec, change := r.records[e.ID], Updated
 	if rec == nil || !rec.live.matches(&e) {
 		rec, change = r.addRecord(e)
+		rec.firstRead = firstRead
 		if s := r.services[e.Pool]; change == Added && s != nil && !firstRead {
 			rec.live.SetCold(s.ColdStart, now)
 		}
@@ -219,6 +225,7 @@
 		if !t.expired {
 			// A write that was applied late lists a target that has left.
 			rec.live.SetSuspect()
+			r.returned[e.ID] = true
 		}
 		return rec, Returned
 	}
@@ -235,6 +242,7 @@
 	rec := r.records[id]
 	delete(r.records, id)
 	delete(r.outdated, id)
+	delete(r.returned, id)
 	r.tombstones[id] = tombstone{rec.live, rec.sequence, rec.draining, now, expired}
 	return rec.live
 }
--- a/pkg/target/restore.go
+++ b/pkg/target/restore.go
@@ -13,6 +13,9 @@
 	Draining bool
 	// Removed reports that the entry has disappeared from the list.
 	Removed bool
+	// Unconfirmed reports that the entry has returned to the list and the target has not passed a health check
+	// since.
+	Unconfirmed bool
 }
 
 // UpsertRestored adds or updates an entry that was read after the list had gone back to an earlier
@@ -76,6 +79,10 @@
 		if rec == nil || s.StartedAt < rec.live.StartedAt || (s.StartedAt == rec.live.StartedAt && s.Sequence < rec.sequence) {
 			continue
 		}
+		if s.Unconfirmed {
+			rec.confirmLater()
+			continue
+		}
 		if s.Removed || s.StartedAt > rec.live.StartedAt {
 			listed := rec.entry()
 			rec.sequence = max(rec.sequence, s.Sequence)
