platform, edge: transfers of a configuration are not given up while they arrive

Requests ran outside the homes that version 19 had given their routes, 6 to 10 s after its acknowledgement.

Their links of 10 Mbit/s were full (1 to 2.9 MB/s in) of configurations (4,200 routes more than at the start) that never arrived: - a poll is sent again 500 ms after a peer knows a newer change, although its response is arriving; a silence that another VM saw ends it too, and a read of the table ends 2 s after it was sent ("sending the pending poll again"); - after 900 ms the VM asked eight peers at once for the whole configuration, and gave up on all of them after 1 s ("failed to read response body"), every 2 s. Each try filled the link for the next: it does not recover by itself.

Excluded: an unknown key (the homes are the routes', the regions differ with the version alone), another region of a target, a broader prefix (the lines name the route).

A peer leaves out a configuration that is no newer than the caller's.

--- a/pkg/edge/compare.go
+++ b/pkg/edge/compare.go
@@ -1,15 +1,19 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	peerpb "crocusramp.dev/crocusramp/api/peer/v1"
 	"crocusramp.dev/crocusramp/pkg/clock"
 	"crocusramp.dev/crocusramp/pkg/member"
+	"crocusramp.dev/crocusramp/pkg/progress"
 	"crocusramp.dev/crocusramp/pkg/share"
 	"crocusramp.dev/crocusramp/pkg/storage"
 	"crocusramp.dev/crocusramp/platform"
@@ -34,6 +38,8 @@
 	shortPoll = time.Second
 	// maxPollAge is how old the last response may be for a VM to tell that its polls are short.
 	maxPollAge = 2500 * time.Millisecond
+	// configTransferTimeout bounds the transfer of a configuration from a peer.
+	configTransferTimeout = 8 * time.Second
 	// maxReportedOutdated is the most targets with an outdated entry that a heartbeat response reports.
 	maxReportedOutdated = 16
 )
@@ -151,29 +157,65 @@
 					Msg("a peer knows a newer change of a table; sending the pending poll again")
 			}
 		}
-		if configLag.exceeds(maxConfigLag, d.Snapshot().Version < newest.config, now) {
+		lags := d.Snapshot().Version < newest.config
+		if configLag.exceeds(maxConfigLag, lags && !d.operators.watcher.Receiving(), now) && d.recallsConfig.CompareAndSwap(false, true) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newest.config).Msg("peers have a newer configuration; asking them for it")
-			d.recallConfig(ctx, peersWithConfig(view, newest.config))
+			d.loop.Go(ctx, func(ctx context.Context) {
+				defer d.recallsConfig.Store(false)
+				d.recallConfig(ctx, peersWithConfig(view, newest.config))
+			})
 		}
 	})
 }
 
-// recallConfig asks peers for the configuration, because the store may be silent to this VM.
+// recallConfig asks peers for the configuration, because the store may be silent to this VM. It asks one after the
+// other: together, their responses would take longer on a slow link than any of them may.
 func (d *Daemon) recallConfig(ctx context.Context, peers []member.Peer) {
-	state, _ := d.askPeers(ctx, lateRecallTimeout, peers)
-	if d.applyRecalledConfigs(state.configs) {
-		d.targets.Publish(storage.Version{})
+	for _, p := range peers {
+		started := time.Now()
+		config, err := d.askConfig(ctx, p)
+		applied := len(config) > 0 && d.applyRecalledConfigs([][]byte{config})
+		d.log.Info().Err(err).Str("vm", p.ID).Int("bytes", len(config)).Dur("ms", time.Since(started)).Bool("applied", applied).Msg("asked another VM for its configuration")
+		if applied {
+			d.targets.Publish(storage.Version{})
+		}
+		if err == nil || ctx.Err() != nil {
+			return
+		}
 	}
 }
 
-// peersWithConfig returns some of the live peers that reported the configuration, in random order.
+// askConfig asks a peer for the configuration if it has a newer one than this VM. The peer must begin to respond in
+// lateRecallTimeout.
+func (d *Daemon) askConfig(parent context.Context, p member.Peer) ([]byte, error) {
+	ctx := progress.WithTimeout(parent, lateRecallTimeout)
+	defer ctx.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { ctx.Extend(configTransferTimeout) }})
+	client := peerpb.NewRecallProtobufClient(d.dialer.BaseURL(p.PeerAddress), d.dialer.HTTPClient())
+	r, err := client.Recall(traced, &peerpb.RecallRequest{ConfigVersion: d.Snapshot().Version})
+	return r.GetConfig(), err
+}
+
+// peersWithConfig returns some of the live peers that reported the configuration, in random order but those of this
+// VM's region first.
 func peersWithConfig(view *member.View, version int64) (peers []member.Peer) {
 	for _, i := range rand.Perm(len(view.Peers)) {
-		if p := view.Peers[i]; p.State == member.Live && p.ConfigVersion == version && len(peers) < maxRecallPeers {
+		if p := view.Peers[i]; p.State == member.Live && p.ConfigVersion == version {
 			peers = append(peers, p)
 		}
 	}
-	return peers
+	slices.SortStableFunc(peers, func(a, b member.Peer) int {
+		return cmp.Compare(distance(&view.Self, &a), distance(&view.Self, &b))
+	})
+	return peers[:min(len(peers), maxRecallPeers)]
+}
+
+// distance is 0 between VMs of one region and 1 between others.
+func distance(a, b *member.Peer) int {
+	if a.Region == b.Region {
+		return 0
+	}
+	return 1
 }
 
 // newestKnown is the newest that live peers know of the store.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -175,6 +175,8 @@
 	// only peers told of it. Guarded by configMu.
 	configRow     storage.Version
 	rowsRewritten metrics.Counter
+	// recallsConfig is set while this VM asks peers for the configuration.
+	recallsConfig atomic.Bool
 	// entriesOutdated counts the target entries that were older than what was known of their targets.
 	entriesOutdated metrics.Counter
 }
--- a/pkg/edge/recall.go
+++ b/pkg/edge/recall.go
@@ -45,9 +45,9 @@
 }
 
 // Recall returns what this VM knows of the operators' and the targets' tables.
-func (s recallServer) Recall(context.Context, *peerpb.RecallRequest) (*peerpb.RecallResponse, error) {
+func (s recallServer) Recall(_ context.Context, r *peerpb.RecallRequest) (*peerpb.RecallResponse, error) {
 	out := &peerpb.RecallResponse{Evacuated: s.d.evacuations.list(), EvacuationsKnown: s.d.evacuations.known.Load()}
-	if c := s.d.configSource.Load(); c != nil {
+	if c := s.d.configSource.Load(); c != nil && s.d.Snapshot().Version > r.GetConfigVersion() {
 		out.Config = *c
 	}
 	for _, t := range s.d.targets.States() {
@@ -144,7 +144,7 @@
 	for _, p := range peers {
 		calls.Go(func() error {
 			client := peerpb.NewRecallProtobufClient(d.dialer.BaseURL(p.PeerAddress), d.dialer.HTTPClient())
-			r, err := client.Recall(ctx, &peerpb.RecallRequest{})
+			r, err := client.Recall(ctx, &peerpb.RecallRequest{ConfigVersion: d.Snapshot().Version})
 			if err != nil {
 				d.log.Info().Err(err).Str("vm", p.ID).Msg("another VM did not tell what it knows of the store")
 				return nil
