ingress: an unknown key is refused on open routes, too

Cause: a request with a key that this VM does not know ran on an open route as if it had none: by the regions of the route alone, without its account's regions and rate. PROTOCOL.md: "A request with an unknown key receives a 401 response"; only a request without one needs none. docs/QUESTIONS.md had assumed otherwise.

The soak could not see it: none of its routes was open.

Evidence: TestUnknownKeyOnOpenRoute fails before (200, want 401).

--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -289,7 +289,7 @@
 	if key := c.state.Keys[c.info.KeyID]; key != nil {
 		c.account = c.state.Accounts[key.Account]
 	}
-	if c.account == nil && !c.route.Open && len(c.state.Accounts) > 0 {
+	if c.account == nil && len(c.state.Accounts) > 0 && (c.info.KeyID != "" || !c.route.Open) {
 		return refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0, "the key is missing or unknown")
 	}
 	c.startTimer()
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// TestUnknownKeyOnOpenRoute guards against a request with a key that this VM does not know, because it was withdrawn
+// or comes with a later configuration, and that runs as if it had none: outside the regions of its account, and
+// beyond its rate (HOME, CONFIG, QUOTA).
+func TestUnknownKeyOnOpenRoute(t *testing.T) {
+	w := newFixture(t)
+	f := w.add("i-1", "fd-e", respondOK)
+	w.expect(200, "GET", "/open/x")
+	w.expect(401, "GET", "/open/x", func(r *http.Request) { r.Header.Set(hKey, "k9") })
+	if got := f.requests(); got != 1 {
+		t.Errorf("%d requests reached the target, want that with the known key alone", got)
+	}
+	withoutAccounts := config.Empty()
+	withoutAccounts.Routes["open"] = testConfig().Routes["open"]
+	w.state = NewState(withoutAccounts, nil)
+	w.expect(200, "GET", "/open/x", func(r *http.Request) { r.Header.Set(hKey, "k9") })
+}
+
 // resetConn reads a request and resets the connection, like a target that crashes.
 func resetConn(c net.Conn) { resetAndNotify(c, func() {}) }
 
