ingress: refusals and regions of a configuration that is known to be outdated

A VM that lacks a version knows so by its peers' heartbeats, and still - answered 401 or 404 for keys and routes of the newer version, after which no caller comes back; - ran requests with homes by the older ones, for as long as it lagged; - kept the state of a request's arrival while it waited for a target.

Change: such a VM answers 503 with Retry-After in place of 401 and 404, and, once it has known so for 1 s, for requests whose route or account is limited to regions. Each attempt is bound by the regions of the arrival's configuration and of the latest one; a retry at the same target, too. The line of a request names the regions, an unknown key and the version at its end where they differ.

--- a/pkg/edge/compare.go
+++ b/pkg/edge/compare.go
@@ -158,6 +158,7 @@
 			}
 		}
 		lags := d.Snapshot().Version < newest.config
+		d.recordConfigLag(lags, now)
 		if configLag.exceeds(maxConfigLag, lags && !d.operators.watcher.Receiving(), now) && d.recallsConfig.CompareAndSwap(false, true) {
 			d.log.Warn().Int64("config", d.Snapshot().Version).Int64("peers", newest.config).Msg("peers have a newer configuration; asking them for it")
 			d.loop.Go(ctx, func(ctx context.Context) {
@@ -168,6 +169,24 @@
 	})
 }
 
+// recordConfigLag records whether peers have a newer configuration.
+func (d *Daemon) recordConfigLag(lags bool, now time.Time) {
+	switch since := d.configOutdatedSince.Load(); {
+	case !lags:
+		d.configOutdatedSince.Store(nil)
+	case since == nil:
+		d.configOutdatedSince.Store(&now)
+	}
+}
+
+// configLag returns for how long this VM has known that peers have a newer configuration, 0 if they have none.
+func (d *Daemon) configLag() time.Duration {
+	if since := d.configOutdatedSince.Load(); since != nil {
+		return time.Since(*since)
+	}
+	return 0
+}
+
 // recallConfig asks peers for the configuration, because the store may be silent to this VM. It asks one after the
 // other: together, their responses would take longer on a slow link than any of them may.
 func (d *Daemon) recallConfig(ctx context.Context, peers []member.Peer) {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -175,6 +175,9 @@
 	// only peers told of it. Guarded by configMu.
 	configRow     storage.Version
 	rowsRewritten metrics.Counter
+	// configOutdatedSince is when this VM first knew of a newer configuration than the one in force; nil if it knows
+	// of none.
+	configOutdatedSince atomic.Pointer[time.Time]
 	// recallsConfig is set while this VM asks peers for the configuration.
 	recallsConfig atomic.Bool
 	// entriesOutdated counts the target entries that were older than what was known of their targets.
@@ -262,7 +265,7 @@
 		AckTimeout: targetAckTimeout, MaxConns: d.capacity.Tunnels, Sockets: d.capacity.Sockets, Metrics: d.metrics, Log: d.log,
 	})
 	d.ingress = ingress.NewServer(ingress.Config{
-		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
+		Wire: platform.Headers{}, Region: d.self.Region, State: d.state.Load, ConfigLag: d.configLag, Ready: d.loaded, Targets: d.targets, Shares: d.sharesOf, Limiter: d.limiter,
 		Capacity: d.capacity, TargetLimiter: d.targetLimits, Fleet: d.fleet, Quarantine: d.quarantine, Suspects: d.suspects, IdleSince: d.idleSince(), Client: d.reach, Clock: d.clock, Log: d.log, Metrics: d.metrics, Tracer: tracer,
 		Latency: func(t time.Duration) { d.latency.Record(t.Microseconds()) },
 	})
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -130,6 +130,7 @@
 	d.configSource.Store(&value)
 	d.configRow = row
 	d.state.Store(ingress.NewState(next, old))
+	d.configOutdatedSince.Store(nil)
 	d.log.Info().Int64("config", next.Version).Stringer("row", row).Int("routes", len(next.Routes)).
 		Int("accounts", len(next.Accounts)).Msg("configuration in force")
 	d.logLimits(next, old)
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -163,13 +163,31 @@
 // idempotent reports whether the request may run more than once.
 func (c *call) idempotent() bool { return c.route.Mode == config.ModeIdempotent }
 
-// allowsRegion reports whether the request may run in a region, by its route and its client
-// account.
+// allowsRegion reports whether the request may run in a region, by its route and its client account: by the
+// configuration in force when it arrived, and by the latest one, because it may have waited.
 func (c *call) allowsRegion(region string) bool {
-	if len(c.route.Regions) > 0 && !slices.Contains(c.route.Regions, region) {
+	if !allowsRegion(c.route, c.account, region) {
 		return false
 	}
-	return c.account == nil || len(c.account.Regions) == 0 || slices.Contains(c.account.Regions, region)
+	latest := c.s.cfg.State()
+	if latest == c.state {
+		return true
+	}
+	var account *config.Account
+	if c.account != nil {
+		account = latest.Accounts[c.account.Name]
+	}
+	return allowsRegion(latest.Config.Routes[c.route.Name], account, region)
+}
+
+// allowsRegion reports whether both the route and the client account, each unless it is nil, allow a region.
+func allowsRegion(r *config.Route, a *config.Account, region string) bool {
+	return (r == nil || allows(r.Regions, region)) && (a == nil || allows(a.Regions, region))
+}
+
+// allows reports whether a region is among the allowed ones; none allows all.
+func allows(allowed []string, region string) bool {
+	return len(allowed) == 0 || slices.Contains(allowed, region)
 }
 
 // headerBytes returns the size of a request's line and header as the caller sent them.
@@ -452,9 +470,13 @@
 	if c.route != nil {
 		e.Str("route", c.route.Name).Str("pool", c.pool).Str("object", c.info.Object)
 	}
-	if c.account != nil {
+	switch {
+	case c.account != nil:
 		e.Str("account", c.account.Name)
+	case c.state != nil:
+		e.Bool("key_unknown", c.info.KeyID != "")
 	}
+	c.logRegions(e)
 	c.logTargets(e)
 	c.retries.log(e)
 	if len(c.limited.ids) > 0 {
@@ -481,6 +503,22 @@
 	return conn
 }
 
+// logRegions logs the regions in which the request may run, if they are limited.
+func (c *call) logRegions(e *zerolog.Event) {
+	if c.route == nil {
+		return
+	}
+	if len(c.route.Regions) > 0 {
+		e.Strs("route_regions", c.route.Regions)
+	}
+	if c.account != nil && len(c.account.Regions) > 0 {
+		e.Strs("account_regions", c.account.Regions)
+	}
+	if latest := c.s.cfg.State(); latest != c.state {
+		e.Int64("config_at_end", latest.Version)
+	}
+}
+
 func (c *call) logTargets(e *zerolog.Event) {
 	if len(c.tried) == 0 {
 		return
--- a/pkg/ingress/choose.go
+++ b/pkg/ingress/choose.go
@@ -69,7 +69,7 @@
 	if !c.refusedWithFreeSlots {
 		return nil
 	}
-	if l := c.tried[len(c.tried)-1]; s.Admits(l, now) && !l.Cold(now) && l.MayAcceptRetry() {
+	if l := c.tried[len(c.tried)-1]; s.Admits(l, now) && c.allowsRegion(l.Region) && !l.Cold(now) && l.MayAcceptRetry() {
 		return l
 	}
 	return nil
--- a/pkg/ingress/run.go
+++ b/pkg/ingress/run.go
@@ -51,6 +51,9 @@
 	maxAttempts := max(1, c.route.MaxAttempts)
 	for {
 		c.progress.enter(stagePlacement, "")
+		if a := c.refuseOutdatedRegions(); a != nil {
+			return a
+		}
 		l := c.chooseTarget(ctx)
 		if l == nil {
 			if a := c.finalAnswer(ctx); a != nil {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -103,6 +103,9 @@
 	Region string
 	// State returns the configuration in force, or nil before the first.
 	State func() *State
+	// ConfigLag returns for how long another VM has had a newer configuration, 0 if none has. It is 0 if ConfigLag
+	// is nil.
+	ConfigLag func() time.Duration
 	// Ready is closed once a configuration, the targets and the VMs are known. If it is nil, they
 	// are known from the start.
 	Ready   <-chan struct{}
@@ -284,13 +287,13 @@
 	}
 	c.route = c.state.Routes.Find(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
-		return refuse(http.StatusNotFound, outcome.ReasonNoRoute, 0, "no route matches host and path")
+		return c.refuseUnknown(http.StatusNotFound, outcome.ReasonNoRoute, "no route matches host and path")
 	}
 	if key := c.state.Keys[c.info.KeyID]; key != nil {
 		c.account = c.state.Accounts[key.Account]
 	}
 	if c.account == nil && len(c.state.Accounts) > 0 && (c.info.KeyID != "" || !c.route.Open) {
-		return refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0, "the key is missing or unknown")
+		return c.refuseUnknown(http.StatusUnauthorized, outcome.ReasonUnauthenticated, "the key is missing or unknown")
 	}
 	c.startTimer()
 	c.pool = c.route.Pool
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -117,6 +117,38 @@
 	w.expect(200, "GET", "/open/x", func(r *http.Request) { r.Header.Set(hKey, "k9") })
 }
 
+// TestRegionsChangeWhileRequestWaits guards against a request that runs outside the regions which its route or
+// account is limited to while it waits for an attempt (HOME).
+func TestRegionsChangeWhileRequestWaits(t *testing.T) {
+	for name, limitTo := range map[string]func(*config.Config, string){
+		"route":   func(c *config.Config, region string) { c.Routes["safe"].Regions = []string{region} },
+		"account": func(c *config.Config, region string) { c.Accounts[testAccount].Regions = []string{region} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t)
+			var state atomic.Pointer[State]
+			w.server.cfg.State = state.Load
+			shedAndLimit := func(region string) http.HandlerFunc {
+				return func(rw http.ResponseWriter, r *http.Request) {
+					next := testConfig()
+					limitTo(next, region)
+					state.Store(NewState(next, nil))
+					shed(rw, r)
+				}
+			}
+			targets := []*fakeTarget{w.add("i-e", "fd-e", shedAndLimit("east")), w.add("i-w", "fd-w", shedAndLimit("west"))}
+			const requests = 20
+			for i := range requests {
+				state.Store(NewState(testConfig(), nil))
+				w.expect(503, "GET", "/safe/x", func(r *http.Request) { r.Header.Set(hObject, fmt.Sprint(i)) })
+			}
+			if got := targets[0].requests() + targets[1].requests(); got != requests {
+				t.Errorf("%d attempts of %d requests, want none in the other region", got, requests)
+			}
+		})
+	}
+}
+
 // resetConn reads a request and resets the connection, like a target that crashes.
 func resetConn(c net.Conn) { resetAndNotify(c, func() {}) }
 
