ingress: the rest of a long body is discarded after an early answer

A target answers 200 before it has read an upload of 24 MiB.

The memory of the request is free by then. A streamed response is not covered: its end is written by net/http after the handler.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -344,7 +345,7 @@
 	for k, v := range a.header {
 		h[k] = v
 	}
-	if c.s.stopping() || c.readAborted.Load() || (c.streamed && !c.bodyComplete.Load()) {
+	if c.s.stopping() || c.bodyArrives() {
 		// While the body is still arriving, net/http would hold the answer back.
 		h.Set("Connection", "close")
 	}
@@ -368,6 +369,9 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	if a.stream == nil && a.status != http.StatusNoContent && c.bodyArrives() { // discardBody sends the answer before this handler returns
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	c.w.WriteHeader(a.status)
 	if a.stream != nil {
 		head := a.body
@@ -380,6 +384,25 @@
 	}
 }
 
+// bodyArrives reports whether the request's body may still be arriving and is no longer read.
+func (c *call) bodyArrives() bool {
+	return c.readAborted.Load() || (c.streamed && !c.bodyComplete.Load())
+}
+
+// discardBody discards the rest of a body after the answer to its request, for at most maxDiscardTime. If the
+// connection were closed with bytes unread, it would be reset, and the caller might lose the answer.
+func (c *call) discardBody(a *answer) {
+	conn := c.connection()
+	if conn == nil || a.stream != nil || !c.bodyArrives() || http.NewResponseController(c.w).Flush() != nil {
+		return
+	}
+	c.body = nil
+	c.memory.Release()
+	// Either fails only on a connection that is closed or has been made to end.
+	_ = conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	_, _ = io.Copy(io.Discard, conn.TCPConn)
+}
+
 // keepConnection keeps the caller's connection open for the idle limit under which this answer is sent:
 // the caller knows no later one.
 func (c *call) keepConnection() {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -253,6 +253,7 @@
 	span.SetAttributes(attribute.String("request.id", c.info.ID), attribute.Int("status", a.status))
 	c.deliver(ctx, a)
 	s.cfg.Latency(time.Since(c.arrived))
+	c.discardBody(a)
 }
 
 // serve admits a request, runs it and returns the answer.
--- a/pkg/ingress/upload_test.go
+++ b/pkg/ingress/upload_test.go
@@ -147,6 +147,41 @@
 	}
 }
 
+// TestAnswerBeforeLongUploadHasEnded guards against an answer that its caller loses because the connection is closed with
+// bytes of the body unread, which resets it (LOST).
+func TestAnswerBeforeLongUploadHasEnded(t *testing.T) {
+	w := newFixture(t)
+	w.addRaw("i-1", "fd-e", respondEarly("200 OK\r\n"+hSeal+": s"))
+	const uploads, bytes = 30, 8 << 20
+	body := strings.Repeat("x", bytes)
+	lost := 0
+	for range uploads {
+		client := &http.Client{Transport: &http.Transport{}}
+		r, err := http.NewRequest(http.MethodPost, w.front.URL+"/once/a", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "host.example"
+		for name, value := range map[string]string{hID: "r", hKey: testKey, hTimeout: "5000"} {
+			r.Header.Set(name, value)
+		}
+		resp, err := client.Do(r)
+		if err != nil {
+			lost++
+			t.Log(err)
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		client.CloseIdleConnections()
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d uploads got no answer", lost, uploads)
+	}
+}
+
 // TestSmallBodiesAreAlwaysAnswered guards against a race that left about one request in a thousand
 // without an answer when its target reset the connection at once.
 func TestSmallBodiesAreAlwaysAnswered(t *testing.T) {
