--- a/pkg/edge/compare.go
+++ b/pkg/edge/compare.go
@@ -16,6 +16,7 @@
 	"crocusramp.dev/crocusramp/pkg/progress"
 	"crocusramp.dev/crocusramp/pkg/share"
 	"crocusramp.dev/crocusramp/pkg/storage"
+	"crocusramp.dev/crocusramp/pkg/target"
 	"crocusramp.dev/crocusramp/platform"
 )
 
@@ -141,11 +142,13 @@
 			}
 		}
 		wasBrief := brief
+		var states []target.State
 		for i := range view.Peers {
 			d.fleet.hear(view.Peers[i].Share)
-			if states := view.Peers[i].OutdatedTargets; d.targetsRead.Load() && d.applyRecalledTargets(states, now) {
-				d.targets.Publish(storage.Version{})
-			}
+			states = append(states, view.Peers[i].OutdatedTargets...)
+		}
+		if d.targetsRead.Load() && d.applyRecalledTargets(states, now) {
+			d.targets.Publish(storage.Version{})
 		}
 		brief = pollsBriefly(view)
 		for i, t := range d.tables() {
