target: entries that return from a held removal await a health check

Change: only removals soon after an outage of the list, or of over 60 % of the targets at once, count as expired. All others await a health check when they return, held or not.

Evidence: TestReturnOfHeldEntryIsChecked.

--- a/pkg/target/outdated_test.go
+++ b/pkg/target/outdated_test.go
@@ -96,6 +96,33 @@
 	}
 }
 
+// TestReturnOfHeldEntryIsChecked guards against a late write that lists one of several targets anew which have left
+// together, while their removal is held: only most of all targets at once are taken for entries that have expired (DRAIN).
+func TestReturnOfHeldEntryIsChecked(t *testing.T) {
+	for _, tt := range []struct {
+		removed    []string
+		wantsCheck bool
+	}{
+		{[]string{"t0", "t1", "t2"}, true},
+		{[]string{"t0", "t1", "t2", "t3", "t4", "t5"}, false},
+	} {
+		for _, expire := range []bool{false, true} {
+			r := newTestRegistry(8)
+			if got := r.Remove(tt.removed, false, drainTime, t0); len(got.Held) != len(tt.removed) {
+				t.Fatalf("%d of %d removals are held", len(got.Held), len(tt.removed))
+			}
+			if expire {
+				r.Expire(t0.Add(removalHold))
+			}
+			late := entry(0, "fd-a")
+			late.Sequence = 2
+			if l, change := r.Upsert(late, false, t0.Add(removalHold)); change != Returned || l.Suspect() != tt.wantsCheck {
+				t.Errorf("%d removed, expired %v: %v, suspect %v", len(tt.removed), expire, change, l.Suspect())
+			}
+		}
+	}
+}
+
 // TestOutdatedEntryStaysListed guards against a target that is never used again, because it has published nothing
 // but a new sequence number since an outdated entry, which the list does not tell.
 func TestOutdatedEntryStaysListed(t *testing.T) {
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -71,6 +71,8 @@
 	removedAt time.Time
 	// hold is how long after removedAt the entry is kept.
 	hold time.Duration
+	// expired is set if the entry may have expired rather than been removed. It is false while it is listed.
+	expired bool
 	// firstRead is set if the entry was listed when this VM read the list for the first time, and no peer has told
 	// of its return since.
 	firstRead bool
@@ -82,8 +84,7 @@
 	sequence  int64
 	draining  bool
 	removedAt time.Time
-	// expired is set if the entry may have expired, in which case the target may still serve.
-	expired bool
+	expired   bool // as in record
 }
 
 // Registry builds snapshots from the platform's list of targets. It does no I/O and
@@ -176,15 +177,19 @@
 // apply applies an entry whatever is known of its target.
 func (r *Registry) apply(e Entry, firstRead bool, now time.Time) (*Live, Change) {
 	rec, change := r.records[e.ID], Updated
-	if rec == nil || !rec.live.matches(&e) {
+	switch {
+	case rec == nil || !rec.live.matches(&e):
 		rec, change = r.addRecord(e)
 		rec.firstRead = firstRead
 		if s := r.services[e.Pool]; change == Added && s != nil && !firstRead {
 			rec.live.SetCold(s.ColdStart, now)
 		}
+	case !rec.removedAt.IsZero():
+		change = Returned
+		r.confirmReturn(rec.live, rec.expired)
 	}
 	rec.draining, rec.sequence = e.Draining, e.Sequence
-	rec.removedAt = time.Time{}
+	rec.removedAt, rec.expired = time.Time{}, false
 	rec.live.SetCold(e.ColdFor, now)
 	return rec.live, change
 }
@@ -222,11 +227,7 @@
 	if t, ok := r.tombstones[e.ID]; ok && t.live.matches(&e) && e.StartedAt != 0 {
 		delete(r.tombstones, e.ID)
 		rec.live = t.live
-		if !t.expired {
-			// A write that was applied late lists a target that has left.
-			rec.live.SetSuspect()
-			r.returned[e.ID] = true
-		}
+		r.confirmReturn(t.live, t.expired)
 		return rec, Returned
 	}
 	rec.live = r.newLive(e)
@@ -236,14 +237,22 @@
 	return rec, Added
 }
 
-// deleteRecord deletes a record and remembers its incarnation for tombstoneTTL. expired is true if the
-// entry may have expired.
-func (r *Registry) deleteRecord(id string, expired bool, now time.Time) *Live {
+// confirmReturn makes a target whose entry has returned await a health check unless the entry may have expired: a write
+// that was applied late lists targets that have left.
+func (r *Registry) confirmReturn(l *Live, expired bool) {
+	if !expired {
+		l.SetSuspect()
+		r.returned[l.ID] = true
+	}
+}
+
+// deleteRecord deletes a record and remembers its incarnation for tombstoneTTL.
+func (r *Registry) deleteRecord(id string, now time.Time) *Live {
 	rec := r.records[id]
 	delete(r.records, id)
 	delete(r.outdated, id)
 	delete(r.returned, id)
-	r.tombstones[id] = tombstone{rec.live, rec.sequence, rec.draining, now, expired}
+	r.tombstones[id] = tombstone{rec.live, rec.sequence, rec.draining, now, rec.expired}
 	return rec.live
 }
 
@@ -277,12 +286,12 @@
 	if afterOutage {
 		r.readableSince = now
 	}
-	hold := time.Duration(0)
+	hold, expired := time.Duration(0), afterOutage
 	switch {
 	case now.Sub(r.readableSince) < removalHold && !r.readableSince.IsZero():
-		hold = r.readableSince.Add(removalHold).Sub(now)
+		hold, expired = r.readableSince.Add(removalHold).Sub(now), true
 	case len(ids) >= minMassRemoval && float64(len(ids)) > outageFraction*float64(len(r.records)):
-		hold = removalHold
+		hold, expired = removalHold, true
 	case len(ids) >= minMassRemoval && float64(len(ids)) > massRemovalFraction*float64(len(r.records)):
 		// Entries that only expired are listed again before the time by which a
 		// target that has left must get no more requests.
@@ -295,8 +304,9 @@
 		if rec == nil {
 			continue
 		}
+		rec.expired = expired && !rec.draining
 		if hold <= 0 || rec.draining {
-			out.Removed = append(out.Removed, r.deleteRecord(id, hold > 0 && !rec.draining, now))
+			out.Removed = append(out.Removed, r.deleteRecord(id, now))
 			continue
 		}
 		rec.removedAt, rec.hold = now, hold
@@ -312,7 +322,7 @@
 	var gone []*Live
 	for id, rec := range r.records {
 		if !rec.removedAt.IsZero() && now.Sub(rec.removedAt) >= rec.hold {
-			gone = append(gone, r.deleteRecord(id, true, now))
+			gone = append(gone, r.deleteRecord(id, now))
 		}
 	}
 	for id, t := range r.tombstones {
--- a/pkg/target/restore.go
+++ b/pkg/target/restore.go
@@ -86,7 +86,7 @@
 		if s.Removed || s.StartedAt > rec.live.StartedAt {
 			listed := rec.entry()
 			rec.sequence = max(rec.sequence, s.Sequence)
-			removed = append(removed, r.deleteRecord(s.ID, false, now))
+			removed = append(removed, r.deleteRecord(s.ID, now))
 			r.outdated[s.ID] = outdatedEntry{Entry: listed, readAt: now, byPeer: true}
 			continue
 		}
