target: a later entry of an unknown target awaits a health check

A target numbers its entries from 1. One that comes by the feed, is not the target's first and whose target is unknown may be late; its target awaits a health check.

--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -38,6 +38,9 @@
 	minHeldFraction = 0.5
 )
 
+// firstSequence is the sequence number of the first entry that a target publishes.
+const firstSequence = 1
+
 // Entry is the description that a target publishes in the platform's list.
 type Entry struct {
 	Target
@@ -179,7 +182,7 @@
 	rec, change := r.records[e.ID], Updated
 	switch {
 	case rec == nil || !rec.live.matches(&e):
-		rec, change = r.addRecord(e)
+		rec, change = r.addRecord(e, firstRead)
 		rec.firstRead = firstRead
 		if s := r.services[e.Pool]; change == Added && s != nil && !firstRead {
 			rec.live.SetCold(s.ColdStart, now)
@@ -220,7 +223,7 @@
 }
 
 // addRecord adds the record of an entry.
-func (r *Registry) addRecord(e Entry) (*record, Change) {
+func (r *Registry) addRecord(e Entry, firstRead bool) (*record, Change) {
 	previous := r.records[e.ID]
 	rec := &record{}
 	r.records[e.ID] = rec
@@ -231,8 +234,11 @@
 		return rec, Returned
 	}
 	rec.live = r.newLive(e)
-	if previous != nil && previous.live.StartedAt == e.StartedAt {
+	switch {
+	case previous != nil && previous.live.StartedAt == e.StartedAt:
 		rec.live.copyAnnouncements(previous.live)
+	case !firstRead && e.Sequence > firstSequence:
+		r.confirmReturn(rec.live, false) // this VM may have missed that the target has left
 	}
 	return rec, Added
 }
